--- /dev/null
+++ b/cmake/medlarrack_options.cmake
@@ -0,0 +1,24 @@
+# Language level, build type, sanitizers and the compiler cache.
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+set(CMAKE_RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
+
+if(NOT CMAKE_BUILD_TYPE)
+    set(CMAKE_BUILD_TYPE RelWithDebInfo CACHE STRING "build type" FORCE)
+endif()
+
+find_program(MEDLARRACK_CCACHE ccache)
+if(MEDLARRACK_CCACHE)
+    set(CMAKE_CXX_COMPILER_LAUNCHER "${MEDLARRACK_CCACHE}")
+endif()
+
+# One of: empty, "address,undefined", "thread".
+set(MEDLARRACK_SANITIZE "" CACHE STRING "sanitizers to build with")
+if(MEDLARRACK_SANITIZE)
+    add_compile_options(-fsanitize=${MEDLARRACK_SANITIZE} -fno-omit-frame-pointer -fno-sanitize-recover=all)
+    add_link_options(-fsanitize=${MEDLARRACK_SANITIZE})
+endif()
+
+find_package(Threads REQUIRED)
--- /dev/null
+++ b/cmake/medlarrack_targets.cmake
@@ -0,0 +1,38 @@
+# Helpers that declare a library, a program or a test of the workspace.
+
+# medlarrack_library(NAME <name> SOURCES ... [DEPENDS <workspace libraries>] [LINKS <outside libraries, private>]
+#                    [LINKS_PUBLIC <outside libraries>])
+function(medlarrack_library)
+    cmake_parse_arguments(ARG "" "NAME" "SOURCES;DEPENDS;LINKS;LINKS_PUBLIC" ${ARGN})
+    set(target medlarrack_${ARG_NAME})
+    add_library(${target} STATIC ${ARG_SOURCES})
+    add_library(medlarrack::${ARG_NAME} ALIAS ${target})
+    target_include_directories(${target} PUBLIC include PRIVATE src)
+    list(TRANSFORM ARG_DEPENDS PREPEND medlarrack::)
+    target_link_libraries(${target}
+        PUBLIC ${ARG_DEPENDS} ${ARG_LINKS_PUBLIC} Threads::Threads
+        PRIVATE medlarrack_warnings ${ARG_LINKS})
+endfunction()
+
+# medlarrack_program(NAME <name> SOURCES ... [DEPENDS ...] [LINKS ...])
+function(medlarrack_program)
+    cmake_parse_arguments(ARG "" "NAME" "SOURCES;DEPENDS;LINKS" ${ARGN})
+    add_executable(${ARG_NAME} ${ARG_SOURCES})
+    list(TRANSFORM ARG_DEPENDS PREPEND medlarrack::)
+    target_link_libraries(${ARG_NAME} PRIVATE medlarrack_warnings ${ARG_DEPENDS} ${ARG_LINKS} Threads::Threads)
+    target_compile_definitions(${ARG_NAME} PRIVATE MEDLARRACK_VERSION="${PROJECT_VERSION}")
+endfunction()
+
+# medlarrack_test(NAME <name> SOURCES ... [DEPENDS ...] [LINKS ...] [LABELS ...])
+# Sources hold Boost.Test cases without a main function.
+function(medlarrack_test)
+    cmake_parse_arguments(ARG "" "NAME" "SOURCES;DEPENDS;LINKS;LABELS" ${ARGN})
+    set(target test_${ARG_NAME})
+    add_executable(${target} ${PROJECT_SOURCE_DIR}/cmake/test_main.cpp ${ARG_SOURCES})
+    list(TRANSFORM ARG_DEPENDS PREPEND medlarrack::)
+    target_compile_definitions(${target} PRIVATE BOOST_TEST_DYN_LINK MEDLARRACK_TEST_NAME=${ARG_NAME})
+    target_link_libraries(${target} PRIVATE medlarrack_warnings ${ARG_DEPENDS} ${ARG_LINKS}
+        boost_unit_test_framework Threads::Threads)
+    add_test(NAME ${ARG_NAME} COMMAND ${target} --log_level=test_suite --report_level=short)
+    set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 300 LABELS "${ARG_LABELS}")
+endfunction()
--- /dev/null
+++ b/libs/peer/include/medlarrack/peer/server.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <medlarrack/core/reason.hpp>
+#include <medlarrack/peer/messages.hpp>
+
+#include <asio/io_context.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace medlarrack::peer {
+
+class reply_stream;
+
+/// Called once per stream with its first message, on a thread that runs the io_context. Not called again for the
+/// stream. The reply stream may be kept and used from any thread.
+using stream_handler = std::function<void(const hello &from, message request, std::shared_ptr<reply_stream> reply)>;
+
+/// Limits of a peer server.
+struct server_limits
+{
+    std::size_t maxConnections = 4096;
+    std::uint32_t maxStreamsPerConnection = 1024;
+};
+
+/// Accepts connections of other processes: HTTP/2 with prior knowledge, one stream per request message.
+class server
+{
+public:
+    /// The hello is asked for at every connection and whenever it is sent.
+    server(asio::io_context &context, server_limits limits, std::function<hello()> self, stream_handler handler);
+    ~server();
+    server(const server &) = delete;
+    server &operator=(const server &) = delete;
+
+    [[nodiscard]] bool start(const std::string &address, std::uint16_t port, core::reason &why);
+    [[nodiscard]] std::uint16_t port() const;
+    /// Sends GOAWAY on all connections: no new streams; those in progress go on.
+    void drain();
+    /// Streams in progress.
+    [[nodiscard]] std::size_t streams() const;
+    /// Closes everything.
+    void stop();
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace medlarrack::peer
