--- /dev/null
+++ b/libs/daemon/include/medlarrack/daemon/signals.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace medlarrack::daemon {
+
+/// Calls back once at the first SIGTERM or SIGINT; further ones are ignored. SIGPIPE is ignored throughout.
+class signals
+{
+public:
+    signals(asio::io_context &context, std::function<void()> onTerminate);
+    ~signals();
+    signals(const signals &) = delete;
+    signals &operator=(const signals &) = delete;
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace medlarrack::daemon
--- /dev/null
+++ b/libs/instances/include/medlarrack/instances/view.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <medlarrack/core/clock.hpp>
+#include <medlarrack/instances/instance.hpp>
+
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace medlarrack::instances {
+
+/// An instance list as read once. Immutable, sorted by id.
+struct instance_list
+{
+    /// When the platform made it, by the platform's clock.
+    core::wall_time asOf{};
+    std::vector<instance> instances;
+};
+
+/// What this process knows of the fleet: the newest instance list, corrected by what it hears first hand ("leaving" is
+/// believed from whoever says it first and not taken back by an older list). Thread-safe; its mutex is a leaf in the
+/// lock order.
+class view
+{
+public:
+    view();
+    ~view();
+    view(const view &) = delete;
+    view &operator=(const view &) = delete;
+
+    /// Takes a newer list; an older one (by asOf) is ignored. Returns whether anything changed.
+    bool apply(instance_list list, core::monotonic_time now);
+    /// An instance said itself that it is leaving.
+    void markLeaving(std::string_view id);
+
+    /// The current list, with corrections. Never null; shared, so taking it costs no copy.
+    [[nodiscard]] std::shared_ptr<const instance_list> current() const;
+    /// When the last list was taken; nothing before the first.
+    [[nodiscard]] std::optional<core::monotonic_time> lastRead() const;
+    /// Instances of a target group, those leaving included, sorted by id.
+    [[nodiscard]] std::vector<instance> group(std::string_view name) const;
+    [[nodiscard]] std::optional<instance> find(std::string_view id) const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace medlarrack::instances
--- /dev/null
+++ b/libs/tickets/include/medlarrack/tickets/state.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <medlarrack/tickets/ticket.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace medlarrack::tickets {
+
+/// Lowercase hexadecimal SHA-256 of salt followed by key.
+[[nodiscard]] std::string hashKey(std::string_view salt, std::string_view key);
+
+/// The published state in force: per object, what the ticket with the largest number says. Thread-safe; its one mutex
+/// is a leaf in the lock order. Looked-up objects stay valid after later changes.
+class state
+{
+public:
+    state();
+    ~state();
+    state(const state &) = delete;
+    state &operator=(const state &) = delete;
+
+    /// Puts a ticket in force, in whatever order tickets arrive. False when it was known already.
+    bool apply(const ticket &value);
+
+    /// Largest ticket number applied; 0 before the first.
+    [[nodiscard]] std::uint64_t newest() const;
+    /// Largest number n such that all tickets up to n are applied.
+    [[nodiscard]] std::uint64_t contiguous() const;
+    /// Published texts of the tickets that are still the newest of some object and have a number above the given one,
+    /// ascending, at most maxBytes in sum (at least one).
+    [[nodiscard]] std::vector<std::string> textsAfter(std::uint64_t number, std::size_t maxBytes) const;
+
+    [[nodiscard]] std::shared_ptr<const operator_state> findOperator(std::string_view name) const;
+    [[nodiscard]] std::shared_ptr<const adapter_state> findAdapter(std::string_view name) const;
+    [[nodiscard]] std::shared_ptr<const service_state> findService(std::string_view name) const;
+    [[nodiscard]] std::shared_ptr<const group_state> findGroup(std::string_view name) const;
+
+    /// The operator that a bearer key of the form "<operator>.<secret>" belongs to.
+    [[nodiscard]] std::optional<std::string> authenticate(std::string_view bearerKey) const;
+    /// Names of an operator's adapters, sorted.
+    [[nodiscard]] std::vector<std::string> adaptersOf(std::string_view operatorName) const;
+    [[nodiscard]] std::size_t adapterCount() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace medlarrack::tickets
