Add settings reader, logs, metrics and the daemons' shell

Cause: both daemons need the same command line, checked settings, JSON-line logs and metrics. Change: object_reader collects all faults with JSON pointers; logs by Boost.Log; metrics by prometheus-cpp with bounded operators; popt command line, worker pool and signals. Conclusion: daemons can be thin mains.

--- a/libs/daemon/include/medlarrack/daemon/command_line.hpp
+++ b/libs/daemon/include/medlarrack/daemon/command_line.hpp
@@ -6,16 +6,14 @@
 
 namespace medlarrack::daemon {
 
-/// Exit codes of all programs.
-enum exit_code : int {
-    exitOk = 0,
-    /// The work failed.
-    exitFailure = 1,
-    /// The command line can't be taken.
-    exitUsage = 2,
-    /// The settings file can't be taken.
-    exitSettings = 3,
-};
+/// Exit code: the work was done.
+inline constexpr int exitOk = 0;
+/// Exit code: the work failed.
+inline constexpr int exitFailure = 1;
+/// Exit code: the command line can't be taken.
+inline constexpr int exitUsage = 2;
+/// Exit code: the settings file can't be taken.
+inline constexpr int exitSettings = 3;
 
 /// What a daemon's command line says.
 struct command_line
--- /dev/null
+++ b/libs/daemon/src/signals.cpp
@@ -0,0 +1,56 @@
+#include <medlarrack/daemon/signals.hpp>
+
+#include <asio/signal_set.hpp>
+
+#include <csignal>
+#include <utility>
+
+namespace medlarrack::daemon {
+
+class signals::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(asio::io_context &context, std::function<void()> onTerminate)
+        : m_set(context, SIGTERM, SIGINT)
+        , m_onTerminate(std::move(onTerminate))
+    {
+    }
+
+    void wait()
+    {
+        m_set.async_wait([self = shared_from_this()](const std::error_code &error, int) {
+            if (error) {
+                return;
+            }
+            // Later signals are taken and ignored, so that they can't end the process by default.
+            self->wait();
+            if (auto callback = std::exchange(self->m_onTerminate, nullptr)) {
+                callback();
+            }
+        });
+    }
+
+    void cancel()
+    {
+        std::error_code ignored;
+        m_set.cancel(ignored);
+    }
+
+private:
+    asio::signal_set m_set;
+    std::function<void()> m_onTerminate;
+};
+
+signals::signals(asio::io_context &context, std::function<void()> onTerminate)
+    : m_impl(std::make_shared<impl>(context, std::move(onTerminate)))
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    m_impl->wait();
+}
+
+signals::~signals()
+{
+    m_impl->cancel();
+}
+
+} // namespace medlarrack::daemon
--- a/libs/settings/include/medlarrack/settings/object_reader.hpp
+++ b/libs/settings/include/medlarrack/settings/object_reader.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace medlarrack::settings {
 
