Decide on non-idempotent requests by seals of all replicas and birth times of keys

Cause: with no shared state, two sidecars with different views of the fleet must never both run one key. Change: libs/once: a key runs only if it was born after this incarnation, the instance list naming it is fresh, and every other replica known sealed it and knew its doings since before the key's birth. Keys bound to an incarnation need none of it. Ruled out: homes by rendezvous alone (two views give two homes); quorums (members change without agreement).

--- /dev/null
+++ b/libs/once/include/medlarrack/once/run_result.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <medlarrack/once/recorded_answer.hpp>
+
+namespace medlarrack::once {
+
+/// How a run ended at the target.
+enum class run_end {
+    /// The target answered whole.
+    answered,
+    /// Proven that no byte reached the target.
+    not_sent,
+    /// The target may have run the request.
+    unknown,
+};
+
+struct run_result
+{
+    run_end end = run_end::unknown;
+    /// Set when answered.
+    recorded_answer answer;
+};
+
+} // namespace medlarrack::once
--- /dev/null
+++ b/libs/once/src/replica_set.cpp
@@ -0,0 +1,85 @@
+#include "replica_set.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarrack::once::detail {
+
+namespace {
+
+bool contains(std::span<const std::string> ids, std::string_view id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+replica_set::replica_set(std::string selfId)
+    : m_selfId(std::move(selfId))
+{
+}
+
+std::optional<membership_change> replica_set::apply(core::wall_time asOf, std::span<const std::string> listed,
+                                                    std::chrono::milliseconds clockGuard)
+{
+    if (m_asOf && asOf <= *m_asOf) {
+        return std::nullopt;
+    }
+    m_asOf = asOf;
+    membership_change change;
+    change.removed = removeMissing(asOf, listed, clockGuard);
+    for (const std::string &id : listed) {
+        if (id == m_selfId) {
+            continue;
+        }
+        auto [found, isNew] = m_members.try_emplace(id);
+        found->second.listed = true;
+        if (isNew) {
+            change.added.push_back(id);
+        }
+    }
+    const bool listedBefore = std::exchange(m_selfListed, contains(listed, m_selfId));
+    change.joined = m_selfListed && !listedBefore;
+    return change;
+}
+
+std::vector<std::string> replica_set::removeMissing(core::wall_time asOf, std::span<const std::string> listed,
+                                                    std::chrono::milliseconds clockGuard)
+{
+    std::vector<std::string> removed;
+    for (const auto &[id, known] : m_members) {
+        const bool mayBeTooNew = !known.listed && asOf <= known.introducedAt + clockGuard;
+        if (!mayBeTooNew && !contains(listed, id)) {
+            removed.push_back(id);
+        }
+    }
+    for (const std::string &id : removed) {
+        m_members.erase(id);
+    }
+    return removed;
+}
+
+void replica_set::introduce(std::string_view id, core::wall_time now)
+{
+    if (id == m_selfId || m_members.contains(id)) {
+        return;
+    }
+    m_members.emplace(std::string(id), member{false, now});
+}
+
+std::vector<std::string> replica_set::members() const
+{
+    std::vector<std::string> ids;
+    ids.reserve(m_members.size());
+    for (const auto &[id, known] : m_members) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+bool replica_set::isListed(core::wall_time now, std::chrono::milliseconds lease) const
+{
+    return m_selfListed && m_asOf && now <= *m_asOf + lease;
+}
+
+} // namespace medlarrack::once::detail
--- /dev/null
+++ b/libs/once/src/request_key.cpp
@@ -0,0 +1,62 @@
+#include <medlarrack/core/uuid.hpp>
+#include <medlarrack/once/request_key.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace medlarrack::once {
+
+namespace {
+
+constexpr char homeSeparator = '~';
+
+bool isPrintable(char character)
+{
+    return character > ' ' && character <= '~';
+}
+
+std::optional<core::instance_ref> parseHome(std::string_view text)
+{
+    const auto dot = text.rfind('.');
+    if (dot == std::string_view::npos || dot == 0) {
+        return std::nullopt;
+    }
+    core::instance_ref home;
+    home.id = text.substr(0, dot);
+    const std::string_view digits = text.substr(dot + 1);
+    const char *end = digits.data() + digits.size();
+    const auto [stop, error] = std::from_chars(digits.data(), end, home.incarnation);
+    if (error != std::errc() || stop != end) {
+        return std::nullopt;
+    }
+    return home;
+}
+
+} // namespace
+
+std::optional<request_key> parseKey(std::string_view text)
+{
+    if (text.empty() || text.size() > maxKeyBytes || !std::all_of(text.begin(), text.end(), isPrintable)) {
+        return std::nullopt;
+    }
+    request_key key;
+    key.text = text;
+    const auto separator = text.find(homeSeparator);
+    key.birth = core::uuid7Time(text.substr(0, separator));
+    if (separator == std::string_view::npos || !key.birth) {
+        key.birth = core::uuid7Time(text);
+        return key;
+    }
+    key.home = parseHome(text.substr(separator + 1));
+    if (!key.home) {
+        return std::nullopt;
+    }
+    return key;
+}
+
+std::string makeBoundKey(core::wall_time birth, const core::instance_ref &home)
+{
+    return core::makeUuid7(birth) + homeSeparator + home.id + '.' + std::to_string(home.incarnation);
+}
+
+} // namespace medlarrack::once
