--- a/libs/peer/include/medlarrack/peer/client.hpp
+++ b/libs/peer/include/medlarrack/peer/client.hpp
@@ -50,6 +50,8 @@
     std::chrono::milliseconds connectTimeout{500};
     /// An unused connection is closed after this time.
     std::chrono::milliseconds idleTimeout{60'000};
+    /// A peer that stays silent for this time, pings included, while it owes an answer is taken for lost.
+    std::chrono::milliseconds lossTimeout{3'000};
 };
 
 /// Opens streams to other processes over one kept connection each, opened at first use.
@@ -69,9 +71,14 @@
     stream_id start(const endpoint &to, const message &request, stream_callbacks callbacks);
     /// Resets the stream; onEnd follows with cancelled unless it has been called. Thread-safe.
     void cancel(stream_id stream);
+    /// Grants the peer no more bytes of this stream until resume(); at most one flow control window (1 MiB) still
+    /// arrives. Other streams go on. Thread-safe.
+    void pause(stream_id stream);
+    /// Takes back pause(). Thread-safe.
+    void resume(stream_id stream);
     /// Connections open now.
     [[nodiscard]] std::size_t connections() const;
-    /// Closes everything.
+    /// Closes everything; open streams end as far as the io_context still runs, and none starts afterwards.
     void stop();
 
 private:
--- a/libs/peer/include/medlarrack/peer/codec.hpp
+++ b/libs/peer/include/medlarrack/peer/codec.hpp
@@ -33,6 +33,8 @@
     [[nodiscard]] std::optional<message> next(core::reason &why);
     /// Messages skipped because their type is not known to this version.
     [[nodiscard]] std::size_t skipped() const;
+    /// True when part of a message has been fed and the rest hasn't: an end of the stream here is a truncation.
+    [[nodiscard]] bool midMessage() const;
 
 private:
     class impl;
--- a/libs/peer/include/medlarrack/peer/server.hpp
+++ b/libs/peer/include/medlarrack/peer/server.hpp
@@ -5,6 +5,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -24,6 +25,12 @@
 {
     std::size_t maxConnections = 4096;
     std::uint32_t maxStreamsPerConnection = 1024;
+    /// Bytes of incomplete requests held per connection; a stream that exceeds them is refused.
+    std::size_t maxPendingRequestBytes = 64U << 20U;
+    /// A client that stays silent for this time, pings included, while it has streams open is taken for lost.
+    std::chrono::milliseconds lossTimeout{3'000};
+    /// A connection without streams is closed after this time.
+    std::chrono::milliseconds idleTimeout{120'000};
 };
 
 /// Accepts connections of other processes: HTTP/2 with prior knowledge, one stream per request message.
@@ -38,10 +45,13 @@
 
     [[nodiscard]] bool start(const std::string &address, std::uint16_t port, core::reason &why);
     [[nodiscard]] std::uint16_t port() const;
-    /// Sends GOAWAY on all connections: no new streams; those in progress go on.
+    /// Stops listening and sends GOAWAY on all connections: no new streams; those in progress go on. Each connection
+    /// closes when its last stream has ended. To cut off no answer, wait for connections() to reach zero before stop().
     void drain();
-    /// Streams in progress.
+    /// Streams handed to the handler whose end isn't yet written to the socket.
     [[nodiscard]] std::size_t streams() const;
+    /// Connections open now.
+    [[nodiscard]] std::size_t connections() const;
     /// Closes everything.
     void stop();
 
