--- a/libs/peer/include/medlarrack/peer/codec.hpp
+++ b/libs/peer/include/medlarrack/peer/codec.hpp
@@ -11,7 +11,7 @@
 
 namespace medlarrack::peer {
 
-/// Largest encoded message in bytes; the decoder refuses longer ones before it buffers them.
+/// Largest encoded message in bytes; the decoder refuses a longer one as soon as this much of it has arrived.
 inline constexpr std::size_t maxMessageBytes = 4U << 20U;
 
 /// Encodes one message with MessagePack: an array of the type's number and a map from field number to value.
--- a/libs/peer/src/client_connection.cpp
+++ b/libs/peer/src/client_connection.cpp
@@ -119,6 +119,10 @@
         end(stream, stream_end::not_processed, "client stopped");
         return;
     }
+    if (!isOpen() && !hasSession()) {
+        end(stream, stream_end::not_processed, m_closeDetail);
+        return;
+    }
     if (!isOpen() || m_draining) {
         --m_active;
         owner->reroute(stream);
@@ -391,6 +395,7 @@
 void client_connection::onClosed(const std::string &detail)
 {
     m_connectTimer.cancel();
+    m_closeDetail = detail;
     if (const auto owner = m_owner.lock()) {
         owner->closed(*this);
     }
--- a/libs/peer/src/client_connection.hpp
+++ b/libs/peer/src/client_connection.hpp
@@ -122,6 +122,7 @@
     /// Streams that wait for the connection or for a sign of life on it.
     std::deque<std::shared_ptr<client_stream>> m_waiting;
     std::string m_lastHello;
+    std::string m_closeDetail;
     std::atomic<std::size_t> m_active{0};
     std::atomic<std::chrono::steady_clock::duration::rep> m_lastUsed{0};
     bool m_verifying = false;
--- a/libs/peer/src/server_stream.cpp
+++ b/libs/peer/src/server_stream.cpp
@@ -34,7 +34,7 @@
         m_output.erase(0, m_taken);
         m_taken = 0;
     }
-    atEnd = m_ended && m_output.empty();
+    atEnd = m_ended && !m_reset && m_output.empty();
     return count;
 }
 
@@ -116,22 +116,15 @@
 
 void server_stream::refuse()
 {
-    action what = action::refuse;
-    std::function<void()> callback;
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_closed || m_ended) {
-            return;
-        }
-        // REFUSED_STREAM would be a lie once something was answered.
-        what = m_sent ? action::reset : action::refuse;
-        m_ended = true;
-        callback = std::exchange(m_onClosed, nullptr);
-    }
-    wake(what);
+    breakOff(action::refuse);
 }
 
 void server_stream::abandon()
+{
+    breakOff(action::reset);
+}
+
+void server_stream::breakOff(action what)
 {
     std::function<void()> callback;
     {
@@ -140,9 +133,14 @@
             return;
         }
         m_ended = true;
+        m_reset = true;
+        // REFUSED_STREAM would be a lie once something was answered.
+        if (m_sent) {
+            what = action::reset;
+        }
         callback = std::exchange(m_onClosed, nullptr);
     }
-    wake(action::reset);
+    wake(what);
 }
 
 std::size_t server_stream::bufferedBytes() const
--- a/libs/peer/src/server_stream.hpp
+++ b/libs/peer/src/server_stream.hpp
@@ -54,6 +54,7 @@
 private:
     void wake(action what);
     void append(std::string bytes);
+    void breakOff(action what);
 
     const std::weak_ptr<server_connection> m_connection;
     const std::int32_t m_id;
@@ -62,6 +63,8 @@
     std::size_t m_taken = 0;
     bool m_sent = false;
     bool m_ended = false;
+    /// Ended by a reset, so the end mark must not be sent.
+    bool m_reset = false;
     bool m_closed = false;
     bool m_wakePending = false;
     std::function<void()> m_onClosed;
