Parse change tickets strictly and keep the newest state of each object

Entry and sidecar need the published state and the instance list as shared tables. Tickets are checked whole, every fault named by JSON pointer; tickets::state keeps the newest state per object with removals remembered, and the texts to pass on to peers. state::markSeen() is new: without it a malformed or superseded number would be asked for for ever. view::markServing() is new: a process started again at the same instance could otherwise never take back the leaving of its predecessor.

--- a/libs/instances/include/medlarrack/instances/instance.hpp
+++ b/libs/instances/include/medlarrack/instances/instance.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace medlarrack::instances {
 
@@ -32,4 +34,12 @@
     bool operator==(const instance &) const = default;
 };
 
+/// "entry" or "sidecar".
+[[nodiscard]] std::string_view toString(instance_kind value);
+/// "engine", "service" or "" for none.
+[[nodiscard]] std::string_view toString(target_kind value);
+/// Inverses of toString(); nothing for any other text.
+[[nodiscard]] std::optional<instance_kind> instanceKindFromString(std::string_view text);
+[[nodiscard]] std::optional<target_kind> targetKindFromString(std::string_view text);
+
 } // namespace medlarrack::instances
--- a/libs/instances/include/medlarrack/instances/view.hpp
+++ b/libs/instances/include/medlarrack/instances/view.hpp
@@ -29,14 +29,20 @@
     view(const view &) = delete;
     view &operator=(const view &) = delete;
 
-    /// Takes a newer list; an older one (by asOf) is ignored. Returns whether anything changed.
+    /// Takes a list; an older one (by asOf) is ignored. Of entries with the same id the first counts, and it leaves
+    /// when any of them does. Returns whether any instance changed.
     bool apply(instance_list list, core::monotonic_time now);
-    /// An instance said itself that it is leaving.
-    void markLeaving(std::string_view id);
+    /// An instance said itself that it is leaving. The incarnation is that of the process that said so; 0 when not
+    /// known.
+    void markLeaving(std::string_view id, std::uint64_t incarnation = 0);
+    /// A process of an instance said itself that it takes work. Takes back what an earlier incarnation of it said, but
+    /// not what the platform's list says.
+    void markServing(std::string_view id, std::uint64_t incarnation);
 
     /// The current list, with corrections. Never null; shared, so taking it costs no copy.
     [[nodiscard]] std::shared_ptr<const instance_list> current() const;
-    /// When the last list was taken; nothing before the first.
+    /// When a list that wasn't older than the current one was last read; nothing before the first. The list's own age
+    /// is told by asOf.
     [[nodiscard]] std::optional<core::monotonic_time> lastRead() const;
     /// Instances of a target group, those leaving included, sorted by id.
     [[nodiscard]] std::vector<instance> group(std::string_view name) const;
--- a/libs/tickets/include/medlarrack/tickets/state.hpp
+++ b/libs/tickets/include/medlarrack/tickets/state.hpp
@@ -11,7 +11,7 @@
 
 namespace medlarrack::tickets {
 
-/// Lowercase hexadecimal SHA-256 of salt followed by key.
+/// Lowercase hexadecimal SHA-256 of salt followed by key; the key is the whole bearer key "<operator>.<secret>".
 [[nodiscard]] std::string hashKey(std::string_view salt, std::string_view key);
 
 /// The published state in force: per object, what the ticket with the largest number says. Thread-safe; its one mutex
@@ -26,10 +26,13 @@
 
     /// Puts a ticket in force, in whatever order tickets arrive. False when it was known already.
     bool apply(const ticket &value);
+    /// Notes that nothing is left to learn of the tickets after one number up to and including another: each was
+    /// applied, refused as malformed, or superseded by tickets that were applied.
+    void markSeen(std::uint64_t after, std::uint64_t through);
 
     /// Largest ticket number applied; 0 before the first.
     [[nodiscard]] std::uint64_t newest() const;
-    /// Largest number n such that all tickets up to n are applied.
+    /// Largest number n such that all tickets up to n are applied or marked as seen.
     [[nodiscard]] std::uint64_t contiguous() const;
     /// Published texts of the tickets that are still the newest of some object and have a number above the given one,
     /// ascending, at most maxBytes in sum (at least one).
--- a/libs/tickets/include/medlarrack/tickets/ticket.hpp
+++ b/libs/tickets/include/medlarrack/tickets/ticket.hpp
@@ -12,6 +12,9 @@
 
 namespace medlarrack::tickets {
 
+/// Largest number a ticket may have; larger ones would lose precision in other programs' JSON.
+inline constexpr std::uint64_t maxTicketNumber = 9'007'199'254'740'991;
+
 /// One thing wrong with a ticket.
 struct ticket_fault
 {
