--- a/libs/trace/include/medlarrack/trace/recorder.hpp
+++ b/libs/trace/include/medlarrack/trace/recorder.hpp
@@ -40,8 +40,8 @@
     void change(core::wall_time at, std::string_view subject, std::string_view what, std::string_view cause,
                 std::initializer_list<fact> known = {});
 
-    /// {"request_id", "dropped_events", "events": [{"at_ms", "what", "why", "known": {..}}]}; nothing for a request that
-    /// isn't kept.
+    /// {"request_id", "dropped_events", "events": [{"at_ms", "what", "why", "known": {..}}]}; nothing for a request
+    /// that isn't kept.
     [[nodiscard]] std::optional<std::string> requestJson(std::string_view requestId) const;
     /// [{"at_ms", "subject", "what", "cause", "known": {..}}], oldest first.
     [[nodiscard]] std::string changesJson() const;
