Remember requests that ran on crashed targets

A request that crashes its target is sent again by its caller. After one crash it is a suspect, after two it is refused; the memory is bounded, fades, and merges what other processes know without counting one crash twice.

--- /dev/null
+++ b/libs/suspects/tests/test_suspects.cpp
@@ -0,0 +1,100 @@
+#include <medlarrack/suspects/suspect_table.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace medlarrack;
+using namespace std::chrono_literals;
+using suspects::standing;
+
+namespace {
+
+constexpr std::uint64_t poison = 17;
+constexpr core::monotonic_time start{1h};
+const core::instance_ref first{"e-1", 100};
+const core::instance_ref second{"e-2", 100};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_is_a_suspect_after_one_crash_and_refused_after_two)
+{
+    suspects::suspect_table table;
+    BOOST_TEST((table.standingOf(poison, start) == standing::clear));
+    table.crashed(poison, first, start);
+    BOOST_TEST((table.standingOf(poison, start) == standing::suspect));
+    table.crashed(poison, second, start);
+    BOOST_TEST((table.standingOf(poison, start) == standing::refused));
+}
+
+BOOST_AUTO_TEST_CASE(one_crash_told_twice_counts_once_but_a_second_crash_of_the_same_target_counts)
+{
+    suspects::suspect_table table;
+    table.crashed(poison, first, start);
+    table.crashed(poison, first, start + 1s);
+    BOOST_TEST(table.crashes(poison, start + 1s) == 1U);
+    table.crashed(poison, {"e-1", 101}, start + 2s);
+    BOOST_TEST((table.standingOf(poison, start + 2s) == standing::refused));
+}
+
+BOOST_AUTO_TEST_CASE(an_innocent_suspect_is_cleared_by_its_answer_and_a_refused_one_is_not)
+{
+    suspects::suspect_table table;
+    table.crashed(poison, first, start);
+    table.answered(poison, start);
+    BOOST_TEST((table.standingOf(poison, start) == standing::clear));
+    BOOST_TEST(table.size() == 0U);
+
+    table.crashed(poison, first, start);
+    table.crashed(poison, second, start);
+    table.answered(poison, start);
+    BOOST_TEST((table.standingOf(poison, start) == standing::refused));
+}
+
+BOOST_AUTO_TEST_CASE(a_suspicion_fades_after_its_last_crash)
+{
+    suspects::suspect_table table({.crashesToRefuse = 2, .fadeAfter = 10min, .maxFingerprints = 8});
+    table.crashed(poison, first, start);
+    table.crashed(poison, second, start + 9min);
+    BOOST_TEST((table.standingOf(poison, start + 18min) == standing::refused));
+    BOOST_TEST((table.standingOf(poison, start + 19min) == standing::clear));
+    table.crashed(poison, first, start + 20min);
+    BOOST_TEST((table.standingOf(poison, start + 20min) == standing::suspect));
+}
+
+BOOST_AUTO_TEST_CASE(the_oldest_fingerprint_makes_room)
+{
+    suspects::suspect_table table({.crashesToRefuse = 2, .fadeAfter = 10min, .maxFingerprints = 2});
+    table.crashed(1, first, start);
+    table.crashed(2, first, start);
+    table.crashed(3, first, start);
+    BOOST_TEST(table.size() == 2U);
+    BOOST_TEST((table.standingOf(1, start) == standing::clear));
+    BOOST_TEST((table.standingOf(3, start) == standing::suspect));
+}
+
+BOOST_AUTO_TEST_CASE(what_peers_know_is_merged_without_counting_a_crash_twice)
+{
+    suspects::suspect_table here;
+    suspects::suspect_table there;
+    here.crashed(poison, first, start);
+    there.crashed(poison, first, start);
+    here.merge(there.records(start), start);
+    BOOST_TEST((here.standingOf(poison, start) == standing::suspect));
+
+    there.crashed(poison, second, start + 1s);
+    here.merge(there.records(start + 5s), start + 5s);
+    BOOST_TEST((here.standingOf(poison, start + 5s) == standing::refused));
+    BOOST_TEST((here.standingOf(poison, start + 1s + 10min) == standing::clear));
+}
+
+BOOST_AUTO_TEST_CASE(faded_empty_and_future_records_of_peers_do_no_harm)
+{
+    suspects::suspect_table table;
+    const std::vector<suspects::suspect_record> records = {
+        {1, {7}, 11min},
+        {2, {}, 0ms},
+        {3, {7}, -24h},
+    };
+    table.merge(records, start);
+    BOOST_TEST(table.size() == 1U);
+    BOOST_TEST((table.standingOf(3, start + 10min) == standing::clear));
+}
