Route by rendezvous homes with copies that follow demand and bounded load

A decision looks at a bounded number of targets: the adapter's cached homes and holders, else a sample. Load reports are corrected by what was sent and ended since; leaving and failed targets are left out; new ones get work slowly; suspects run apart. Random, least outstanding and plain rendezvous plug in as baselines through routing_policy.

--- /dev/null
+++ b/libs/routing/include/medlarrack/routing/baseline_policies.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <medlarrack/routing/routing_policy.hpp>
+
+#include <cstdint>
+
+namespace medlarrack::routing {
+
+/// Baseline: a usable target at random.
+class random_policy final : public routing_policy
+{
+public:
+    explicit random_policy(std::uint64_t seed);
+    [[nodiscard]] std::optional<choice> choose(const target_table &targets, const query &asked) override;
+
+private:
+    std::uint64_t m_random;
+};
+
+/// Baseline: the usable target with the least estimated load; scans all targets.
+class least_outstanding_policy final : public routing_policy
+{
+public:
+    [[nodiscard]] std::optional<choice> choose(const target_table &targets, const query &asked) override;
+};
+
+/// Baseline: the usable target with the highest rendezvous weight for the adapter; scans all targets.
+class rendezvous_policy final : public routing_policy
+{
+public:
+    [[nodiscard]] std::optional<choice> choose(const target_table &targets, const query &asked) override;
+};
+
+} // namespace medlarrack::routing
--- /dev/null
+++ b/libs/routing/include/medlarrack/routing/routing_policy.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <medlarrack/routing/choice.hpp>
+#include <medlarrack/routing/query.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace medlarrack::routing {
+
+class target_table;
+
+/// Decides where a request goes. A policy may keep tables of its own, which it updates from the events below. Not
+/// thread-safe; one policy object serves one group.
+class routing_policy
+{
+public:
+    routing_policy() = default;
+    routing_policy(const routing_policy &) = delete;
+    routing_policy &operator=(const routing_policy &) = delete;
+    virtual ~routing_policy() = default;
+
+    /// Chooses a target, never one that is leaving or excluded; nothing when there is none.
+    [[nodiscard]] virtual std::optional<choice> choose(const target_table &targets, const query &asked) = 0;
+
+    /// Targets were listed and unlisted. A place that became free may be among the added ones.
+    virtual void targetsChanged(const target_table &targets, std::span<const target_index> added,
+                                std::span<const target_index> removed);
+    /// A report was taken: the adapters (sorted hashes) loaded or loading before it and now.
+    virtual void reported(const target_table &targets, target_index index, std::span<const std::uint64_t> before,
+                          std::span<const std::uint64_t> adapters, core::monotonic_time now);
+    /// An attempt was sent to a target.
+    virtual void sent(const target_table &targets, target_index index, const query &asked);
+    /// An attempt ended.
+    virtual void ended(const target_table &targets, target_index index, const query &asked);
+    /// Number of live entries that share the group; this process sees about one part in so many of the demand.
+    virtual void setEntries(std::uint32_t entries);
+};
+
+} // namespace medlarrack::routing
--- /dev/null
+++ b/libs/routing/src/adapter_table.cpp
@@ -0,0 +1,151 @@
+#include "adapter_table.hpp"
+
+#include <medlarrack/core/hash.hpp>
+
+#include <algorithm>
+
+namespace medlarrack::routing::detail {
+
+namespace {
+
+/// Above so many added targets it is cheaper to choose homes anew at their next use than to insert each.
+constexpr std::size_t manyAdded = 16;
+
+std::uint64_t weightOf(const target_table &targets, std::uint64_t adapter, target_index target)
+{
+    return core::rendezvousWeight(adapter, targets.at(target).idHash);
+}
+
+bool contains(std::span<const target_index> sorted, target_index target)
+{
+    return std::binary_search(sorted.begin(), sorted.end(), target);
+}
+
+void removeTargets(adapter_record &record, std::span<const target_index> removed)
+{
+    const auto homesEnd = record.homes.begin() + record.homeCount;
+    const auto kept = std::remove_if(record.homes.begin(), homesEnd, [&](target_index target) {
+        return contains(removed, target);
+    });
+    record.homeCount = static_cast<std::uint8_t>(kept - record.homes.begin());
+    record.homesKnown = record.homesKnown && (kept == homesEnd || record.homeCount >= fewHomes);
+    std::erase_if(record.holders, [&](const holder &value) {
+        return contains(removed, value.target);
+    });
+}
+
+} // namespace
+
+adapter_table::adapter_table(std::size_t maxAdapters)
+    : m_maxAdapters(std::max<std::size_t>(maxAdapters, 1))
+{
+}
+
+adapter_record &adapter_table::withHomes(const target_table &targets, std::uint64_t adapter)
+{
+    adapter_record &found = record(adapter);
+    if (!found.homesKnown) {
+        chooseHomes(targets, adapter, found);
+    }
+    return found;
+}
+
+adapter_record &adapter_table::record(std::uint64_t adapter)
+{
+    const auto found = m_records.find(adapter);
+    if (found != m_records.end()) {
+        return found->second;
+    }
+    if (m_records.size() >= m_maxAdapters) {
+        makeRoom();
+    }
+    return m_records[adapter];
+}
+
+void adapter_table::targetsChanged(const target_table &targets, std::span<const target_index> added,
+                                   std::span<const target_index> removed)
+{
+    if (added.empty() && removed.empty()) {
+        return;
+    }
+    std::vector<target_index> gone(removed.begin(), removed.end());
+    std::sort(gone.begin(), gone.end());
+    for (auto &[adapter, value] : m_records) {
+        removeTargets(value, gone);
+        if (added.size() > manyAdded) {
+            value.homesKnown = false;
+            continue;
+        }
+        for (const target_index target : added) {
+            if (value.homesKnown && targets.isCandidate(target)) {
+                insertHome(targets, adapter, value, target);
+            }
+        }
+    }
+}
+
+void adapter_table::addHolder(std::uint64_t adapter, holder value)
+{
+    auto &holders = record(adapter).holders;
+    for (holder &known : holders) {
+        if (known.target == value.target) {
+            known.confirmed = known.confirmed || value.confirmed;
+            known.since = std::max(known.since, value.since);
+            return;
+        }
+    }
+    if (holders.size() < maxHolders) {
+        holders.push_back(value);
+    }
+}
+
+void adapter_table::dropHolder(std::uint64_t adapter, target_index target, core::monotonic_time sentBefore)
+{
+    const auto found = m_records.find(adapter);
+    if (found == m_records.end()) {
+        return;
+    }
+    std::erase_if(found->second.holders, [&](const holder &value) {
+        return value.target == target && value.since < sentBefore;
+    });
+    for (holder &value : found->second.holders) {
+        value.confirmed = value.confirmed && value.target != target;
+    }
+}
+
+void adapter_table::chooseHomes(const target_table &targets, std::uint64_t adapter, adapter_record &record) const
+{
+    record.homeCount = 0;
+    for (const target_index target : targets.candidates()) {
+        insertHome(targets, adapter, record, target);
+    }
+    record.homesKnown = true;
+}
+
+void adapter_table::insertHome(const target_table &targets, std::uint64_t adapter, adapter_record &record,
+                               target_index target) const
+{
+    const std::uint64_t weight = weightOf(targets, adapter, target);
+    std::size_t place = record.homeCount;
+    while (place > 0 && weightOf(targets, adapter, record.homes[place - 1]) < weight) {
+        --place;
+    }
+    if (place >= maxHomes) {
+        return;
+    }
+    const std::size_t last = std::min<std::size_t>(record.homeCount, maxHomes - 1);
+    for (std::size_t moved = last; moved > place; --moved) {
+        record.homes[moved] = record.homes[moved - 1];
+    }
+    record.homes[place] = target;
+    record.homeCount = static_cast<std::uint8_t>(last + 1);
+}
+
+void adapter_table::makeRoom()
+{
+    std::erase_if(m_records, [](const auto &item) {
+        return item.second.inFlight == 0 && item.second.holders.empty();
+    });
+}
+
+} // namespace medlarrack::routing::detail
--- /dev/null
+++ b/libs/routing/src/baseline_policies.cpp
@@ -0,0 +1,70 @@
+#include "sampler.hpp"
+
+#include <medlarrack/core/hash.hpp>
+#include <medlarrack/routing/baseline_policies.hpp>
+#include <medlarrack/routing/target_table.hpp>
+
+namespace medlarrack::routing {
+
+namespace {
+
+bool mayTake(const target_table &targets, const query &asked, target_index index)
+{
+    return targets.isUsable(index, asked.now) && !detail::isExcluded(asked, index);
+}
+
+} // namespace
+
+random_policy::random_policy(std::uint64_t seed)
+    : m_random(seed)
+{
+}
+
+std::optional<choice> random_policy::choose(const target_table &targets, const query &asked)
+{
+    const auto candidates = targets.candidates();
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t first = detail::splitMix(m_random) % candidates.size();
+    for (std::size_t step = 0; step < candidates.size(); ++step) {
+        const target_index index = candidates[(first + step) % candidates.size()];
+        if (mayTake(targets, asked, index)) {
+            return choice{index, choice_reason::random, targets.at(index).load(), 0};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<choice> least_outstanding_policy::choose(const target_table &targets, const query &asked)
+{
+    std::optional<target_index> best;
+    for (const target_index index : targets.candidates()) {
+        if (mayTake(targets, asked, index) && (!best || detail::isBetter(targets, index, *best))) {
+            best = index;
+        }
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    return choice{*best, choice_reason::least_loaded, targets.at(*best).load(), 0};
+}
+
+std::optional<choice> rendezvous_policy::choose(const target_table &targets, const query &asked)
+{
+    std::optional<target_index> best;
+    std::uint64_t bestWeight = 0;
+    for (const target_index index : targets.candidates()) {
+        const std::uint64_t weight = core::rendezvousWeight(asked.adapter, targets.at(index).idHash);
+        if (mayTake(targets, asked, index) && (!best || weight > bestWeight)) {
+            best = index;
+            bestWeight = weight;
+        }
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    return choice{*best, choice_reason::home, targets.at(*best).load(), 1};
+}
+
+} // namespace medlarrack::routing
--- /dev/null
+++ b/libs/routing/src/bounded_load_policy.cpp
@@ -0,0 +1,309 @@
+#include "adapter_table.hpp"
+#include "sampler.hpp"
+
+#include <medlarrack/core/hash.hpp>
+#include <medlarrack/routing/bounded_load_policy.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace medlarrack::routing {
+
+namespace {
+
+using detail::adapter_record;
+
+/// The best of the offered targets that pass a test: the least loaded, then the nearest.
+template<typename Test>
+std::optional<target_index> bestOf(const target_table &targets, std::span<const target_index> offered, Test passes)
+{
+    std::optional<target_index> best;
+    for (const target_index index : offered) {
+        if (passes(index) && (!best || detail::isBetter(targets, index, *best))) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+class bounded_load_policy::impl
+{
+public:
+    explicit impl(bounded_load_settings settings)
+        : m_settings(settings)
+        , m_adapters(settings.maxAdapters)
+        , m_sampler(settings.seed)
+    {
+    }
+
+    std::optional<choice> choose(const target_table &targets, const query &asked)
+    {
+        if (asked.suspect) {
+            return chooseAlone(targets, asked);
+        }
+        const auto found = asked.adapter == 0 ? chooseForService(targets, asked) : chooseForAdapter(targets, asked);
+        return found ? found : chooseLastResort(targets, asked);
+    }
+
+    void reported(target_index index, std::span<const std::uint64_t> before, std::span<const std::uint64_t> adapters,
+                  core::monotonic_time now)
+    {
+        for (const std::uint64_t adapter : before) {
+            if (!std::binary_search(adapters.begin(), adapters.end(), adapter)) {
+                m_adapters.dropHolder(adapter, index, now - m_settings.loadGrace);
+            }
+        }
+        for (const std::uint64_t adapter : adapters) {
+            m_adapters.addHolder(adapter, {index, true, {}});
+        }
+    }
+
+    void sent(target_index index, const query &asked)
+    {
+        if (asked.adapter == 0) {
+            return;
+        }
+        adapter_record &record = m_adapters.record(asked.adapter);
+        smoothDemand(record, asked.now);
+        ++record.inFlight;
+        m_adapters.addHolder(asked.adapter, {index, false, asked.now});
+    }
+
+    void ended(const query &asked)
+    {
+        if (asked.adapter == 0) {
+            return;
+        }
+        adapter_record &record = m_adapters.record(asked.adapter);
+        smoothDemand(record, asked.now);
+        record.inFlight -= std::min(record.inFlight, 1U);
+    }
+
+    detail::adapter_table &adapters()
+    {
+        return m_adapters;
+    }
+
+    void setEntries(std::uint32_t entries)
+    {
+        m_entries = std::max(entries, 1U);
+    }
+
+private:
+    std::optional<choice> chooseForAdapter(const target_table &targets, const query &asked)
+    {
+        adapter_record &record = m_adapters.withHomes(targets, asked.adapter);
+        dropExpiredHolders(targets, record, asked.now);
+        const std::uint32_t copies = copiesWanted(targets, record, asked.now);
+        const auto wanted = record.homeList().first(std::min<std::size_t>(copies, record.homeCount));
+
+        const auto loaded = bestLoaded(targets, asked, record);
+        const bool enough = record.holders.size() >= copies;
+        if (loaded && (enough || targets.at(*loaded).load() < copyCapacity(targets, *loaded))) {
+            return decided(targets, loaded, choice_reason::adapter_loaded, copies);
+        }
+        if (const auto home = bestWithRoom(targets, asked, wanted)) {
+            const auto reason = loaded ? choice_reason::new_copy : choice_reason::home;
+            return decided(targets, home, reason, copies);
+        }
+        if (loaded) {
+            return decided(targets, loaded, choice_reason::adapter_loaded, copies);
+        }
+        const auto further = record.homeList().subspan(wanted.size());
+        for (const target_index index : further) {
+            if (hasRoom(targets, asked, index)) {
+                return decided(targets, index, choice_reason::further_home, copies);
+            }
+        }
+        return leastLoaded(targets, asked, choice_reason::spill, copies);
+    }
+
+    std::optional<choice> chooseForService(const target_table &targets, const query &asked)
+    {
+        if (asked.key == 0) {
+            return leastLoaded(targets, asked, choice_reason::least_loaded, 0);
+        }
+        std::optional<target_index> best;
+        std::uint64_t bestWeight = 0;
+        for (const target_index index : m_sampler.drawByKey(targets.candidates(), asked.key)) {
+            const std::uint64_t weight = core::rendezvousWeight(asked.key, targets.at(index).idHash);
+            if (mayTake(targets, asked, index) && (!best || weight > bestWeight)) {
+                best = index;
+                bestWeight = weight;
+            }
+        }
+        return decided(targets, best, choice_reason::key_home, 0);
+    }
+
+    /// The least loaded of a sample, first of those with room, then of all but new ones, then of all.
+    std::optional<choice> leastLoaded(const target_table &targets, const query &asked, choice_reason reason,
+                                      std::uint32_t copies)
+    {
+        const auto sample = m_sampler.draw(targets.candidates());
+        auto best = bestOf(targets, sample, [&](target_index index) {
+            return hasRoom(targets, asked, index);
+        });
+        if (!best) {
+            best = bestOf(targets, sample, [&](target_index index) {
+                return mayTake(targets, asked, index) && targets.share(index, asked.now) >= 1;
+            });
+        }
+        if (!best) {
+            best = bestOf(targets, sample, [&](target_index index) {
+                return mayTake(targets, asked, index);
+            });
+        }
+        return decided(targets, best, reason, copies);
+    }
+
+    std::optional<choice> chooseAlone(const target_table &targets, const query &asked)
+    {
+        const auto sample = m_sampler.draw(targets.candidates());
+        const auto best = bestOf(targets, sample, [&](target_index index) {
+            return mayTake(targets, asked, index);
+        });
+        return decided(targets, best, choice_reason::suspect_alone, 0);
+    }
+
+    /// Takes targets that failed lately or run a suspect rather than refuse.
+    std::optional<choice> chooseLastResort(const target_table &targets, const query &asked)
+    {
+        const auto sample = m_sampler.draw(targets.candidates());
+        const auto best = bestOf(targets, sample, [&](target_index index) {
+            return targets.isCandidate(index) && !detail::isExcluded(asked, index);
+        });
+        return decided(targets, best, choice_reason::last_resort, 0);
+    }
+
+    std::optional<target_index> bestLoaded(const target_table &targets, const query &asked,
+                                           const adapter_record &record) const
+    {
+        std::optional<target_index> best;
+        for (const detail::holder &value : record.holders) {
+            const bool better = !best || detail::isBetter(targets, value.target, *best);
+            if (better && hasRoom(targets, asked, value.target)) {
+                best = value.target;
+            }
+        }
+        return best;
+    }
+
+    std::optional<target_index> bestWithRoom(const target_table &targets, const query &asked,
+                                             std::span<const target_index> offered) const
+    {
+        return bestOf(targets, offered, [&](target_index index) {
+            return hasRoom(targets, asked, index);
+        });
+    }
+
+    static bool mayTake(const target_table &targets, const query &asked, target_index index)
+    {
+        return targets.isUsable(index, asked.now) && targets.at(index).suspects == 0
+            && !detail::isExcluded(asked, index);
+    }
+
+    /// Whether one more request keeps the target within its bound.
+    bool hasRoom(const target_table &targets, const query &asked, target_index index) const
+    {
+        if (!mayTake(targets, asked, index)) {
+            return false;
+        }
+        const double shared = std::ceil(m_settings.boundFactor * targets.meanLoad());
+        const double bound = std::max<double>(targets.batchSize(index), shared);
+        const double allowed = std::max(1.0, bound * targets.share(index, asked.now));
+        return targets.at(index).load() + 1 <= allowed;
+    }
+
+    [[nodiscard]] double copyCapacity(const target_table &targets, target_index index) const
+    {
+        return std::max(1.0, m_settings.copyFill * targets.batchSize(index));
+    }
+
+    std::uint32_t copiesWanted(const target_table &targets, adapter_record &record, core::monotonic_time now) const
+    {
+        if (record.homeCount == 0) {
+            return 1;
+        }
+        smoothDemand(record, now);
+        // Rising demand counts at once, falling demand is forgotten slowly.
+        const double here = std::max<double>(record.demand, record.inFlight);
+        const double wanted = std::ceil(here * m_entries / copyCapacity(targets, record.homes[0]));
+        return static_cast<std::uint32_t>(std::clamp<double>(wanted, 1, record.homeCount));
+    }
+
+    void smoothDemand(adapter_record &record, core::monotonic_time now) const
+    {
+        const std::chrono::duration<double> passed = now - record.demandAt;
+        const std::chrono::duration<double> memory = m_settings.demandMemory;
+        const double kept = std::exp(-passed / memory);
+        record.demand = static_cast<float>(record.demand * kept + record.inFlight * (1 - kept));
+        record.demandAt = now;
+    }
+
+    /// Drops targets that were sent a request for the adapter and whose reports still don't show it.
+    void dropExpiredHolders(const target_table &targets, adapter_record &record, core::monotonic_time now) const
+    {
+        std::erase_if(record.holders, [&](const detail::holder &value) {
+            const target &known = targets.at(value.target);
+            return !value.confirmed && known.reported && now - value.since > m_settings.loadGrace;
+        });
+    }
+
+    static std::optional<choice> decided(const target_table &targets, std::optional<target_index> index,
+                                         choice_reason reason, std::uint32_t copies)
+    {
+        if (!index) {
+            return std::nullopt;
+        }
+        return choice{*index, reason, targets.at(*index).load(), copies};
+    }
+
+    bounded_load_settings m_settings;
+    detail::adapter_table m_adapters;
+    detail::sampler m_sampler;
+    std::uint32_t m_entries = 1;
+};
+
+bounded_load_policy::bounded_load_policy(bounded_load_settings settings)
+    : m_impl(std::make_unique<impl>(settings))
+{
+}
+
+bounded_load_policy::~bounded_load_policy() = default;
+
+std::optional<choice> bounded_load_policy::choose(const target_table &targets, const query &asked)
+{
+    return m_impl->choose(targets, asked);
+}
+
+void bounded_load_policy::targetsChanged(const target_table &targets, std::span<const target_index> added,
+                                         std::span<const target_index> removed)
+{
+    m_impl->adapters().targetsChanged(targets, added, removed);
+}
+
+void bounded_load_policy::reported(const target_table & /*targets*/, target_index index,
+                                   std::span<const std::uint64_t> before, std::span<const std::uint64_t> adapters,
+                                   core::monotonic_time now)
+{
+    m_impl->reported(index, before, adapters, now);
+}
+
+void bounded_load_policy::sent(const target_table & /*targets*/, target_index index, const query &asked)
+{
+    m_impl->sent(index, asked);
+}
+
+void bounded_load_policy::ended(const target_table & /*targets*/, target_index /*index*/, const query &asked)
+{
+    m_impl->ended(asked);
+}
+
+void bounded_load_policy::setEntries(std::uint32_t entries)
+{
+    m_impl->setEntries(entries);
+}
+
+} // namespace medlarrack::routing
--- /dev/null
+++ b/libs/routing/tests/test_routing.cpp
@@ -0,0 +1,307 @@
+#include <medlarrack/routing/baseline_policies.hpp>
+#include <medlarrack/routing/bounded_load_policy.hpp>
+#include <medlarrack/routing/router.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+
+using namespace medlarrack;
+using namespace std::chrono_literals;
+using routing::attempt_result;
+using routing::choice_reason;
+
+namespace {
+
+constexpr core::monotonic_time start{1h};
+constexpr std::uint64_t adapter = 4711;
+
+std::vector<instances::instance> engines(std::size_t count)
+{
+    const std::vector<std::string> dataCentres = {"osijek", "vinkovci", "dakovo"};
+    std::vector<instances::instance> result;
+    for (std::size_t number = 0; number < count; ++number) {
+        instances::instance item;
+        item.id = "e-" + std::to_string(100'000 + number);
+        item.group = "assistant";
+        item.dataCentre = dataCentres[number % dataCentres.size()];
+        result.push_back(item);
+    }
+    return result;
+}
+
+/// A router of engines in which each attempt is sent at once.
+struct fleet
+{
+    explicit fleet(std::size_t count, std::unique_ptr<routing::routing_policy> policy = nullptr)
+        : listed(engines(count))
+        , router({.dataCentre = "osijek"},
+                 policy ? std::move(policy) : std::make_unique<routing::bounded_load_policy>())
+    {
+        router.update(listed, 1, start);
+    }
+
+    std::optional<routing::choice> choose(routing::query asked)
+    {
+        asked.now = asked.now == core::monotonic_time{} ? now : asked.now;
+        return router.choose(asked);
+    }
+
+    routing::choice send(routing::query asked)
+    {
+        asked.now = now;
+        const auto chosen = router.choose(asked).value();
+        router.sent(chosen.target, asked);
+        return chosen;
+    }
+
+    void end(routing::target_index index, attempt_result result, bool suspect = false)
+    {
+        router.ended(index, {.adapter = adapter, .suspect = suspect, .excluded = {}, .now = now}, result);
+    }
+
+    std::vector<instances::instance> listed;
+    core::monotonic_time now = start;
+    routing::router router;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requests_for_one_adapter_go_to_one_home_while_demand_is_low)
+{
+    fleet fleet(18);
+    const auto first = fleet.send({.adapter = adapter, .excluded = {}});
+    BOOST_TEST((first.reason == choice_reason::home));
+    for (int count = 0; count < 5; ++count) {
+        const auto next = fleet.send({.adapter = adapter, .excluded = {}});
+        BOOST_TEST(next.target == first.target);
+        BOOST_TEST((next.reason == choice_reason::adapter_loaded));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(two_entries_choose_the_same_home)
+{
+    fleet one(18);
+    fleet other(18);
+    for (std::uint64_t name = 1; name < 50; ++name) {
+        BOOST_TEST(one.choose({.adapter = name, .excluded = {}})->target
+                   == other.choose({.adapter = name, .excluded = {}})->target);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(copies_follow_demand_up_and_down)
+{
+    fleet fleet(18);
+    std::vector<routing::target_index> used;
+    for (int count = 0; count < 40; ++count) {
+        used.push_back(fleet.send({.adapter = adapter, .excluded = {}}).target);
+    }
+    const std::set<routing::target_index> copies(used.begin(), used.end());
+    BOOST_TEST(copies.size() >= 3U);
+    BOOST_TEST(copies.size() <= 8U);
+
+    for (const auto target : used) {
+        fleet.end(target, attempt_result::answered);
+    }
+    fleet.now += 2min;
+    BOOST_TEST(fleet.choose({.adapter = adapter, .excluded = {}})->copies == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(no_target_gets_much_more_than_the_mean)
+{
+    fleet fleet(18);
+    std::map<routing::target_index, int> load;
+    constexpr int requests = 18 * 40;
+    for (int count = 0; count < requests; ++count) {
+        ++load[fleet.send({.adapter = static_cast<std::uint64_t>(1 + count % 5), .excluded = {}}).target];
+    }
+    for (const auto &[target, sum] : load) {
+        BOOST_TEST(sum <= 55);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_reports_the_adapter_is_preferred_until_it_is_full)
+{
+    fleet fleet(18);
+    const auto home = fleet.choose({.adapter = adapter, .excluded = {}})->target;
+    const std::size_t other = home == 3 ? 4 : 3;
+    const auto &id = fleet.listed[other].id;
+    BOOST_TEST(fleet.router.takeReport(id, {1, 1, 2, 0, 16, 8, {adapter}}, start));
+    const auto chosen = fleet.choose({.adapter = adapter, .excluded = {}});
+    BOOST_TEST(chosen->target == other);
+    BOOST_TEST((chosen->reason == choice_reason::adapter_loaded));
+
+    BOOST_TEST(fleet.router.takeReport(id, {1, 2, 16, 30, 16, 8, {adapter}}, start));
+    BOOST_TEST(fleet.choose({.adapter = adapter, .excluded = {}})->target != other);
+}
+
+BOOST_AUTO_TEST_CASE(late_and_repeated_reports_are_dropped_and_a_new_incarnation_starts_over)
+{
+    fleet fleet(3);
+    const auto &id = fleet.listed[0].id;
+    BOOST_TEST(fleet.router.takeReport(id, {1, 5, 3, 0, 16, 8, {}}, start));
+    BOOST_TEST(!fleet.router.takeReport(id, {1, 5, 9, 0, 16, 8, {}}, start));
+    BOOST_TEST(!fleet.router.takeReport(id, {1, 4, 9, 0, 16, 8, {}}, start));
+    BOOST_TEST(fleet.router.takeReport(id, {2, 1, 1, 0, 16, 8, {}}, start));
+    BOOST_TEST(!fleet.router.takeReport(id, {1, 6, 9, 0, 16, 8, {}}, start));
+    BOOST_TEST(!fleet.router.takeReport("e-unknown", {1, 6, 9, 0, 16, 8, {}}, start));
+    BOOST_TEST(fleet.router.targets().at(0).load() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(what_was_sent_since_the_last_report_counts)
+{
+    fleet fleet(1);
+    fleet.send({.adapter = adapter, .excluded = {}});
+    BOOST_TEST(fleet.router.takeReport(fleet.listed[0].id, {1, 1, 6, 0, 16, 8, {}}, start));
+    fleet.send({.adapter = adapter, .excluded = {}});
+    fleet.send({.adapter = adapter, .excluded = {}});
+    BOOST_TEST(fleet.router.targets().at(0).load() == 8U);
+    fleet.end(0, attempt_result::answered);
+    BOOST_TEST(fleet.router.targets().at(0).load() == 7U);
+    BOOST_TEST(fleet.router.targets().meanLoad() == 7.0);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_and_excluded_targets_are_never_chosen)
+{
+    fleet fleet(3);
+    BOOST_TEST(fleet.router.markLeaving(fleet.listed[1].id));
+    BOOST_TEST(!fleet.router.markLeaving(fleet.listed[1].id));
+    const std::vector<routing::target_index> tried = {0};
+    for (std::uint64_t name = 0; name < 100; ++name) {
+        BOOST_TEST(fleet.choose({.adapter = name, .excluded = tried})->target == 2U);
+    }
+    // An older list doesn't bring it back.
+    fleet.router.update(fleet.listed, 1, start);
+    const std::vector<routing::target_index> allLive = {0, 2};
+    BOOST_TEST(!fleet.choose({.adapter = adapter, .excluded = allLive}));
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_target_gets_nothing_until_its_backoff_is_over_and_then_one_attempt)
+{
+    fleet fleet(2);
+    const auto home = fleet.send({.adapter = adapter, .excluded = {}}).target;
+    fleet.end(home, attempt_result::failed);
+    BOOST_TEST(fleet.choose({.adapter = adapter, .excluded = {}})->target != home);
+
+    fleet.now += 300ms;
+    BOOST_TEST(fleet.send({.adapter = adapter, .excluded = {}}).target == home);
+    BOOST_TEST(fleet.choose({.adapter = adapter, .excluded = {}})->target != home);
+    fleet.end(home, attempt_result::answered);
+    BOOST_TEST(fleet.choose({.adapter = adapter, .excluded = {}})->target == home);
+}
+
+BOOST_AUTO_TEST_CASE(when_all_targets_failed_lately_one_is_tried_all_the_same)
+{
+    fleet fleet(2);
+    for (int count = 0; count < 2; ++count) {
+        fleet.end(fleet.send({.adapter = adapter, .excluded = {}}).target, attempt_result::failed);
+    }
+    const auto chosen = fleet.choose({.adapter = adapter, .excluded = {}});
+    BOOST_TEST((chosen->reason == choice_reason::last_resort));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_target_is_not_flooded)
+{
+    fleet fleet(3);
+    for (int count = 0; count < 120; ++count) {
+        fleet.send({.adapter = static_cast<std::uint64_t>(count % 30 + 1), .excluded = {}});
+    }
+    fleet.listed = engines(4);
+    fleet.router.update(fleet.listed, 1, start);
+    for (int count = 0; count < 40; ++count) {
+        fleet.send({.adapter = static_cast<std::uint64_t>(count % 30 + 1), .excluded = {}});
+    }
+    BOOST_TEST(fleet.router.targets().at(3).load() <= 6U);
+    fleet.now += 1min;
+    for (int count = 0; count < 40; ++count) {
+        fleet.send({.adapter = static_cast<std::uint64_t>(count % 30 + 1), .excluded = {}});
+    }
+    BOOST_TEST(fleet.router.targets().at(3).load() >= 20U);
+}
+
+BOOST_AUTO_TEST_CASE(suspects_run_apart_from_each_other_and_others_keep_away_from_them)
+{
+    fleet fleet(3);
+    const auto one = fleet.send({.adapter = adapter, .suspect = true, .excluded = {}});
+    const auto two = fleet.send({.adapter = adapter, .suspect = true, .excluded = {}});
+    BOOST_TEST((one.reason == choice_reason::suspect_alone));
+    BOOST_TEST(one.target != two.target);
+    const auto innocent = fleet.send({.adapter = adapter, .excluded = {}});
+    BOOST_TEST(innocent.target != one.target);
+    BOOST_TEST(innocent.target != two.target);
+    fleet.send({.adapter = adapter, .suspect = true, .excluded = {}});
+    BOOST_TEST(!fleet.choose({.adapter = adapter, .suspect = true, .excluded = {}}));
+}
+
+BOOST_AUTO_TEST_CASE(equal_keys_of_a_service_prefer_the_same_target)
+{
+    fleet fleet(3);
+    const auto first = fleet.send({.key = 99, .excluded = {}});
+    BOOST_TEST((first.reason == choice_reason::key_home));
+    BOOST_TEST(fleet.send({.key = 99, .excluded = {}}).target == first.target);
+    const std::vector<routing::target_index> tried = {first.target};
+    BOOST_TEST(fleet.choose({.key = 99, .excluded = tried})->target != first.target);
+}
+
+BOOST_AUTO_TEST_CASE(equally_loaded_targets_are_decided_by_nearness)
+{
+    fleet fleet(3);
+    for (int count = 0; count < 20; ++count) {
+        BOOST_TEST(fleet.choose({.excluded = {}})->target == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_removed_target_moves_only_its_own_adapters)
+{
+    fleet fleet(30);
+    std::map<std::uint64_t, routing::target_index> homes;
+    for (std::uint64_t name = 1; name <= 300; ++name) {
+        homes[name] = fleet.choose({.adapter = name, .excluded = {}})->target;
+    }
+    auto fewer = fleet.listed;
+    fewer.erase(fewer.begin() + 7);
+    fleet.router.update(fewer, 1, start);
+    for (const auto &[name, home] : homes) {
+        const auto now = fleet.choose({.adapter = name, .excluded = {}})->target;
+        BOOST_TEST(((home == 7) != (now == home)));
+    }
+    // The place is given to the target when it is listed again, and its adapters return.
+    fleet.router.update(fleet.listed, 1, start);
+    fleet.now += 1min;
+    for (const auto &[name, home] : homes) {
+        BOOST_TEST(fleet.choose({.adapter = name, .excluded = {}})->target == home);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_was_unlisted_with_work_in_progress_can_still_end_it)
+{
+    fleet fleet(2);
+    const auto target = fleet.send({.adapter = adapter, .excluded = {}}).target;
+    fleet.router.update({}, 1, start);
+    BOOST_TEST(!fleet.choose({.adapter = adapter, .excluded = {}}));
+    fleet.router.update(fleet.listed, 1, start);
+    fleet.end(target, attempt_result::answered);
+    BOOST_TEST(fleet.choose({.adapter = adapter, .excluded = {}}).has_value());
+    BOOST_TEST(fleet.router.targets().meanLoad() == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(baselines_never_choose_leaving_or_excluded_targets)
+{
+    const std::vector<routing::target_index> tried = {0};
+    for (int kind = 0; kind < 3; ++kind) {
+        std::unique_ptr<routing::routing_policy> policy;
+        if (kind == 0) {
+            policy = std::make_unique<routing::random_policy>(7);
+        } else if (kind == 1) {
+            policy = std::make_unique<routing::least_outstanding_policy>();
+        } else {
+            policy = std::make_unique<routing::rendezvous_policy>();
+        }
+        fleet fleet(3, std::move(policy));
+        fleet.router.markLeaving(fleet.listed[1].id);
+        for (std::uint64_t name = 1; name < 30; ++name) {
+            BOOST_TEST(fleet.choose({.adapter = name, .excluded = tried})->target == 2U);
+        }
+    }
+}
