Tell crashes of one target apart by time

An engine restarts under a sidecar that keeps its incarnation, so instance and incarnation alone would count its second crash as the first told again. Crashes of one target now count as one only when they are close to each other.

--- a/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
+++ b/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
@@ -23,15 +23,22 @@
     refused,
 };
 
+/// A crash of a target, in a form that can be passed on: durations hold between processes, monotonic times don't.
+struct crash_record
+{
+    /// Hash of the target's instance and incarnation.
+    std::uint64_t target = 0;
+    /// Time since the crash.
+    std::chrono::milliseconds age{0};
+};
+
 /// What is known of one fingerprint, in a form that can be passed on to another process.
 struct suspect_record
 {
     /// Hash of operator, adapter and body.
     std::uint64_t fingerprint = 0;
-    /// A hash for each crash of a target during a run of the request.
-    std::vector<std::uint64_t> crashes;
-    /// Time since the last crash. Durations can be passed on between processes, monotonic times can't.
-    std::chrono::milliseconds age{0};
+    /// Crashes of targets during a run of the request.
+    std::vector<crash_record> crashes;
 };
 
 /// Bounds of a suspect table.
@@ -43,6 +50,8 @@
     std::chrono::milliseconds fadeAfter{600'000};
     /// Fingerprints kept; the one whose crash was recorded longest ago makes room.
     std::size_t maxFingerprints = 4096;
+    /// Crashes of one target closer to each other than this are one crash, told by several.
+    std::chrono::milliseconds sameCrash{3'000};
 };
 
 /// Remembers which requests ran on targets when those crashed. Not thread-safe.
@@ -70,15 +79,22 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
+    struct crash
+    {
+        std::uint64_t target = 0;
+        core::monotonic_time at{};
+    };
+
     struct entry
     {
-        std::vector<std::uint64_t> crashes;
+        std::vector<crash> crashes;
         core::monotonic_time lastCrash{};
     };
 
     [[nodiscard]] const entry *find(std::uint64_t fingerprint, core::monotonic_time now) const;
     entry &findOrAdd(std::uint64_t fingerprint, core::monotonic_time now);
-    void addCrash(entry &to, std::uint64_t crash, core::monotonic_time at) const;
+    void addCrash(entry &to, crash added) const;
+    [[nodiscard]] bool isSame(const crash &first, const crash &second) const;
 
     suspect_limits m_limits;
     std::unordered_map<std::uint64_t, entry> m_entries;
--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-std::uint64_t crashHash(const core::instance_ref &target)
+std::uint64_t targetHash(const core::instance_ref &target)
 {
     return core::hash64(target.id, target.incarnation);
 }
@@ -39,7 +39,7 @@
 
 void suspect_table::crashed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now)
 {
-    addCrash(findOrAdd(fingerprint, now), crashHash(target), now);
+    addCrash(findOrAdd(fingerprint, now), {targetHash(target), now});
 }
 
 void suspect_table::answered(std::uint64_t fingerprint, core::monotonic_time now)
@@ -55,9 +55,14 @@
     std::vector<suspect_record> result;
     for (const std::uint64_t fingerprint : m_order) {
         const entry *found = find(fingerprint, now);
-        if (found != nullptr) {
-            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - found->lastCrash);
-            result.push_back({fingerprint, found->crashes, age});
+        if (found == nullptr) {
+            continue;
+        }
+        suspect_record &record = result.emplace_back();
+        record.fingerprint = fingerprint;
+        for (const crash &known : found->crashes) {
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known.at);
+            record.crashes.push_back({known.target, age});
         }
     }
     return result;
@@ -66,14 +71,12 @@
 void suspect_table::merge(std::span<const suspect_record> others, core::monotonic_time now)
 {
     for (const suspect_record &other : others) {
-        // A negative age would keep a suspicion for ever.
-        const auto age = std::max(other.age, std::chrono::milliseconds(0));
-        if (age >= m_limits.fadeAfter || other.crashes.empty()) {
-            continue;
-        }
-        entry &known = findOrAdd(other.fingerprint, now);
-        for (const std::uint64_t crash : other.crashes) {
-            addCrash(known, crash, now - age);
+        for (const crash_record &told : other.crashes) {
+            // A negative age would keep a suspicion for ever.
+            const auto age = std::max(told.age, std::chrono::milliseconds(0));
+            if (age < m_limits.fadeAfter) {
+                addCrash(findOrAdd(other.fingerprint, now), {told.target, now - age});
+            }
         }
     }
 }
@@ -109,14 +112,22 @@
     return m_entries[fingerprint];
 }
 
-void suspect_table::addCrash(entry &to, std::uint64_t crash, core::monotonic_time at) const
+void suspect_table::addCrash(entry &to, crash added) const
 {
-    to.lastCrash = to.crashes.empty() ? at : std::max(to.lastCrash, at);
-    const bool known = std::find(to.crashes.begin(), to.crashes.end(), crash) != to.crashes.end();
+    to.lastCrash = to.crashes.empty() ? added.at : std::max(to.lastCrash, added.at);
+    const bool known = std::any_of(to.crashes.begin(), to.crashes.end(), [&](const crash &other) {
+        return isSame(other, added);
+    });
     // More crashes than suffice for a refusal change nothing.
     if (!known && to.crashes.size() < m_limits.crashesToRefuse) {
-        to.crashes.push_back(crash);
+        to.crashes.push_back(added);
     }
 }
 
+bool suspect_table::isSame(const crash &first, const crash &second) const
+{
+    const auto apart = first.at < second.at ? second.at - first.at : first.at - second.at;
+    return first.target == second.target && apart < m_limits.sameCrash;
+}
+
 } // namespace medlarrack::suspects
--- a/libs/suspects/tests/test_suspects.cpp
+++ b/libs/suspects/tests/test_suspects.cpp
@@ -31,8 +31,13 @@
     table.crashed(poison, first, start);
     table.crashed(poison, first, start + 1s);
     BOOST_TEST(table.crashes(poison, start + 1s) == 1U);
-    table.crashed(poison, {"e-1", 101}, start + 2s);
-    BOOST_TEST((table.standingOf(poison, start + 2s) == standing::refused));
+    table.crashed(poison, first, start + 1min);
+    BOOST_TEST((table.standingOf(poison, start + 1min) == standing::refused));
+
+    // A new incarnation at the same place is another target.
+    table.crashed(18, first, start);
+    table.crashed(18, {"e-1", 101}, start + 2s);
+    BOOST_TEST((table.standingOf(18, start + 2s) == standing::refused));
 }
 
 BOOST_AUTO_TEST_CASE(an_innocent_suspect_is_cleared_by_its_answer_and_a_refused_one_is_not)
@@ -90,9 +95,9 @@
 {
     suspects::suspect_table table;
     const std::vector<suspects::suspect_record> records = {
-        {1, {7}, 11min},
-        {2, {}, 0ms},
-        {3, {7}, -24h},
+        {1, {{7, 11min}}},
+        {2, {}},
+        {3, {{7, -24h}}},
     };
     table.merge(records, start);
     BOOST_TEST(table.size() == 1U);
