--- /dev/null
+++ b/libs/placement/include/medlarrack/placement/lru_eviction.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <medlarrack/placement/eviction_policy.hpp>
+
+namespace medlarrack::placement {
+
+/// Evicts the adapter that was used least recently.
+class lru_eviction final : public eviction_policy
+{
+public:
+    void onUse(const core::adapter_ref &adapter, core::monotonic_time now) override;
+    [[nodiscard]] std::size_t choose(std::span<const eviction_candidate> candidates, core::monotonic_time now) override;
+};
+
+} // namespace medlarrack::placement
--- /dev/null
+++ b/libs/placement/src/paced_load_budget.cpp
@@ -0,0 +1,50 @@
+#include <medlarrack/placement/paced_load_budget.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace medlarrack::placement {
+namespace {
+
+/// Stands for "not before something ends"; asked again at every event.
+constexpr std::chrono::seconds farAway{3600};
+
+} // namespace
+
+paced_load_budget::paced_load_budget(double perSecond, double burst, std::size_t atOnce, core::monotonic_time now)
+    : m_rate(perSecond, burst, now)
+    , m_atOnce(atOnce)
+{
+}
+
+void paced_load_budget::configure(double perSecond, double burst, std::size_t atOnce, core::monotonic_time now)
+{
+    m_rate.configure(perSecond, burst, now);
+    m_atOnce = atOnce;
+}
+
+core::monotonic_time paced_load_budget::earliest(core::monotonic_time now)
+{
+    if (m_running >= m_atOnce) {
+        return now + farAway;
+    }
+    return now + std::min<std::chrono::nanoseconds>(m_rate.timeToToken(now), farAway);
+}
+
+bool paced_load_budget::tryStart(core::monotonic_time now)
+{
+    if (m_running >= m_atOnce || !m_rate.tryTake(now)) {
+        return false;
+    }
+    ++m_running;
+    return true;
+}
+
+void paced_load_budget::ended(core::monotonic_time /*now*/)
+{
+    if (m_running > 0) {
+        --m_running;
+    }
+}
+
+} // namespace medlarrack::placement
