--- /dev/null
+++ b/libs/engine/include/medlarrack/engine/http_service_driver.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <medlarrack/engine/target_driver.hpp>
+#include <medlarrack/http/client.hpp>
+
+#include <memory>
+#include <string>
+
+namespace medlarrack::engine {
+
+/// A plain service: method, path and body are passed on; whatever the service answers is the answer. It has no
+/// adapters, so orders for adapters fail.
+class http_service_driver final : public target_driver
+{
+public:
+    /// The client must outlive the driver. The URL has no path.
+    http_service_driver(http::client &client, std::string baseUrl);
+    ~http_service_driver() override;
+
+    void run(call_id id, target_call call, call_callbacks callbacks) override;
+    void cancel(call_id id) override;
+    void load(const core::adapter_ref &adapter, const std::string &source, std::uint64_t fence,
+              order_callback callback) override;
+    void unload(const core::adapter_ref &adapter, std::uint64_t fence, order_callback callback) override;
+    void poll(std::function<void(std::optional<target_load>)> callback) override;
+    void stop() override;
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace medlarrack::engine
