--- a/libs/placement/include/medlarrack/placement/slot_table.hpp
+++ b/libs/placement/include/medlarrack/placement/slot_table.hpp
@@ -54,6 +54,8 @@
     failed,
     /// No answer: it may be loaded. It is unloaded before its slot is used again.
     unknown,
+    /// The order was dropped before it was given: nothing happened, and no backoff follows.
+    not_ordered,
 };
 
 /// How an unload ended.
@@ -64,6 +66,8 @@
     in_use,
     /// No answer: ordered again later.
     unknown,
+    /// The order was dropped before it was given: the adapter serves on.
+    not_ordered,
 };
 
 /// What happened to requests' pins when a table was changed by force.
--- a/libs/placement/src/slot_table.cpp
+++ b/libs/placement/src/slot_table.cpp
@@ -257,9 +257,11 @@
         m_backoff.succeeded(adapter);
         return {};
     }
-    m_backoff.failed(adapter, now);
+    if (end != load_end::not_ordered) {
+        m_backoff.failed(adapter, now);
+    }
     request_list waiting = dropPins(adapter);
-    if (end == load_end::failed) {
+    if (end != load_end::unknown) {
         m_slots.erase(found);
         return waiting;
     }
@@ -280,6 +282,10 @@
     }
     slot &state = found->second;
     state.state = slot_state::loaded;
+    if (end == unload_end::not_ordered) {
+        state.retiring = false;
+        return;
+    }
     state.lastUsed = now;
     state.unloadAfter = now + unloadRetry;
     // Still in use there, so loaded: it may serve again. Without an answer nothing is known, so it still has to leave.
--- /dev/null
+++ b/libs/sidecar/include/medlarrack/sidecar/request_journal.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <medlarrack/core/clock.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace medlarrack::sidecar {
+
+/// What happened to recent requests, for `medlarrackctl explain`. Memory is bounded: the oldest request makes room, and
+/// a request keeps its first events. Thread-safe; its mutex is a leaf in the lock order.
+class request_journal
+{
+public:
+    /// The clock must outlive the journal.
+    request_journal(const core::clock &clock, std::size_t maxRequests, std::size_t maxEventsPerRequest);
+
+    /// Notes an event: a stable name in snake case and a detail for people.
+    void note(const std::string &requestId, std::string_view event, std::string_view detail);
+    /// A request's events as a JSON object; nothing for a request not known (any more).
+    [[nodiscard]] std::optional<std::string> explain(const std::string &requestId) const;
+
+private:
+    struct entry
+    {
+        core::wall_time at;
+        std::string event;
+        std::string detail;
+    };
+    struct record
+    {
+        std::vector<entry> entries;
+        std::size_t dropped = 0;
+    };
+
+    record &recordOf(const std::string &requestId);
+
+    const core::clock &m_clock;
+    const std::size_t m_maxRequests;
+    const std::size_t m_maxEvents;
+    mutable std::mutex m_mutex;
+    std::unordered_map<std::string, record> m_records;
+    /// Oldest first.
+    std::deque<std::string> m_order;
+};
+
+} // namespace medlarrack::sidecar
--- /dev/null
+++ b/libs/sidecar/src/dispatcher_impl.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "active_request.hpp"
+#include "target_watch.hpp"
+
+#include <medlarrack/engine/fence_source.hpp>
+#include <medlarrack/engine/pause_detector.hpp>
+#include <medlarrack/sidecar/dispatcher.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace medlarrack::sidecar {
+
+/// Tables and events of the dispatcher. Each event is decided under the mutex; what it decided is carried out after the
+/// mutex has been released, so that no callback can come while it is held.
+class dispatcher::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(dispatcher_options options, dispatcher_parts parts);
+
+    void submit(peer::run_request request, std::shared_ptr<peer::reply_stream> reply);
+    void tick();
+    void drain();
+    [[nodiscard]] bool idle() const;
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] dispatcher_state state() const;
+    void setWeight(std::string_view operatorName, double weight);
+    void setSizes(std::size_t slots, std::size_t concurrency);
+
+private:
+    using request_ptr = std::shared_ptr<detail::active_request>;
+    using decision = std::function<effects(core::monotonic_time)>;
+
+    /// A request that ended broken, held until it is known whether the target crashed.
+    struct suspect
+    {
+        request_ptr request;
+        engine::call_result result;
+        core::monotonic_time since;
+    };
+    /// What is to be done after the mutex has been released.
+    struct work
+    {
+        std::vector<std::pair<request_ptr, refusal>> refusals;
+        std::vector<std::pair<request_ptr, run_start>> starts;
+        std::vector<placement::slot_order> orders;
+        /// Pauses noticed when this was decided.
+        std::uint64_t pauses = 0;
+        /// Run of the engine that the orders are meant for.
+        std::uint64_t engineRun = 0;
+    };
+
+    // Events.
+    void process(const decision &decide);
+    void noticePause(core::monotonic_time now, work &todo);
+    void collect(effects decided, core::monotonic_time now, work &todo);
+    void execute(work todo);
+
+    // Requests (dispatcher.cpp).
+    [[nodiscard]] std::optional<core::reason> reasonToRefuse(const peer::run_request &request,
+                                                             core::monotonic_time now) const;
+    effects admit(const request_ptr &request, core::monotonic_time now);
+    void announce(const request_ptr &request, peer::reply_stream &reply);
+    void refuse(const request_ptr &request, const refusal &why);
+    void callerClosed(std::uint64_t id);
+    void remove(const request_ptr &request);
+
+    // Runs (dispatcher_runs.cpp).
+    void start(const request_ptr &request, const run_start &waits, std::uint64_t pauses);
+    void dropStart(const request_ptr &request);
+    [[nodiscard]] engine::target_call makeCall(detail::active_request &request) const;
+    [[nodiscard]] engine::call_callbacks makeCallbacks(const request_ptr &request);
+    void onData(const request_ptr &request, std::string_view piece);
+    void onEnd(const request_ptr &request, const engine::call_result &result);
+    void settle(const request_ptr &request, const engine::call_result &result);
+    void breakOff(const request_ptr &request, core::reason why);
+
+    // Target (dispatcher_target.cpp).
+    void pollTarget(bool urgent);
+    void onPolled(const std::optional<engine::target_load> &load);
+    effects takeNews(const detail::poll_news &news, const std::optional<engine::target_load> &load,
+                     core::monotonic_time now);
+    void adoptSizes(const engine::target_load &load);
+    void markCrashed(std::uint64_t restartedMs);
+    [[nodiscard]] std::vector<suspect> takeSettled(bool answered, core::monotonic_time now);
+    void give(const placement::slot_order &order, std::uint64_t pauses, std::uint64_t engineRun);
+    void orderEnded(const placement::slot_order &order, engine::order_end end, std::uint64_t engineRun);
+    effects supersede(core::monotonic_time now);
+
+    const dispatcher_options m_options;
+    const dispatcher_parts m_parts;
+    engine::fence_source m_fences;
+    engine::pause_detector m_pauses;
+
+    /// Guards everything below. Taken before the mutexes of the pause detector and of the journal, never together with
+    /// any other.
+    mutable std::mutex m_mutex;
+    scheduler m_scheduler;
+    detail::target_watch m_watch;
+    std::unordered_map<std::uint64_t, request_ptr> m_requests;
+    std::unordered_map<std::string, std::uint64_t> m_byRequestId;
+    std::vector<suspect> m_suspects;
+    std::uint64_t m_lastId = 0;
+    std::uint64_t m_pausesSeen = 0;
+    std::uint64_t m_engineRun = 0;
+    /// Right after a pause messages may be read that came before it.
+    core::monotonic_time m_quietUntil{};
+    std::optional<core::monotonic_time> m_draining;
+    bool m_adoptAdapters = true;
+};
+
+} // namespace medlarrack::sidecar
--- /dev/null
+++ b/libs/sidecar/src/dispatcher_runs.cpp
@@ -0,0 +1,142 @@
+#include "dispatcher_impl.hpp"
+#include "outcomes.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarrack::sidecar {
+
+void dispatcher::impl::start(const request_ptr &request, const run_start &waits, std::uint64_t pauses)
+{
+    if (m_pauses.look() != pauses) {
+        dropStart(request);
+        return;
+    }
+    request->relay.starting(waits);
+    m_parts.journal.note(request->request.requestId, "started", m_options.self.id);
+    m_parts.driver.run(request->id, makeCall(*request), makeCallbacks(request));
+    bool cancelNow = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        request->phase = detail::request_phase::running;
+        cancelNow = request->cancelWanted;
+    }
+    if (cancelNow) {
+        m_parts.driver.cancel(request->id);
+    }
+}
+
+void dispatcher::impl::dropStart(const request_ptr &request)
+{
+    process([&](core::monotonic_time now) {
+        remove(request);
+        return m_scheduler.notStarted(request->id, now);
+    });
+    refuse(request, {request->id, {"paused", "the sidecar was paused before the request started"}, {}, true});
+}
+
+engine::target_call dispatcher::impl::makeCall(detail::active_request &request) const
+{
+    peer::run_request &message = request.request;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(request.deadline - m_parts.clock.now());
+    engine::target_call call;
+    call.requestId = message.requestId;
+    call.method = message.kind == peer::work_kind::completion ? "POST" : message.method;
+    call.path = message.path;
+    call.headers = std::move(message.headers);
+    call.body = std::move(message.body);
+    if (m_options.isEngine) {
+        call.model = message.adapter.adapter.empty() ? message.baseModel : message.adapter.toString();
+    }
+    call.priority = message.priority;
+    call.stream = message.stream;
+    call.idempotencyKey = message.idempotencyKey;
+    call.timeout = std::max(left, std::chrono::milliseconds(1));
+    return call;
+}
+
+engine::call_callbacks dispatcher::impl::makeCallbacks(const request_ptr &request)
+{
+    const auto self = shared_from_this();
+    engine::call_callbacks callbacks;
+    callbacks.onHead = [request](int status, const auto &headers) {
+        request->relay.head(status, headers);
+    };
+    callbacks.onData = [self, request](std::string_view piece) {
+        self->onData(request, piece);
+    };
+    callbacks.onEnd = [self, request](const engine::call_result &result) {
+        self->onEnd(request, result);
+    };
+    return callbacks;
+}
+
+void dispatcher::impl::onData(const request_ptr &request, std::string_view piece)
+{
+    request->relay.data(piece, m_parts.clock.now());
+    if (request->relay.bufferedBytes() > m_options.maxBufferedBytes) {
+        breakOff(request, {"slow_reader", "the caller takes the answer too slowly"});
+    }
+}
+
+void dispatcher::impl::breakOff(const request_ptr &request, core::reason why)
+{
+    bool cancelNow = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (request->cancelWanted) {
+            return;
+        }
+        request->cancelWanted = true;
+        request->brokenOff = std::move(why);
+        cancelNow = request->phase == detail::request_phase::running;
+    }
+    if (cancelNow) {
+        m_parts.driver.cancel(request->id);
+    }
+}
+
+void dispatcher::impl::onEnd(const request_ptr &request, const engine::call_result &result)
+{
+    if (!detail::maybeCrash(result)) {
+        settle(request, result);
+        return;
+    }
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_suspects.push_back({request, result, m_parts.clock.now()});
+    }
+    pollTarget(/*urgent=*/true);
+}
+
+void dispatcher::impl::settle(const request_ptr &request, const engine::call_result &result)
+{
+    bool callerGone = false;
+    peer::run_refused refused;
+    process([&](core::monotonic_time now) {
+        remove(request);
+        callerGone = request->callerGone;
+        if (result.end != engine::call_end::complete) {
+            refused = detail::withoutAnswer(*request, result);
+        }
+        if (result.end == engine::call_end::declined && result.why.code == "unknown_model") {
+            m_scheduler.adapterLost(request->request.adapter);
+        }
+        const bool ran = result.end != engine::call_end::not_sent && result.end != engine::call_end::declined;
+        return ran ? m_scheduler.ended(request->id, now - request->started, now)
+                   : m_scheduler.notStarted(request->id, now);
+    });
+    const bool complete = result.end == engine::call_end::complete;
+    m_parts.journal.note(request->request.requestId, complete ? "ran" : "ended", refused.code);
+    if (callerGone) {
+        return;
+    }
+    if (complete) {
+        request->relay.end();
+        return;
+    }
+    refused.newestTicket = m_parts.newestTicket();
+    request->relay.refuse(std::move(refused));
+}
+
+} // namespace medlarrack::sidecar
--- /dev/null
+++ b/libs/sidecar/src/request_journal.cpp
@@ -0,0 +1,62 @@
+#include <medlarrack/sidecar/request_journal.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace medlarrack::sidecar {
+namespace {
+
+/// Longest detail kept, in bytes.
+constexpr std::size_t maxDetailBytes = 200;
+
+} // namespace
+
+request_journal::request_journal(const core::clock &clock, std::size_t maxRequests, std::size_t maxEventsPerRequest)
+    : m_clock(clock)
+    , m_maxRequests(maxRequests)
+    , m_maxEvents(maxEventsPerRequest)
+{
+}
+
+void request_journal::note(const std::string &requestId, std::string_view event, std::string_view detail)
+{
+    const std::scoped_lock lock(m_mutex);
+    record &of = recordOf(requestId);
+    if (of.entries.size() >= m_maxEvents) {
+        ++of.dropped;
+        return;
+    }
+    of.entries.push_back({m_clock.wallNow(), std::string(event), std::string(detail.substr(0, maxDetailBytes))});
+}
+
+std::optional<std::string> request_journal::explain(const std::string &requestId) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_records.find(requestId);
+    if (found == m_records.end()) {
+        return std::nullopt;
+    }
+    auto events = nlohmann::json::array();
+    for (const entry &item : found->second.entries) {
+        events.push_back(
+            {{"at_ms", item.at.time_since_epoch().count()}, {"event", item.event}, {"detail", item.detail}});
+    }
+    const nlohmann::json answer = {
+        {"request_id", requestId}, {"events", std::move(events)}, {"events_dropped", found->second.dropped}};
+    return answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+request_journal::record &request_journal::recordOf(const std::string &requestId)
+{
+    const auto [place, fresh] = m_records.try_emplace(requestId);
+    if (!fresh) {
+        return place->second;
+    }
+    m_order.push_back(requestId);
+    if (m_order.size() > m_maxRequests) {
+        m_records.erase(m_order.front());
+        m_order.pop_front();
+    }
+    return m_records.at(requestId);
+}
+
+} // namespace medlarrack::sidecar
--- /dev/null
+++ b/libs/sidecar/src/run_relay.cpp
@@ -0,0 +1,92 @@
+#include "run_relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarrack::sidecar::detail {
+
+run_relay::run_relay(const peer::run_request &request, std::shared_ptr<peer::reply_stream> reply,
+                     core::monotonic_time enqueued, metrics::registry &metrics)
+    : m_attempt(request.attempt)
+    , m_class(core::toString(request.priority))
+    , m_operator(request.operatorName)
+    , m_resumeFrom(request.resumeFrom)
+    , m_reply(std::move(reply))
+    , m_enqueued(enqueued)
+    , m_metrics(metrics)
+{
+}
+
+void run_relay::accepted(const core::instance_ref &by)
+{
+    m_reply->send(peer::run_accepted{m_attempt, by});
+}
+
+void run_relay::starting(const run_start &waits)
+{
+    m_waits = waits;
+    observe("medlarrack_sidecar_queue_wait_seconds", "Time in the queue besides the load stall.", waits.queued);
+    observe("medlarrack_sidecar_load_stall_seconds", "Time that a request waited for its adapter to load.",
+            waits.loadStall);
+}
+
+void run_relay::head(int status, const std::vector<std::pair<std::string, std::string>> &headers)
+{
+    peer::run_head message;
+    message.attempt = m_attempt;
+    message.status = status;
+    message.headers = headers;
+    message.loadStall = std::chrono::duration_cast<std::chrono::microseconds>(m_waits.loadStall);
+    message.queued = std::chrono::duration_cast<std::chrono::microseconds>(m_waits.queued);
+    m_reply->send(message);
+}
+
+void run_relay::data(std::string_view piece, core::monotonic_time now)
+{
+    if (!m_firstSeen) {
+        m_firstSeen = true;
+        observe("medlarrack_sidecar_first_token_seconds", "Time from arrival to the first byte of the answer.",
+                now - m_enqueued);
+    }
+    const std::uint64_t from = m_seen;
+    m_seen += piece.size();
+    if (m_seen <= m_resumeFrom) {
+        return;
+    }
+    const std::uint64_t known = std::max(from, m_resumeFrom) - from;
+    piece.remove_prefix(static_cast<std::size_t>(known));
+    m_reply->send(peer::run_chunk{m_attempt, from + known, std::string(piece)});
+}
+
+void run_relay::end()
+{
+    countOutcome("ran");
+    m_reply->send(peer::run_end{m_attempt, m_seen});
+    m_reply->end();
+}
+
+void run_relay::refuse(peer::run_refused refused)
+{
+    countOutcome(refused.code);
+    refused.attempt = m_attempt;
+    m_reply->send(refused);
+    m_reply->end();
+}
+
+std::size_t run_relay::bufferedBytes() const
+{
+    return m_reply->bufferedBytes();
+}
+
+void run_relay::observe(const char *name, const char *help, std::chrono::nanoseconds time)
+{
+    m_metrics.observeSeconds(name, help, {m_class, {}, {}}, std::chrono::duration<double>(time).count());
+}
+
+void run_relay::countOutcome(std::string_view code)
+{
+    m_metrics.count("medlarrack_sidecar_requests_total", "Requests by how they ended.",
+                    {m_class, m_operator, std::string(code)});
+}
+
+} // namespace medlarrack::sidecar::detail
--- /dev/null
+++ b/libs/sidecar/src/run_relay.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <medlarrack/core/clock.hpp>
+#include <medlarrack/engine/target_driver.hpp>
+#include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/peer/messages.hpp>
+#include <medlarrack/peer/reply_stream.hpp>
+#include <medlarrack/sidecar/scheduler.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace medlarrack::sidecar::detail {
+
+/// Sends one request's answer to its entry: every message carries the request's attempt. The target's callbacks are
+/// never concurrent, so the relay needs no lock of its own.
+class run_relay
+{
+public:
+    run_relay(const peer::run_request &request, std::shared_ptr<peer::reply_stream> reply,
+              core::monotonic_time enqueued, metrics::registry &metrics);
+
+    void accepted(const core::instance_ref &by);
+    /// Notes how long the request waited, for the head.
+    void starting(const run_start &waits);
+    void head(int status, const std::vector<std::pair<std::string, std::string>> &headers);
+    /// Passes a piece on; bytes that the entry has from an earlier attempt are left out.
+    void data(std::string_view piece, core::monotonic_time now);
+    /// The answer is whole.
+    void end();
+    void refuse(peer::run_refused refused);
+
+    /// Bytes that the entry hasn't taken yet.
+    [[nodiscard]] std::size_t bufferedBytes() const;
+
+private:
+    void observe(const char *name, const char *help, std::chrono::nanoseconds time);
+    void countOutcome(std::string_view code);
+
+    std::uint32_t m_attempt;
+    std::string m_class;
+    std::string m_operator;
+    std::uint64_t m_resumeFrom;
+    std::shared_ptr<peer::reply_stream> m_reply;
+    core::monotonic_time m_enqueued;
+    metrics::registry &m_metrics;
+    run_start m_waits;
+    std::uint64_t m_seen = 0;
+    bool m_firstSeen = false;
+};
+
+} // namespace medlarrack::sidecar::detail
--- /dev/null
+++ b/libs/sidecar/src/target_watch.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <medlarrack/core/clock.hpp>
+#include <medlarrack/engine/target_load.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace medlarrack::sidecar::detail {
+
+/// What a poll of the target told.
+struct poll_news
+{
+    /// The target answered for the first time, or for the first time after being down.
+    bool cameUp = false;
+    bool wentDown = false;
+    /// The target is another run than the one that answered before.
+    bool restarted = false;
+};
+
+/// Follows whether a target lives and when it was started. Not thread-safe.
+class target_watch
+{
+public:
+    explicit target_watch(std::chrono::milliseconds interval);
+
+    /// Whether to poll now; a poll that is due is taken as begun. An urgent poll doesn't wait for the interval.
+    [[nodiscard]] bool beginPoll(core::monotonic_time now, bool urgent);
+    [[nodiscard]] poll_news polled(const std::optional<engine::target_load> &load);
+
+    [[nodiscard]] bool up() const;
+    [[nodiscard]] std::uint64_t startedMs() const;
+
+private:
+    std::chrono::milliseconds m_interval;
+    std::optional<core::monotonic_time> m_lastPoll;
+    bool m_polling = false;
+    bool m_up = false;
+    int m_failures = 0;
+    std::uint64_t m_startedMs = 0;
+};
+
+} // namespace medlarrack::sidecar::detail
