--- a/libs/peer/include/medlarrack/peer/codec.hpp
+++ b/libs/peer/include/medlarrack/peer/codec.hpp
@@ -11,7 +11,7 @@
 
 namespace medlarrack::peer {
 
-/// Largest encoded message in bytes; the decoder refuses longer ones before it buffers them.
+/// Largest encoded message in bytes; the decoder refuses a longer one as soon as this much of it has arrived.
 inline constexpr std::size_t maxMessageBytes = 4U << 20U;
 
 /// Encodes one message with MessagePack: an array of the type's number and a map from field number to value.
@@ -33,6 +33,8 @@
     [[nodiscard]] std::optional<message> next(core::reason &why);
     /// Messages skipped because their type is not known to this version.
     [[nodiscard]] std::size_t skipped() const;
+    /// True when part of a message has been fed and the rest hasn't: an end of the stream here is a truncation.
+    [[nodiscard]] bool midMessage() const;
 
 private:
     class impl;
