Let messages say that a key was finally refused, and who holds it

Cause: libs/once answers 'refused' and names the holder of a key; the wire had neither. Change: seal_state refused, run_refused.holderId; introduce is gone, as asking for a seal introduces the asker. Conclusion: round trips of all messages pass.

--- a/libs/peer/include/medlarrack/peer/messages.hpp
+++ b/libs/peer/include/medlarrack/peer/messages.hpp
@@ -91,6 +91,9 @@
     /// Set when the target crashed while this request ran there.
     bool targetCrashed = false;
     std::uint64_t newestTicket = 0;
+    /// Id of the instance that holds the request's idempotency key, when that isn't the sender; only there can its fate
+    /// be learnt.
+    std::string holderId;
 };
 
 /// sidecar -> entry: the target's status and headers; the target ran the request.
@@ -175,6 +178,8 @@
     ran,
     /// The key may have run: it is older than this process's knowledge, or its run ended without an answer.
     unknown,
+    /// The key was finally refused with outcome not_run; it never runs anywhere.
+    refused,
 };
 
 /// Answer to seal_request.
@@ -182,8 +187,6 @@
 {
     seal_state state = seal_state::unknown;
     core::instance_ref by;
-    /// The instance that holds the key when state is taken.
-    core::instance_ref holder;
     /// Wall-clock time in milliseconds before which this incarnation knows nothing.
     std::int64_t knowsSinceMs = 0;
     int status = 0;
@@ -192,17 +195,8 @@
     bool bodyKept = false;
 };
 
-/// Sent before a sidecar runs its first non-idempotent request, so that each replica of a service knows the others.
-struct introduce
-{
-    std::string service;
-    core::instance_ref sender;
-    std::string address;
-    std::uint16_t port = 0;
-};
-
 /// Any message.
 using message = std::variant<hello, run_request, run_accepted, run_refused, run_head, run_chunk, run_end, load_report,
-                             watch_load, tickets_request, tickets_reply, seal_request, seal_reply, introduce>;
+                             watch_load, tickets_request, tickets_reply, seal_request, seal_reply>;
 
 } // namespace medlarrack::peer
--- a/libs/peer/src/schema.hpp
+++ b/libs/peer/src/schema.hpp
@@ -61,7 +61,7 @@
     static constexpr auto fields = std::make_tuple(
         field{1, &run_refused::attempt}, field{2, &run_refused::outcome}, field{3, &run_refused::code},
         field{4, &run_refused::message}, field{5, &run_refused::retryAfter}, field{6, &run_refused::tryElsewhere},
-        field{7, &run_refused::targetCrashed}, field{8, &run_refused::newestTicket});
+        field{7, &run_refused::targetCrashed}, field{8, &run_refused::newestTicket}, field{9, &run_refused::holderId});
 };
 
 template<>
@@ -133,17 +133,9 @@
 {
     static constexpr std::uint64_t type = 13;
     static constexpr auto fields =
-        std::make_tuple(field{1, &seal_reply::state}, field{2, &seal_reply::by}, field{3, &seal_reply::holder},
-                        field{4, &seal_reply::knowsSinceMs}, field{5, &seal_reply::status},
-                        field{6, &seal_reply::headers}, field{7, &seal_reply::body}, field{8, &seal_reply::bodyKept});
-};
-
-template<>
-struct schema<introduce>
-{
-    static constexpr std::uint64_t type = 14;
-    static constexpr auto fields = std::make_tuple(field{1, &introduce::service}, field{2, &introduce::sender},
-                                                   field{3, &introduce::address}, field{4, &introduce::port});
+        std::make_tuple(field{1, &seal_reply::state}, field{2, &seal_reply::by}, field{4, &seal_reply::knowsSinceMs},
+                        field{5, &seal_reply::status}, field{6, &seal_reply::headers}, field{7, &seal_reply::body},
+                        field{8, &seal_reply::bodyKept});
 };
 
 } // namespace medlarrack::peer::detail
--- a/libs/peer/src/value_reader.hpp
+++ b/libs/peer/src/value_reader.hpp
@@ -25,7 +25,7 @@
 template<>
 inline constexpr core::outcome highest<core::outcome> = core::outcome::unknown;
 template<>
-inline constexpr seal_state highest<seal_state> = seal_state::unknown;
+inline constexpr seal_state highest<seal_state> = seal_state::refused;
 
 inline bool read(const msgpack::object &from, bool &value)
 {
--- a/libs/peer/tests/test_codec.cpp
+++ b/libs/peer/tests/test_codec.cpp
@@ -48,7 +48,7 @@
         hello{{"entry-1", 5}, "osijek", 2, 3, 9},
         fullRequest(),
         run_accepted{2, {"sidecar-1", 6}},
-        run_refused{2, core::outcome::unknown, "code", "text", 250ms, true, true, 12},
+        run_refused{2, core::outcome::unknown, "code", "text", 250ms, true, true, 12, "s-2"},
         run_head{2, 404, someHeaders, 17us, 18us, true},
         run_chunk{2, 77, "data: {}"},
         run_end{2, 99},
@@ -57,8 +57,7 @@
         tickets_request{11},
         tickets_reply{{"{\"ticket\": 12}", "{}"}, 13, false},
         seal_request{"pivot", "key", {"sidecar-1", 6}},
-        seal_reply{seal_state::ran, {"s-1", 1}, {"s-2", 2}, -5, 201, someHeaders, "body", true},
-        introduce{"pivot", {"sidecar-1", 6}, "127.0.0.1", 65'535},
+        seal_reply{seal_state::ran, {"s-1", 1}, -5, 201, someHeaders, "body", true},
     };
 }
 
