--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -104,7 +104,6 @@
             .write_http_response_timelimit(m_limits.writeTimeout)
             .handle_request_timeout(handlerTimeLimit)
             .max_pipelined_requests(maxPipelinedRequests)
-            .separate_accept_and_create_connect(true)
             .connection_state_listener(std::make_shared<detail::connection_listener>(m_table))
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                           .max_url_size(m_limits.maxHeaderBytes)
