Give pages of ticket texts with their end and the number without gaps below it

A peer that answers must say whether more follows and up to which number it misses nothing, read in one step; a bare list of texts told neither.

--- a/libs/tickets/include/medlarrack/tickets/state.hpp
+++ b/libs/tickets/include/medlarrack/tickets/state.hpp
@@ -14,6 +14,17 @@
 /// Lowercase hexadecimal SHA-256 of salt followed by key; the key is the whole bearer key "<operator>.<secret>".
 [[nodiscard]] std::string hashKey(std::string_view salt, std::string_view key);
 
+/// Some of the tickets in force, in ascending order.
+struct text_page
+{
+    /// Each as published.
+    std::vector<std::string> texts;
+    /// False when more follow.
+    bool complete = true;
+    /// No ticket up to this number is missing at the state that made the page.
+    std::uint64_t contiguous = 0;
+};
+
 /// The published state in force: per object, what the ticket with the largest number says. Thread-safe; its one mutex
 /// is a leaf in the lock order. Looked-up objects stay valid after later changes.
 class state
@@ -36,7 +47,7 @@
     [[nodiscard]] std::uint64_t contiguous() const;
     /// Published texts of the tickets that are still the newest of some object and have a number above the given one,
     /// ascending, at most maxBytes in sum (at least one).
-    [[nodiscard]] std::vector<std::string> textsAfter(std::uint64_t number, std::size_t maxBytes) const;
+    [[nodiscard]] text_page textsAfter(std::uint64_t number, std::size_t maxBytes) const;
 
     [[nodiscard]] std::shared_ptr<const operator_state> findOperator(std::string_view name) const;
     [[nodiscard]] std::shared_ptr<const adapter_state> findAdapter(std::string_view name) const;
--- a/libs/tickets/src/state.cpp
+++ b/libs/tickets/src/state.cpp
@@ -164,19 +164,21 @@
     return m_impl->seen.contiguous();
 }
 
-std::vector<std::string> state::textsAfter(std::uint64_t number, std::size_t maxBytes) const
+text_page state::textsAfter(std::uint64_t number, std::size_t maxBytes) const
 {
     const std::shared_lock lock(m_impl->mutex);
-    std::vector<std::string> texts;
+    text_page page;
+    page.contiguous = m_impl->seen.contiguous();
     std::size_t bytes = 0;
     for (auto live = m_impl->liveTickets.upper_bound(number); live != m_impl->liveTickets.end(); ++live) {
         bytes += live->second.text.size();
-        if (!texts.empty() && bytes > maxBytes) {
+        if (!page.texts.empty() && bytes > maxBytes) {
+            page.complete = false;
             break;
         }
-        texts.push_back(live->second.text);
+        page.texts.push_back(live->second.text);
     }
-    return texts;
+    return page;
 }
 
 std::shared_ptr<const operator_state> state::findOperator(std::string_view name) const
--- a/libs/tickets/tests/test_state.cpp
+++ b/libs/tickets/tests/test_state.cpp
@@ -104,7 +104,7 @@
         RC_ASSERT(versionsOfAll(shuffled) == versionsOfAll(inOrder));
         RC_ASSERT(shuffled.contiguous() == tickets.size());
         RC_ASSERT(shuffled.adapterCount() == inOrder.adapterCount());
-        RC_ASSERT(shuffled.textsAfter(0, 1U << 20U) == inOrder.textsAfter(0, 1U << 20U));
+        RC_ASSERT(shuffled.textsAfter(0, 1U << 20U).texts == inOrder.textsAfter(0, 1U << 20U).texts);
     });
 }
 
@@ -141,7 +141,7 @@
             tables.apply(next);
         }
         state copy;
-        for (const auto &text : tables.textsAfter(0, 1U << 20U)) {
+        for (const auto &text : tables.textsAfter(0, 1U << 20U).texts) {
             copy.apply(tickets[std::stoul(text) - 1]);
         }
         copy.markSeen(0, tables.contiguous());
@@ -185,10 +185,12 @@
     for (std::uint64_t number = 1; number <= 5; ++number) {
         tables.apply(adapterTicket(number, "a/x" + std::to_string(number), adapterAt("v1")));
     }
-    BOOST_TEST(tables.textsAfter(0, 1).size() == 1U);
-    BOOST_TEST(tables.textsAfter(0, 13).size() == 2U);
-    BOOST_TEST(tables.textsAfter(3, 1000).size() == 2U);
-    BOOST_TEST(tables.textsAfter(5, 1000).empty());
+    BOOST_TEST(tables.textsAfter(0, 1).texts.size() == 1U);
+    BOOST_TEST(!tables.textsAfter(0, 1).complete);
+    BOOST_TEST(tables.textsAfter(0, 13).texts.size() == 2U);
+    BOOST_TEST(tables.textsAfter(3, 1000).texts.size() == 2U);
+    BOOST_TEST(tables.textsAfter(3, 1000).complete);
+    BOOST_TEST(tables.textsAfter(5, 1000).texts.empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_bearer_key_names_its_operator_also_when_names_hold_dots)
