Keep tickets and instances up to date under the service's call budget

At 11,000 processes not everyone may watch the platform's service. A few sidecars of each data centre, chosen by rendezvous hashing, watch it; the others ask them every second and read the service only when no peer answers. A fresh or woken process serves only after peers that have learnt the state in force have sent what they have, or after a bounded wait.

update_planner decides this without clocks or sockets; platform_reader carries it out.

--- /dev/null
+++ b/libs/config/include/medlarrack/config/reader_settings.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <medlarrack/config/planner_settings.hpp>
+#include <medlarrack/config/reader_choice.hpp>
+#include <medlarrack/instances/instance.hpp>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace medlarrack::config {
+
+/// Settings of a platform_reader.
+struct reader_settings
+{
+    /// Root of the platform's service, for example "http://127.0.0.1:8500".
+    std::string platformUrl;
+    /// This process: id, kind and data centre count.
+    instances::instance self;
+    planner_settings planner;
+    /// Time for a call of the service beyond the wait of a watch.
+    std::chrono::milliseconds callTimeout{3'000};
+    /// Peers to ask while the instance list can't be read; may be empty.
+    std::vector<peer_ref> seeds;
+};
+
+} // namespace medlarrack::config
