--- a/libs/peer/include/medlarrack/peer/client.hpp
+++ b/libs/peer/include/medlarrack/peer/client.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <tuple>
 
 namespace medlarrack::peer {
 
@@ -19,7 +20,11 @@
     std::string address;
     std::uint16_t port = 0;
 
-    auto operator<=>(const endpoint &) const = default;
+    bool operator==(const endpoint &) const = default;
+    bool operator<(const endpoint &other) const
+    {
+        return std::tie(address, port) < std::tie(other.address, other.port);
+    }
 };
 
 /// How a stream ended, and what that proves.
--- a/libs/peer/src/server_stream.hpp
+++ b/libs/peer/src/server_stream.hpp
@@ -56,8 +56,8 @@
     void append(std::string bytes);
     void breakOff(action what);
 
-    const std::weak_ptr<server_connection> m_connection;
-    const std::int32_t m_id;
+    std::weak_ptr<server_connection> m_connection;
+    std::int32_t m_id;
     mutable std::mutex m_mutex;
     std::string m_output;
     std::size_t m_taken = 0;
