--- a/libs/sidecar/src/dispatcher.cpp
+++ b/libs/sidecar/src/dispatcher.cpp
@@ -44,7 +44,9 @@
         refuse(request, {request->id, std::move(*refused), {}, elsewhere});
         return;
     }
-    announce(request, *reply);
+    if (inProgress(request->id)) {
+        announce(request, *reply);
+    }
 }
 
 void dispatcher::impl::tick()
@@ -268,6 +270,12 @@
     }
 }
 
+bool dispatcher::impl::inProgress(std::uint64_t id) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_requests.contains(id);
+}
+
 void dispatcher::impl::remove(const request_ptr &request)
 {
     m_requests.erase(request->id);
--- a/libs/sidecar/src/dispatcher_impl.hpp
+++ b/libs/sidecar/src/dispatcher_impl.hpp
@@ -70,6 +70,7 @@
     void announce(const request_ptr &request, peer::reply_stream &reply);
     void refuse(const request_ptr &request, const refusal &why);
     void callerClosed(std::uint64_t id);
+    [[nodiscard]] bool inProgress(std::uint64_t id) const;
     void remove(const request_ptr &request);
 
     // Runs (dispatcher_runs.cpp).
--- a/libs/sidecar/src/dispatcher_target.cpp
+++ b/libs/sidecar/src/dispatcher_target.cpp
@@ -142,11 +142,13 @@
     std::vector<suspect> settled;
     std::vector<suspect> open;
     for (suspect &one : m_suspects) {
+        // An answer to a poll that was begun before the break may describe the time before a crash.
+        const bool cleared = answered && m_watch.lastPoll() >= one.since;
         const bool givenUp = now - one.since >= m_options.crashCheck;
-        if (!answered && givenUp) {
+        if (!cleared && givenUp) {
             one.request->crashed = true;
         }
-        (answered || givenUp ? settled : open).push_back(std::move(one));
+        (cleared || givenUp ? settled : open).push_back(std::move(one));
     }
     m_suspects = std::move(open);
     return settled;
--- a/libs/sidecar/src/target_watch.cpp
+++ b/libs/sidecar/src/target_watch.cpp
@@ -42,6 +42,11 @@
     return news;
 }
 
+core::monotonic_time target_watch::lastPoll() const
+{
+    return m_lastPoll.value_or(core::monotonic_time{});
+}
+
 bool target_watch::up() const
 {
     return m_up;
--- a/libs/sidecar/src/target_watch.hpp
+++ b/libs/sidecar/src/target_watch.hpp
@@ -29,6 +29,8 @@
     [[nodiscard]] bool beginPoll(core::monotonic_time now, bool urgent);
     [[nodiscard]] poll_news polled(const std::optional<engine::target_load> &load);
 
+    /// When the latest poll was begun.
+    [[nodiscard]] core::monotonic_time lastPoll() const;
     [[nodiscard]] bool up() const;
     [[nodiscard]] std::uint64_t startedMs() const;
 
