--- a/libs/sidecar/include/medlarrack/sidecar/dispatcher.hpp
+++ b/libs/sidecar/include/medlarrack/sidecar/dispatcher.hpp
@@ -29,8 +29,9 @@
     /// Name of the service; empty for an engine.
     std::string service;
     scheduler_limits limits;
-    /// Take the number of slots and the batch size from the engine's own report.
-    bool adoptEngineSizes = true;
+    /// Take the number of slots and the batch size from the engine's own report or from what is published.
+    bool adoptSlots = true;
+    bool adoptConcurrency = true;
     std::size_t maxBodyBytes = 1U << 20U;
     /// A caller that lets more than this pile up loses its stream.
     std::size_t maxBufferedBytes = 4U << 20U;
--- a/libs/sidecar/src/dispatcher.cpp
+++ b/libs/sidecar/src/dispatcher.cpp
@@ -107,11 +107,15 @@
 void dispatcher::impl::setSizes(std::size_t slots, std::size_t concurrency)
 {
     const std::scoped_lock lock(m_mutex);
-    if (m_options.adoptEngineSizes && m_watch.startedMs() != 0) {
+    if (m_watch.startedMs() != 0) {
         return;
     }
-    m_scheduler.setSlots(slots);
-    m_scheduler.setConcurrency(concurrency);
+    if (m_options.adoptSlots) {
+        m_scheduler.setSlots(slots);
+    }
+    if (m_options.adoptConcurrency) {
+        m_scheduler.setConcurrency(concurrency);
+    }
 }
 
 void dispatcher::impl::process(const decision &decide)
--- a/libs/sidecar/src/dispatcher_target.cpp
+++ b/libs/sidecar/src/dispatcher_target.cpp
@@ -115,13 +115,10 @@
 
 void dispatcher::impl::adoptSizes(const engine::target_load &load)
 {
-    if (!m_options.adoptEngineSizes) {
-        return;
-    }
-    if (load.slots != 0) {
+    if (m_options.adoptSlots && load.slots != 0) {
         m_scheduler.setSlots(load.slots);
     }
-    if (load.batchSize != 0) {
+    if (m_options.adoptConcurrency && load.batchSize != 0) {
         m_scheduler.setConcurrency(load.batchSize);
     }
 }
