--- a/libs/sidecar/src/dispatcher.cpp
+++ b/libs/sidecar/src/dispatcher.cpp
@@ -126,6 +126,8 @@
         const auto now = m_parts.clock.now();
         noticePause(now, todo);
         collect(decide(now), now, todo);
+        // After the decision, which may have noticed a restart.
+        todo.engineRun = m_engineRun;
     }
     execute(std::move(todo));
 }
@@ -133,7 +135,6 @@
 void dispatcher::impl::noticePause(core::monotonic_time now, work &todo)
 {
     todo.pauses = m_pauses.look();
-    todo.engineRun = m_engineRun;
     if (todo.pauses == m_pausesSeen) {
         return;
     }
--- /dev/null
+++ b/libs/sidecar/tests/fakes.hpp
@@ -0,0 +1,269 @@
+#pragma once
+
+#include <medlarrack/core/manual_clock.hpp>
+#include <medlarrack/placement/lru_eviction.hpp>
+#include <medlarrack/placement/paced_load_budget.hpp>
+#include <medlarrack/sidecar/dispatcher.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace medlarrack::sidecar::tests {
+
+using namespace std::chrono_literals;
+
+/// A target that does nothing by itself: the test answers in its place.
+class fake_driver final : public engine::target_driver
+{
+public:
+    struct order
+    {
+        bool isLoad = false;
+        core::adapter_ref adapter;
+        std::uint64_t fence = 0;
+        engine::order_callback callback;
+    };
+    struct running_call
+    {
+        call_id id = 0;
+        engine::target_call call;
+        engine::call_callbacks callbacks;
+    };
+
+    void run(call_id id, engine::target_call call, engine::call_callbacks callbacks) override
+    {
+        calls.push_back({id, std::move(call), std::move(callbacks)});
+    }
+
+    void cancel(call_id id) override
+    {
+        cancelled.push_back(id);
+    }
+
+    void load(const core::adapter_ref &adapter, const std::string & /*source*/, std::uint64_t fence,
+              engine::order_callback callback) override
+    {
+        orders.push_back({true, adapter, fence, std::move(callback)});
+    }
+
+    void unload(const core::adapter_ref &adapter, std::uint64_t fence, engine::order_callback callback) override
+    {
+        orders.push_back({false, adapter, fence, std::move(callback)});
+    }
+
+    void poll(std::function<void(std::optional<engine::target_load>)> callback) override
+    {
+        polls.push_back(std::move(callback));
+    }
+
+    void stop() override
+    {
+    }
+
+    /// Answers the oldest open poll.
+    void answerPoll(std::optional<engine::target_load> load)
+    {
+        auto callback = std::move(polls.front());
+        polls.erase(polls.begin());
+        callback(std::move(load));
+    }
+
+    void answerOrder(std::size_t index, engine::order_end end)
+    {
+        const auto callback = orders.at(index).callback;
+        callback(end);
+    }
+
+    void end(std::size_t index, engine::call_end end, const std::string &code = "")
+    {
+        const auto callback = calls.at(index).callbacks.onEnd;
+        callback({end, {code, code}});
+    }
+
+    std::vector<running_call> calls;
+    std::vector<call_id> cancelled;
+    std::vector<order> orders;
+    std::vector<std::function<void(std::optional<engine::target_load>)>> polls;
+};
+
+/// A stream that keeps what is sent on it.
+class fake_reply final : public peer::reply_stream
+{
+public:
+    void send(const peer::message &value) override
+    {
+        if (!ended) {
+            sent.push_back(value);
+        }
+    }
+
+    void end() override
+    {
+        ended = true;
+    }
+
+    void refuse() override
+    {
+        ended = true;
+    }
+
+    std::size_t bufferedBytes() const override
+    {
+        return buffered;
+    }
+
+    void onClosed(std::function<void()> callback) override
+    {
+        closed = std::move(callback);
+    }
+
+    /// All messages of a type.
+    template<typename T>
+    std::vector<T> all() const
+    {
+        std::vector<T> found;
+        for (const peer::message &message : sent) {
+            if (const T *value = std::get_if<T>(&message)) {
+                found.push_back(*value);
+            }
+        }
+        return found;
+    }
+
+    /// The refusal, if that is how it ended.
+    std::optional<peer::run_refused> refusal() const
+    {
+        const auto found = all<peer::run_refused>();
+        return found.empty() ? std::nullopt : std::optional(found.back());
+    }
+
+    std::string body() const
+    {
+        std::string whole;
+        for (const auto &chunk : all<peer::run_chunk>()) {
+            whole += chunk.data;
+        }
+        return whole;
+    }
+
+    std::vector<peer::message> sent;
+    bool ended = false;
+    std::size_t buffered = 0;
+    std::function<void()> closed;
+};
+
+/// A dispatcher on fakes and a manual clock, beside an engine of two slots and two places.
+struct dispatcher_bed
+{
+    static constexpr std::uint64_t engineStart = 1'764'700'000'000;
+
+    explicit dispatcher_bed(bool isEngine = true)
+        : options(makeOptions(isEngine))
+        , subject(options,
+                  {clock, driver, eviction, budget, metrics, journal,
+                   [] {
+                       return std::uint64_t{7};
+                   },
+                   [](const core::adapter_ref &adapter) {
+                       return "store/" + adapter.toString();
+                   }})
+    {
+    }
+
+    static dispatcher_options makeOptions(bool isEngine)
+    {
+        dispatcher_options made;
+        made.self = {"sidecar-1", 1};
+        made.isEngine = isEngine;
+        made.service = isEngine ? "" : "pivot";
+        made.limits.concurrency = 2;
+        made.limits.slots.slots = 2;
+        made.maxBodyBytes = 1000;
+        made.maxBufferedBytes = 1000;
+        return made;
+    }
+
+    static engine::target_load engineLoad(std::uint64_t startedMs = engineStart)
+    {
+        engine::target_load load;
+        load.startedMs = startedMs;
+        load.slots = 2;
+        load.batchSize = 2;
+        return load;
+    }
+
+    /// Lets the target answer its first poll.
+    void bringUp()
+    {
+        subject.tick();
+        driver.answerPoll(options.isEngine ? engineLoad() : engine::target_load{});
+    }
+
+    static peer::run_request completion(const std::string &id, const std::string &adapter)
+    {
+        peer::run_request request;
+        request.requestId = id;
+        request.attempt = 3;
+        request.operatorName = "farm";
+        request.adapter = {"farm/" + adapter, "v1"};
+        request.baseModel = "base-8b";
+        request.path = "/v1/completions";
+        request.body = "{}";
+        request.idempotent = true;
+        request.stream = true;
+        return request;
+    }
+
+    static peer::run_request serviceCall(const std::string &id, bool idempotent)
+    {
+        peer::run_request request;
+        request.requestId = id;
+        request.attempt = 3;
+        request.kind = peer::work_kind::service_call;
+        request.operatorName = "farm";
+        request.service = "pivot";
+        request.method = "POST";
+        request.path = "/start";
+        request.idempotent = idempotent;
+        request.idempotencyKey = idempotent ? "" : "key-" + id;
+        return request;
+    }
+
+    std::shared_ptr<fake_reply> submit(const peer::run_request &request)
+    {
+        auto reply = std::make_shared<fake_reply>();
+        subject.submit(request, reply);
+        return reply;
+    }
+
+    /// Brings up the engine and one running request on a loaded adapter.
+    std::shared_ptr<fake_reply> startOne(const peer::run_request &request)
+    {
+        bringUp();
+        auto reply = submit(request);
+        if (options.isEngine) {
+            driver.answerOrder(0, engine::order_end::done);
+        }
+        return reply;
+    }
+
+    void pass(std::chrono::milliseconds time, std::chrono::milliseconds step = 50ms)
+    {
+        for (auto passed = 0ms; passed < time; passed += step) {
+            clock.advance(step);
+            subject.tick();
+        }
+    }
+
+    core::manual_clock clock{core::wall_time(1'764'800'000'000ms)};
+    fake_driver driver;
+    placement::lru_eviction eviction;
+    placement::paced_load_budget budget{100, 100, 100, clock.now()};
+    metrics::registry metrics;
+    request_journal journal{clock, 100, 32};
+    dispatcher_options options;
+    dispatcher subject;
+};
+
+} // namespace medlarrack::sidecar::tests
