--- /dev/null
+++ b/libs/sidecar/tests/test_sidecar_service.cpp
@@ -0,0 +1,232 @@
+#include <medlarrack/core/system_clock.hpp>
+#include <medlarrack/http/client.hpp>
+#include <medlarrack/http/responder.hpp>
+#include <medlarrack/http/server.hpp>
+#include <medlarrack/peer/client.hpp>
+#include <medlarrack/sidecar/sidecar_service.hpp>
+
+#include <asio/executor_work_guard.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+using namespace medlarrack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::seconds giveUp{20};
+const std::string loopback = "127.0.0.1";
+
+/// Engine with one slot that answers three tokens at once.
+void answerAsEngine(const http::request &request, http::responder &answer)
+{
+    if (request.path() == "/load") {
+        answer.respond(200, {}, R"({"started_ms":1764700000000,"slots":1,"batch_size":4,"adapters":[]})");
+        return;
+    }
+    if (request.path() != "/v1/completions") {
+        answer.respond(200, {}, "{}");
+        return;
+    }
+    const auto body = nlohmann::json::parse(request.body);
+    const std::string id(http::findHeader(request.headers, "X-Request-Id").value_or(""));
+    answer.begin(200, {{"Content-Type", "text/event-stream"}});
+    for (int token = 0; token < 3; ++token) {
+        const nlohmann::json reason = token == 2 ? nlohmann::json("length") : nlohmann::json(nullptr);
+        const nlohmann::json event = {
+            {"id", id}, {"model", body.at("model")}, {"choices", {{{"text", " t"}, {"finish_reason", reason}}}}};
+        answer.write("data: " + event.dump() + "\n\n");
+    }
+    answer.write("data: [DONE]\n\n");
+    answer.end();
+}
+
+/// What came back on one stream.
+struct conversation
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<peer::message> messages;
+    std::optional<peer::stream_end> end;
+
+    template<typename Condition>
+    bool waitFor(Condition condition)
+    {
+        std::unique_lock lock(mutex);
+        return changed.wait_for(lock, giveUp, condition);
+    }
+};
+
+/// A sidecar, an engine and an entry's client in one process.
+struct process_bed
+{
+    process_bed()
+        : guard(asio::make_work_guard(context))
+        , engine(context, {},
+                 [](const http::request &request, const std::shared_ptr<http::responder> &answer) {
+                     answerAsEngine(request, *answer);
+                 })
+        , entry(context, {},
+                [] {
+                    return peer::hello{{"entry-1", 1}, "osijek", 1, 1, 0};
+                })
+        , http(context)
+        , first([this] {
+            context.run();
+        })
+        , second([this] {
+            context.run();
+        })
+    {
+        core::reason why;
+        BOOST_REQUIRE(engine.start(loopback, 0, why));
+        sidecar::sidecar_settings settings;
+        settings.instanceId = "sidecar-1";
+        settings.dataCentre = "osijek";
+        settings.group = "assistant";
+        settings.target.kind = "engine";
+        settings.target.url = "http://" + loopback + ":" + std::to_string(engine.port());
+        settings.platformUrl = "http://" + loopback + ":1";
+        settings.drain.grace = 100ms;
+        service = std::make_unique<sidecar::sidecar_service>(context, settings, clock);
+        BOOST_REQUIRE(service->start(why));
+    }
+
+    ~process_bed()
+    {
+        entry.stop();
+        service->stop();
+        engine.stop();
+        http.stop();
+        context.stop();
+    }
+
+    std::shared_ptr<conversation> send(const peer::message &message)
+    {
+        auto talk = std::make_shared<conversation>();
+        peer::stream_callbacks callbacks;
+        callbacks.onMessage = [talk](peer::message received) {
+            const std::scoped_lock lock(talk->mutex);
+            talk->messages.push_back(std::move(received));
+            talk->changed.notify_all();
+        };
+        callbacks.onEnd = [talk](peer::stream_end how, const std::string &) {
+            const std::scoped_lock lock(talk->mutex);
+            talk->end = how;
+            talk->changed.notify_all();
+        };
+        entry.start({loopback, service->peersPort()}, message, std::move(callbacks));
+        return talk;
+    }
+
+    std::pair<int, std::string> page(const std::string &path)
+    {
+        std::mutex mutex;
+        std::condition_variable changed;
+        std::optional<std::pair<int, std::string>> got;
+        http::client_request request;
+        request.url = "http://" + loopback + ":" + std::to_string(service->adminPort()) + path;
+        http::fetch(http, request, [&](const http::client_result &result, const std::string &body) {
+            const std::scoped_lock lock(mutex);
+            got.emplace(result.status, body);
+            changed.notify_all();
+        });
+        std::unique_lock lock(mutex);
+        changed.wait(lock, [&] {
+            return got.has_value();
+        });
+        return *got;
+    }
+
+    void waitUntilReady()
+    {
+        while (page("/readyz").first != 200) {
+            std::this_thread::yield();
+        }
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard;
+    core::system_clock clock;
+    http::server engine;
+    peer::client entry;
+    http::client http;
+    std::unique_ptr<sidecar::sidecar_service> service;
+    std::jthread first;
+    std::jthread second;
+};
+
+peer::run_request makeRequest(const std::string &id)
+{
+    peer::run_request request;
+    request.requestId = id;
+    request.operatorName = "farm";
+    request.adapter = {"farm/nozzle", "v1"};
+    request.path = "/v1/completions";
+    request.body = R"({"prompt":"p","max_tokens":3})";
+    request.idempotent = true;
+    request.stream = true;
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_stream_passes_from_engine_to_entry_and_a_drain_ends_in_order)
+{
+    process_bed bed;
+    bed.waitUntilReady();
+    const auto watch = bed.send(peer::watch_load{});
+    const auto talk = bed.send(makeRequest("r1"));
+    BOOST_REQUIRE(talk->waitFor([&] {
+        return talk->end.has_value();
+    }));
+    BOOST_TEST((*talk->end == peer::stream_end::finished));
+    std::string body;
+    for (const peer::message &message : talk->messages) {
+        if (const auto *chunk = std::get_if<peer::run_chunk>(&message)) {
+            BOOST_TEST(chunk->offset == body.size());
+            body += chunk->data;
+        }
+    }
+    BOOST_TEST(body.ends_with("data: [DONE]\n\n"));
+    BOOST_TEST(body.find("farm/nozzle@v1") != std::string::npos);
+    BOOST_REQUIRE(std::holds_alternative<peer::run_end>(talk->messages.back()));
+    BOOST_TEST(std::get<peer::run_end>(talk->messages.back()).totalBytes == body.size());
+
+    BOOST_TEST(bed.page("/metrics").second.find("medlarrack_sidecar_load_stall_seconds") != std::string::npos);
+    BOOST_TEST(bed.page("/debug/requests/r1").second.find("started") != std::string::npos);
+    BOOST_TEST(bed.page("/debug/requests/r2").first == 404);
+    BOOST_TEST(bed.page("/debug/state").second.find("farm/nozzle@v1") != std::string::npos);
+
+    std::atomic<bool> drained = false;
+    bed.service->drain([&] {
+        drained = true;
+    });
+    // The watcher hears of the leaving, then its stream ends.
+    BOOST_REQUIRE(watch->waitFor([&] {
+        return watch->end.has_value();
+    }));
+    const auto leaving = [](const peer::message &message) {
+        const auto *report = std::get_if<peer::load_report>(&message);
+        return report != nullptr && report->leaving;
+    };
+    BOOST_TEST(std::any_of(watch->messages.begin(), watch->messages.end(), leaving));
+    BOOST_TEST(bed.page("/readyz").first == 503);
+    while (!drained) {
+        std::this_thread::yield();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(messages_that_a_sidecar_does_not_take_are_refused)
+{
+    process_bed bed;
+    const auto talk = bed.send(peer::run_end{});
+    BOOST_REQUIRE(talk->waitFor([&] {
+        return talk->end.has_value();
+    }));
+    BOOST_TEST((*talk->end == peer::stream_end::not_processed));
+}
