--- a/libs/engine/src/answer_check.cpp
+++ b/libs/engine/src/answer_check.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace medlarrack::engine::detail {
@@ -15,10 +16,23 @@
     return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
+/// Whether a choice says why it finished.
+bool statesFinish(const nlohmann::json &object)
+{
+    const auto choices = object.find("choices");
+    if (choices == object.end() || !choices->is_array()) {
+        return false;
+    }
+    return std::any_of(choices->begin(), choices->end(), [](const nlohmann::json &choice) {
+        return choice.is_object() && !textMember(choice, "finish_reason").empty();
+    });
+}
+
 } // namespace
 
-answer_check::answer_check(std::string model, bool stream, std::size_t maxBytes)
-    : m_model(std::move(model))
+answer_check::answer_check(std::string requestId, std::string model, bool stream, std::size_t maxBytes)
+    : m_requestId(std::move(requestId))
+    , m_model(std::move(model))
     , m_stream(stream)
     , m_maxBytes(maxBytes)
 {
@@ -53,6 +67,10 @@
         if (!checkObject(m_whole, why)) {
             return false;
         }
+        if (!m_finished) {
+            why = {"unfinished_answer", "the engine's answer doesn't say why it finished"};
+            return false;
+        }
         passed.append(m_whole);
         return true;
     }
@@ -60,6 +78,10 @@
         why = {"missing_end_mark", "the engine's stream ended without its end mark"};
         return false;
     }
+    if (!m_finished) {
+        why = {"unfinished_answer", "the engine's stream doesn't say why it finished"};
+        return false;
+    }
     return true;
 }
 
@@ -95,14 +117,27 @@
         why = {"wrong_model", "the engine answered with a model that was not asked for"};
         return false;
     }
-    std::string id = textMember(object, "id");
-    if (m_id.empty()) {
-        m_id = std::move(id);
-    } else if (id != m_id) {
-        why = {"crossed_answer", "parts of another answer came within the engine's stream"};
+    if (!answersRequest(textMember(object, "id"))) {
+        why = {"crossed_answer", "the engine answered another request"};
+        return false;
+    }
+    const auto token = object.find("token");
+    if (token != object.end() && token->is_number_integer() && token->get<std::int64_t>() != m_nextToken++) {
+        why = {"broken_answer", "the engine's stream skips or repeats a token"};
         return false;
     }
+    m_finished = m_finished || statesFinish(object);
     return true;
 }
 
+bool answer_check::answersRequest(std::string_view id) const
+{
+    for (std::string_view prefix : {"", "cmpl-", "chatcmpl-"}) {
+        if (id.starts_with(prefix) && id.substr(prefix.size()) == m_requestId) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace medlarrack::engine::detail
--- a/libs/engine/src/http_engine_driver.cpp
+++ b/libs/engine/src/http_engine_driver.cpp
@@ -33,7 +33,7 @@
 public:
     completion(const target_call &call, call_callbacks callbacks, std::function<void()> breakOff)
         : m_requestId(call.requestId)
-        , m_check(call.model, call.stream, maxAnswerBytes)
+        , m_check(call.requestId, call.model, call.stream, maxAnswerBytes)
         , m_callbacks(std::move(callbacks))
         , m_breakOff(std::move(breakOff))
     {
