--- a/libs/engine/include/medlarrack/engine/target_driver.hpp
+++ b/libs/engine/include/medlarrack/engine/target_driver.hpp
@@ -30,6 +30,8 @@
     std::string model;
     core::request_class priority = core::request_class::interactive;
     bool stream = false;
+    /// The target may run it more than once.
+    bool idempotent = true;
     std::string idempotencyKey;
     /// Time for the whole call.
     std::chrono::milliseconds timeout{30'000};
--- a/libs/engine/src/http_engine_driver.cpp
+++ b/libs/engine/src/http_engine_driver.cpp
@@ -175,6 +175,7 @@
         }
         http::client_request request = post(call.path, std::move(*body), call.timeout);
         request.headers.emplace_back("X-Request-Id", call.requestId);
+        request.freshConnection = !call.idempotent;
         {
             const std::scoped_lock lock(m_mutex);
             m_requestIds.emplace(id, call.requestId);
--- a/libs/engine/src/http_service_driver.cpp
+++ b/libs/engine/src/http_service_driver.cpp
@@ -29,6 +29,7 @@
         request.method = std::move(call.method);
         request.url = m_baseUrl + call.path;
         request.timeout = call.timeout;
+        request.freshConnection = !call.idempotent;
         request.body = std::move(call.body);
         if (const auto type = http::findHeader(call.headers, "Content-Type")) {
             request.headers.emplace_back("Content-Type", *type);
--- a/libs/sidecar/include/medlarrack/sidecar/dispatcher.hpp
+++ b/libs/sidecar/include/medlarrack/sidecar/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include <medlarrack/core/instance_ref.hpp>
 #include <medlarrack/engine/target_driver.hpp>
 #include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/once/settings.hpp>
 #include <medlarrack/peer/messages.hpp>
 #include <medlarrack/peer/reply_stream.hpp>
 #include <medlarrack/placement/eviction_policy.hpp>
@@ -16,6 +17,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -32,6 +35,7 @@
     /// Take the number of slots and the batch size from the engine's own report or from what is published.
     bool adoptSlots = true;
     bool adoptConcurrency = true;
+    once::settings once;
     std::size_t maxBodyBytes = 1U << 20U;
     /// A caller that lets more than this pile up loses its stream.
     std::size_t maxBufferedBytes = 4U << 20U;
@@ -58,6 +62,8 @@
     std::function<std::uint64_t()> newestTicket;
     /// Where the engine finds an adapter's weights.
     std::function<std::string(const core::adapter_ref &)> sourceOf;
+    /// Asks another replica for its seal of a key; answered by dispatcher::onSealReply().
+    std::function<void(const std::string &memberId, const std::string &key)> askSeal;
 };
 
 /// State for reports and people.
@@ -74,6 +80,8 @@
     bool superseded = false;
     std::uint64_t pauses = 0;
     std::uint64_t targetStartedMs = 0;
+    /// Idempotency keys on record.
+    std::size_t keys = 0;
 };
 
 /// The sole owner of its target's work: takes requests from entries, runs them at the target in the scheduler's order,
@@ -99,6 +107,13 @@
     [[nodiscard]] bool ready() const;
     [[nodiscard]] dispatcher_state state() const;
 
+    /// The instance list was read: the ids of this target group's sidecars, leaving ones included.
+    void onInstanceList(core::wall_time asOf, std::span<const std::string> members);
+    /// Another replica asks for a seal.
+    [[nodiscard]] peer::seal_reply onSealRequest(const peer::seal_request &request);
+    /// What a replica that was asked for a seal said; nothing when it gave no answer.
+    void onSealReply(const std::string &memberId, const std::string &key, const std::optional<peer::seal_reply> &reply);
+
     /// Weight of an operator in fair shares.
     void setWeight(std::string_view operatorName, double weight);
     /// Sizes published for the target's group; they hold unless the engine reports its own.
--- a/libs/sidecar/src/active_request.hpp
+++ b/libs/sidecar/src/active_request.hpp
@@ -49,6 +49,10 @@
     bool crashed = false;
     /// Why this process broke it off, if it did.
     core::reason brokenOff;
+    /// The key registry knows of it: whether its key has run isn't for this request alone to say.
+    bool keyed = false;
+    /// The answer of a keyed run, as it passes; used by the target's callbacks only.
+    once::recorded_answer answer;
 };
 
 } // namespace medlarrack::sidecar::detail
--- a/libs/sidecar/src/dispatcher.cpp
+++ b/libs/sidecar/src/dispatcher.cpp
@@ -11,6 +11,12 @@
 /// After a pause, requests are refused for this long: they may have been sent before it.
 constexpr std::chrono::milliseconds quietAfterPause{500};
 
+/// Whether a refusal would be the same at every other target.
+bool isOwnFault(std::string_view code)
+{
+    return code == "body_too_large" || code == "deadline_exceeded" || code == "missing_idempotency_key";
+}
+
 } // namespace
 
 dispatcher::impl::impl(dispatcher_options options, dispatcher_parts parts)
@@ -20,6 +26,7 @@
     , m_pauses(m_parts.clock, m_options.shortestPause)
     , m_scheduler(m_options.limits, m_parts.eviction, m_parts.budget, m_options.seed)
     , m_watch(m_options.pollInterval)
+    , m_keys(m_options.once, m_options.self, m_parts.clock.wallNow())
     , m_quietUntil(m_parts.clock.now())
 {
     // Nothing is ordered before the engine has told what it holds.
@@ -40,18 +47,22 @@
         return refused ? effects{} : admit(request, now);
     });
     if (refused) {
-        const bool elsewhere = refused->code != "body_too_large" && refused->code != "deadline_exceeded";
-        refuse(request, {request->id, std::move(*refused), {}, elsewhere});
+        const bool elsewhere = !isOwnFault(refused->code);
+        refuse({request, {request->id, std::move(*refused), {}, elsewhere}});
         return;
     }
-    if (inProgress(request->id)) {
-        announce(request, *reply);
+    watchCaller(request->id, *reply);
+    if (!request->request.idempotent) {
+        submitKeyed(request);
+    } else if (inProgress(request->id)) {
+        announce(request);
     }
 }
 
 void dispatcher::impl::tick()
 {
     process([this](core::monotonic_time now) {
+        addKeyActions(m_keys.onTimer(m_parts.clock.wallNow()));
         if (m_draining && now - *m_draining >= m_options.drainGrace) {
             effects handedBack = m_scheduler.refuseQueued({"leaving", "the target is leaving"}, now);
             return handedBack;
@@ -95,6 +106,7 @@
     seen.superseded = m_fences.superseded();
     seen.pauses = m_pausesSeen;
     seen.targetStartedMs = m_watch.startedMs();
+    seen.keys = m_keys.size();
     return seen;
 }
 
@@ -128,6 +140,7 @@
         collect(decide(now), now, todo);
         // After the decision, which may have noticed a restart.
         todo.engineRun = m_engineRun;
+        todo.keyActions = std::exchange(m_keyActions, {});
     }
     execute(std::move(todo));
 }
@@ -151,7 +164,8 @@
         if (found != m_requests.end()) {
             const request_ptr request = found->second;
             remove(request);
-            todo.refusals.emplace_back(request, std::move(refused));
+            const bool provenNotRun = dropKey(*request);
+            todo.refusals.push_back({request, std::move(refused), provenNotRun});
         }
     }
     for (const run_start &waits : decided.starts) {
@@ -168,8 +182,8 @@
 
 void dispatcher::impl::execute(work todo)
 {
-    for (const auto &[request, refused] : todo.refusals) {
-        refuse(request, refused);
+    for (const refused_request &refused : todo.refusals) {
+        refuse(refused);
     }
     for (const auto &[request, waits] : todo.starts) {
         start(request, waits, todo.pauses);
@@ -177,6 +191,7 @@
     for (const placement::slot_order &order : todo.orders) {
         give(order, todo.pauses, todo.engineRun);
     }
+    execute(std::move(todo.keyActions));
 }
 
 std::optional<core::reason> dispatcher::impl::reasonToRefuse(const peer::run_request &request,
@@ -189,6 +204,9 @@
     if (request.body.size() > m_options.maxBodyBytes) {
         return core::reason{"body_too_large", "the request's body is larger than the target takes"};
     }
+    if (!request.idempotent && request.idempotencyKey.empty()) {
+        return core::reason{"missing_idempotency_key", "a request that may run only once needs a key"};
+    }
     if (request.deadlineLeft <= std::chrono::milliseconds::zero()) {
         return core::reason{"deadline_exceeded", "the deadline had passed when the request arrived"};
     }
@@ -226,26 +244,37 @@
     return m_scheduler.submit(std::move(item), now);
 }
 
-void dispatcher::impl::announce(const request_ptr &request, peer::reply_stream &reply)
+void dispatcher::impl::watchCaller(std::uint64_t id, peer::reply_stream &reply)
 {
-    m_parts.journal.note(request->request.requestId, "accepted", request->request.adapter.toString());
-    request->relay.accepted(m_options.self);
-    reply.onClosed([weak = weak_from_this(), id = request->id] {
+    reply.onClosed([weak = weak_from_this(), id] {
         if (const auto self = weak.lock()) {
             self->callerClosed(id);
         }
     });
+}
+
+void dispatcher::impl::announce(const request_ptr &request)
+{
+    m_parts.journal.note(request->request.requestId, "accepted", request->request.adapter.toString());
+    request->relay.accepted(m_options.self);
     process([&](core::monotonic_time now) {
         return m_scheduler.announced(request->id, now);
     });
 }
 
-void dispatcher::impl::refuse(const request_ptr &request, const refusal &why)
+void dispatcher::impl::refuse(const refused_request &refused)
 {
-    m_parts.journal.note(request->request.requestId, "refused", why.why.code);
-    auto message = detail::notRun(why);
+    m_parts.journal.note(refused.request->request.requestId, "refused", refused.why.why.code);
+    auto message = detail::notRun(refused.why);
+    if (refused.request->keyed) {
+        // The other replicas have sealed the key for this one.
+        message.tryElsewhere = false;
+    }
+    if (!refused.provenNotRun) {
+        message.outcome = core::outcome::unknown;
+    }
     message.newestTicket = m_parts.newestTicket();
-    request->relay.refuse(std::move(message));
+    refused.request->relay.refuse(std::move(message));
 }
 
 void dispatcher::impl::callerClosed(std::uint64_t id)
@@ -261,6 +290,7 @@
         m_parts.journal.note(request->request.requestId, "caller_gone", "");
         if (m_scheduler.forget(id, now)) {
             remove(request);
+            (void)dropKey(*request);
             return m_scheduler.tick(now);
         }
         // A request that may not run twice is not broken off half way: its outcome is worth knowing.
@@ -324,6 +354,22 @@
     return m_impl->state();
 }
 
+void dispatcher::onInstanceList(core::wall_time asOf, std::span<const std::string> members)
+{
+    m_impl->onInstanceList(asOf, members);
+}
+
+peer::seal_reply dispatcher::onSealRequest(const peer::seal_request &request)
+{
+    return m_impl->onSealRequest(request);
+}
+
+void dispatcher::onSealReply(const std::string &memberId, const std::string &key,
+                             const std::optional<peer::seal_reply> &reply)
+{
+    m_impl->onSealReply(memberId, key, reply);
+}
+
 void dispatcher::setWeight(std::string_view operatorName, double weight)
 {
     m_impl->setWeight(operatorName, weight);
--- a/libs/sidecar/src/dispatcher_impl.hpp
+++ b/libs/sidecar/src/dispatcher_impl.hpp
@@ -5,6 +5,7 @@
 
 #include <medlarrack/engine/fence_source.hpp>
 #include <medlarrack/engine/pause_detector.hpp>
+#include <medlarrack/once/key_registry.hpp>
 #include <medlarrack/sidecar/dispatcher.hpp>
 
 #include <functional>
@@ -31,6 +32,9 @@
     [[nodiscard]] bool idle() const;
     [[nodiscard]] bool ready() const;
     [[nodiscard]] dispatcher_state state() const;
+    void onInstanceList(core::wall_time asOf, std::span<const std::string> members);
+    [[nodiscard]] peer::seal_reply onSealRequest(const peer::seal_request &request);
+    void onSealReply(const std::string &memberId, const std::string &key, const std::optional<peer::seal_reply> &reply);
     void setWeight(std::string_view operatorName, double weight);
     void setSizes(std::size_t slots, std::size_t concurrency);
 
@@ -45,12 +49,20 @@
         engine::call_result result;
         core::monotonic_time since;
     };
+    struct refused_request
+    {
+        request_ptr request;
+        refusal why;
+        /// False when the request's key may run, or have run, for another request.
+        bool provenNotRun = true;
+    };
     /// What is to be done after the mutex has been released.
     struct work
     {
-        std::vector<std::pair<request_ptr, refusal>> refusals;
+        std::vector<refused_request> refusals;
         std::vector<std::pair<request_ptr, run_start>> starts;
         std::vector<placement::slot_order> orders;
+        once::action_list keyActions;
         /// Pauses noticed when this was decided.
         std::uint64_t pauses = 0;
         /// Run of the engine that the orders are meant for.
@@ -67,12 +79,23 @@
     [[nodiscard]] std::optional<core::reason> reasonToRefuse(const peer::run_request &request,
                                                              core::monotonic_time now) const;
     effects admit(const request_ptr &request, core::monotonic_time now);
-    void announce(const request_ptr &request, peer::reply_stream &reply);
-    void refuse(const request_ptr &request, const refusal &why);
+    void watchCaller(std::uint64_t id, peer::reply_stream &reply);
+    void announce(const request_ptr &request);
+    void refuse(const refused_request &refused);
     void callerClosed(std::uint64_t id);
     [[nodiscard]] bool inProgress(std::uint64_t id) const;
     void remove(const request_ptr &request);
 
+    // Keys (dispatcher_keys.cpp).
+    void submitKeyed(const request_ptr &request);
+    void execute(once::action_list actions);
+    void startKey(const std::string &key);
+    void finishWaiter(once::waiter_id waiter, const std::function<void(detail::active_request &)> &answer);
+    void record(detail::active_request &request, std::string_view piece) const;
+    void keyEnded(detail::active_request &request, const engine::call_result &result);
+    [[nodiscard]] bool dropKey(const detail::active_request &request);
+    void addKeyActions(once::action_list actions);
+
     // Runs (dispatcher_runs.cpp).
     void start(const request_ptr &request, const run_start &waits, std::uint64_t pauses);
     void dropStart(const request_ptr &request);
@@ -108,6 +131,11 @@
     std::unordered_map<std::uint64_t, request_ptr> m_requests;
     std::unordered_map<std::string, std::uint64_t> m_byRequestId;
     std::vector<suspect> m_suspects;
+    once::key_registry m_keys;
+    /// The request that is run for each key that isn't decided yet.
+    std::unordered_map<std::string, std::uint64_t> m_runners;
+    /// Decided by the event in progress.
+    once::action_list m_keyActions;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_pausesSeen = 0;
     std::uint64_t m_engineRun = 0;
--- /dev/null
+++ b/libs/sidecar/src/dispatcher_keys.cpp
@@ -0,0 +1,240 @@
+#include "dispatcher_impl.hpp"
+#include "outcomes.hpp"
+
+#include <medlarrack/once/run_result.hpp>
+#include <medlarrack/once/seal.hpp>
+
+#include <iterator>
+#include <utility>
+
+namespace medlarrack::sidecar {
+namespace {
+
+peer::seal_state toMessage(once::seal_state state)
+{
+    switch (state) {
+    case once::seal_state::sealed:
+        return peer::seal_state::sealed;
+    case once::seal_state::taken:
+        return peer::seal_state::taken;
+    case once::seal_state::ran:
+        return peer::seal_state::ran;
+    case once::seal_state::refused:
+        // Not a promise that the asker could run on; the message has no better word.
+    case once::seal_state::unknown:
+        break;
+    }
+    return peer::seal_state::unknown;
+}
+
+once::seal_state fromMessage(peer::seal_state state)
+{
+    switch (state) {
+    case peer::seal_state::sealed:
+        return once::seal_state::sealed;
+    case peer::seal_state::taken:
+        return once::seal_state::taken;
+    case peer::seal_state::ran:
+        return once::seal_state::ran;
+    case peer::seal_state::unknown:
+        break;
+    }
+    return once::seal_state::unknown;
+}
+
+once::seal toSeal(const peer::seal_reply &reply)
+{
+    once::seal made;
+    made.state = fromMessage(reply.state);
+    made.knowsSince = core::wall_time{std::chrono::milliseconds(reply.knowsSinceMs)};
+    if (made.state == once::seal_state::ran) {
+        once::recorded_answer answer{reply.status, reply.headers, reply.body, reply.bodyKept};
+        made.answer = std::make_shared<const once::recorded_answer>(std::move(answer));
+    }
+    return made;
+}
+
+once::run_end toRunEnd(engine::call_end end)
+{
+    switch (end) {
+    case engine::call_end::complete:
+        return once::run_end::answered;
+    case engine::call_end::not_sent:
+    case engine::call_end::declined:
+        return once::run_end::not_sent;
+    case engine::call_end::broken:
+    case engine::call_end::cancelled:
+        break;
+    }
+    return once::run_end::unknown;
+}
+
+} // namespace
+
+void dispatcher::impl::onInstanceList(core::wall_time asOf, std::span<const std::string> members)
+{
+    process([&](core::monotonic_time /*now*/) {
+        addKeyActions(m_keys.onInstanceList(asOf, members, m_parts.clock.wallNow()));
+        return effects{};
+    });
+}
+
+peer::seal_reply dispatcher::impl::onSealRequest(const peer::seal_request &request)
+{
+    once::seal given;
+    process([&](core::monotonic_time /*now*/) {
+        once::action_list actions;
+        given = m_keys.onSealRequest(request.asker.id, request.idempotencyKey, m_parts.clock.wallNow(), actions);
+        addKeyActions(std::move(actions));
+        return effects{};
+    });
+    peer::seal_reply reply;
+    reply.state = toMessage(given.state);
+    reply.by = m_options.self;
+    reply.knowsSinceMs = given.knowsSince.time_since_epoch().count();
+    if (given.answer) {
+        reply.status = given.answer->status;
+        reply.headers = given.answer->headers;
+        reply.body = given.answer->body;
+        reply.bodyKept = given.answer->bodyKept;
+    }
+    return reply;
+}
+
+void dispatcher::impl::onSealReply(const std::string &memberId, const std::string &key,
+                                   const std::optional<peer::seal_reply> &reply)
+{
+    process([&](core::monotonic_time /*now*/) {
+        const auto now = m_parts.clock.wallNow();
+        // Another process may have taken over the replica's address.
+        const bool fromMember = reply && reply->by.id == memberId;
+        addKeyActions(fromMember ? m_keys.onSealReply(memberId, key, toSeal(*reply), now)
+                                 : m_keys.onSealFailed(memberId, key, now));
+        return effects{};
+    });
+}
+
+void dispatcher::impl::submitKeyed(const request_ptr &request)
+{
+    process([&](core::monotonic_time /*now*/) {
+        if (m_requests.contains(request->id)) {
+            const std::string &key = request->request.idempotencyKey;
+            request->keyed = true;
+            m_runners.try_emplace(key, request->id);
+            addKeyActions(m_keys.submit(key, request->id, m_parts.clock.wallNow()));
+        }
+        return effects{};
+    });
+}
+
+void dispatcher::impl::execute(once::action_list actions)
+{
+    for (once::action &action : actions) {
+        if (const auto *ask = std::get_if<once::ask_seal>(&action)) {
+            m_parts.askSeal(ask->memberId, ask->key);
+        } else if (const auto *run = std::get_if<once::start_run>(&action)) {
+            startKey(run->key);
+        } else if (const auto *answer = std::get_if<once::give_answer>(&action)) {
+            finishWaiter(answer->waiter, [&](auto &request) {
+                request.relay.replay(*answer->answer);
+            });
+        } else if (const auto *refused = std::get_if<once::give_refusal>(&action)) {
+            finishWaiter(refused->waiter, [&](auto &request) {
+                auto message = detail::keyRefused(*refused);
+                message.newestTicket = m_parts.newestTicket();
+                request.relay.refuse(std::move(message));
+            });
+        }
+    }
+}
+
+void dispatcher::impl::startKey(const std::string &key)
+{
+    request_ptr runner;
+    process([&](core::monotonic_time /*now*/) {
+        const auto named = m_runners.find(key);
+        const auto found = named == m_runners.end() ? m_requests.end() : m_requests.find(named->second);
+        if (found != m_requests.end()) {
+            runner = found->second;
+            return effects{};
+        }
+        // Its caller has gone or its deadline has passed meanwhile.
+        addKeyActions(m_keys.onRunEnded(key, {once::run_end::not_sent, {}}, m_parts.clock.wallNow()));
+        return effects{};
+    });
+    if (runner) {
+        announce(runner);
+    }
+}
+
+void dispatcher::impl::finishWaiter(once::waiter_id waiter, const std::function<void(detail::active_request &)> &answer)
+{
+    request_ptr request;
+    process([&](core::monotonic_time now) {
+        const auto found = m_requests.find(waiter);
+        if (found == m_requests.end()) {
+            return effects{};
+        }
+        request = found->second;
+        remove(request);
+        (void)m_scheduler.forget(request->id, now);
+        const auto runner = m_runners.find(request->request.idempotencyKey);
+        if (runner != m_runners.end() && runner->second == waiter) {
+            m_runners.erase(runner);
+        }
+        return m_scheduler.tick(now);
+    });
+    if (request) {
+        m_parts.journal.note(request->request.requestId, "answered_by_key", request->request.idempotencyKey);
+        answer(*request);
+    }
+}
+
+void dispatcher::impl::record(detail::active_request &request, std::string_view piece) const
+{
+    if (!request.keyed || !request.answer.bodyKept) {
+        return;
+    }
+    request.answer.body.append(piece);
+    if (request.answer.body.size() > m_options.once.maxAnswerBytes) {
+        request.answer.bodyKept = false;
+        request.answer.body.clear();
+    }
+}
+
+void dispatcher::impl::keyEnded(detail::active_request &request, const engine::call_result &result)
+{
+    if (!request.keyed) {
+        return;
+    }
+    const std::string &key = request.request.idempotencyKey;
+    m_runners.erase(key);
+    // This request is answered by its own run.
+    m_keys.forget(key, request.id);
+    addKeyActions(m_keys.onRunEnded(key, {toRunEnd(result.end), std::move(request.answer)}, m_parts.clock.wallNow()));
+}
+
+bool dispatcher::impl::dropKey(const detail::active_request &request)
+{
+    if (!request.keyed) {
+        return true;
+    }
+    const std::string &key = request.request.idempotencyKey;
+    m_keys.forget(key, request.id);
+    const auto runner = m_runners.find(key);
+    if (runner == m_runners.end() || runner->second != request.id) {
+        return false;
+    }
+    // The run was to be this request's. While seals are still being collected, the key is given up when startKey()
+    // finds no runner, unless the caller has sent it again by then.
+    m_runners.erase(runner);
+    addKeyActions(m_keys.onRunEnded(key, {once::run_end::not_sent, {}}, m_parts.clock.wallNow()));
+    return true;
+}
+
+void dispatcher::impl::addKeyActions(once::action_list actions)
+{
+    std::move(actions.begin(), actions.end(), std::back_inserter(m_keyActions));
+}
+
+} // namespace medlarrack::sidecar
--- a/libs/sidecar/src/dispatcher_runs.cpp
+++ b/libs/sidecar/src/dispatcher_runs.cpp
@@ -28,11 +28,14 @@
 
 void dispatcher::impl::dropStart(const request_ptr &request)
 {
+    bool provenNotRun = true;
     process([&](core::monotonic_time now) {
         remove(request);
+        provenNotRun = dropKey(*request);
         return m_scheduler.notStarted(request->id, now);
     });
-    refuse(request, {request->id, {"paused", "the sidecar was paused before the request started"}, {}, true});
+    const core::reason why{"paused", "the sidecar was paused before the request started"};
+    refuse({request, {request->id, why, {}, true}, provenNotRun});
 }
 
 engine::target_call dispatcher::impl::makeCall(detail::active_request &request) const
@@ -50,6 +53,7 @@
     }
     call.priority = message.priority;
     call.stream = message.stream;
+    call.idempotent = message.idempotent;
     call.idempotencyKey = message.idempotencyKey;
     call.timeout = std::max(left, std::chrono::milliseconds(1));
     return call;
@@ -60,6 +64,8 @@
     const auto self = shared_from_this();
     engine::call_callbacks callbacks;
     callbacks.onHead = [request](int status, const auto &headers) {
+        request->answer.status = status;
+        request->answer.headers = headers;
         request->relay.head(status, headers);
     };
     callbacks.onData = [self, request](std::string_view piece) {
@@ -73,6 +79,7 @@
 
 void dispatcher::impl::onData(const request_ptr &request, std::string_view piece)
 {
+    record(*request, piece);
     request->relay.data(piece, m_parts.clock.now());
     if (request->relay.bufferedBytes() > m_options.maxBufferedBytes) {
         breakOff(request, {"slow_reader", "the caller takes the answer too slowly"});
@@ -115,6 +122,7 @@
     peer::run_refused refused;
     process([&](core::monotonic_time now) {
         remove(request);
+        keyEnded(*request, result);
         callerGone = request->callerGone;
         if (result.end != engine::call_end::complete) {
             refused = detail::withoutAnswer(*request, result);
@@ -135,6 +143,8 @@
         request->relay.end();
         return;
     }
+    // The other replicas have sealed the key for this one.
+    refused.tryElsewhere = refused.tryElsewhere && !request->keyed;
     refused.newestTicket = m_parts.newestTicket();
     request->relay.refuse(std::move(refused));
 }
--- a/libs/sidecar/src/outcomes.cpp
+++ b/libs/sidecar/src/outcomes.cpp
@@ -30,6 +30,17 @@
     return message;
 }
 
+peer::run_refused keyRefused(const once::give_refusal &refused)
+{
+    peer::run_refused message;
+    message.outcome = refused.outcome;
+    message.code = refused.code;
+    message.message = refused.holderId.empty() ? "the request's idempotency key allows no run here"
+                                               : "the request's idempotency key belongs to " + refused.holderId;
+    message.retryAfter = refused.retryAfter;
+    return message;
+}
+
 peer::run_refused withoutAnswer(const active_request &request, const engine::call_result &result)
 {
     if (result.end == engine::call_end::not_sent) {
--- a/libs/sidecar/src/outcomes.hpp
+++ b/libs/sidecar/src/outcomes.hpp
@@ -3,6 +3,7 @@
 #include "active_request.hpp"
 
 #include <medlarrack/engine/target_driver.hpp>
+#include <medlarrack/once/action.hpp>
 #include <medlarrack/peer/messages.hpp>
 #include <medlarrack/sidecar/scheduler.hpp>
 
@@ -12,6 +13,8 @@
 /// Of a request that was never given to the target.
 [[nodiscard]] peer::run_refused notRun(const core::reason &why, bool tryElsewhere);
 [[nodiscard]] peer::run_refused notRun(const refusal &refused);
+/// Of a request whose key allows no run.
+[[nodiscard]] peer::run_refused keyRefused(const once::give_refusal &refused);
 /// Of a request that was given to the target and ended without its answer.
 [[nodiscard]] peer::run_refused withoutAnswer(const active_request &request, const engine::call_result &result);
 /// Whether the end of a call may mean that the target has crashed.
--- a/libs/sidecar/src/run_relay.cpp
+++ b/libs/sidecar/src/run_relay.cpp
@@ -31,11 +31,17 @@
 }
 
 void run_relay::head(int status, const std::vector<std::pair<std::string, std::string>> &headers)
+{
+    sendHead(status, headers, /*replayed=*/false);
+}
+
+void run_relay::sendHead(int status, const std::vector<std::pair<std::string, std::string>> &headers, bool replayed)
 {
     peer::run_head message;
     message.attempt = m_attempt;
     message.status = status;
     message.headers = headers;
+    message.replayed = replayed;
     message.loadStall = std::chrono::duration_cast<std::chrono::microseconds>(m_waits.loadStall);
     message.queued = std::chrono::duration_cast<std::chrono::microseconds>(m_waits.queued);
     m_reply->send(message);
@@ -73,6 +79,23 @@
     m_reply->end();
 }
 
+void run_relay::replay(const once::recorded_answer &answer)
+{
+    if (!answer.bodyKept) {
+        peer::run_refused refused;
+        refused.outcome = core::outcome::ran;
+        refused.code = "answer_not_kept";
+        refused.message = "the request ran, and its answer was too large to be kept";
+        refuse(std::move(refused));
+        return;
+    }
+    countOutcome("replayed");
+    sendHead(answer.status, answer.headers, /*replayed=*/true);
+    m_reply->send(peer::run_chunk{m_attempt, 0, answer.body});
+    m_reply->send(peer::run_end{m_attempt, answer.body.size()});
+    m_reply->end();
+}
+
 std::size_t run_relay::bufferedBytes() const
 {
     return m_reply->bufferedBytes();
--- a/libs/sidecar/src/run_relay.hpp
+++ b/libs/sidecar/src/run_relay.hpp
@@ -3,6 +3,7 @@
 #include <medlarrack/core/clock.hpp>
 #include <medlarrack/engine/target_driver.hpp>
 #include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/once/recorded_answer.hpp>
 #include <medlarrack/peer/messages.hpp>
 #include <medlarrack/peer/reply_stream.hpp>
 #include <medlarrack/sidecar/scheduler.hpp>
@@ -31,12 +32,15 @@
     /// The answer is whole.
     void end();
     void refuse(peer::run_refused refused);
+    /// Gives the answer of an earlier run of the same key.
+    void replay(const once::recorded_answer &answer);
 
     /// Bytes that the entry hasn't taken yet.
     [[nodiscard]] std::size_t bufferedBytes() const;
 
 private:
     void observe(const char *name, const char *help, std::chrono::nanoseconds time);
+    void sendHead(int status, const std::vector<std::pair<std::string, std::string>> &headers, bool replayed);
     void countOutcome(std::string_view code);
 
     std::uint32_t m_attempt;
--- a/libs/sidecar/src/sidecar_service.cpp
+++ b/libs/sidecar/src/sidecar_service.cpp
@@ -177,9 +177,17 @@
                 },
                 [this](const core::adapter_ref &adapter) {
                     return m_settings.platformUrl + "/v1/store/" + adapter.toString();
+                },
+                [this](const std::string &memberId, const std::string &key) {
+                    askSeal(memberId, key);
                 }};
     }
 
+    void askSeal(const std::string &memberId, const std::string &key)
+    {
+        m_dispatcher.onSealReply(memberId, key, std::nullopt);
+    }
+
     peer::server_limits peerLimits() const
     {
         peer::server_limits limits;
--- /dev/null
+++ b/libs/sidecar/tests/test_dispatcher_keys.cpp
@@ -0,0 +1,220 @@
+#include "fakes.hpp"
+
+#include <medlarrack/core/uuid.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace medlarrack;
+using namespace medlarrack::sidecar::tests;
+using core::outcome;
+using engine::call_end;
+
+namespace {
+
+/// A plain service with another replica, listed for long enough to run unbound keys.
+struct keyed_bed : dispatcher_bed
+{
+    keyed_bed()
+        : dispatcher_bed(false)
+    {
+        bringUp();
+        listMembers({"sidecar-1", "sidecar-2"});
+        pass(20s);
+        while (!driver.polls.empty()) {
+            driver.answerPoll(engine::target_load{});
+        }
+        listMembers({"sidecar-1", "sidecar-2"});
+        clock.advance(100ms);
+        key = core::makeUuid7(clock.wallNow());
+    }
+
+    std::shared_ptr<fake_reply> send(const std::string &id)
+    {
+        auto request = serviceCall(id, false);
+        request.idempotencyKey = key;
+        return submit(request);
+    }
+
+    /// The other replica answers the question for a seal.
+    void replySeal(peer::seal_state state, const std::string &from = "sidecar-2")
+    {
+        peer::seal_reply reply;
+        reply.state = state;
+        reply.by = {from, 1};
+        reply.knowsSinceMs = startTime.time_since_epoch().count();
+        reply.status = 200;
+        reply.body = "recorded there";
+        reply.bodyKept = true;
+        subject.onSealReply("sidecar-2", key, reply);
+    }
+
+    /// The target answers the first call.
+    void answerRun(const std::string &body)
+    {
+        driver.calls[0].callbacks.onHead(200, {});
+        driver.calls[0].callbacks.onData(body);
+        driver.end(0, call_end::complete);
+    }
+
+    std::string key;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_key_runs_only_after_the_other_replicas_have_sealed_it)
+{
+    keyed_bed bed;
+    const auto reply = bed.send("r1");
+    BOOST_REQUIRE(bed.asked.size() == 1U);
+    BOOST_TEST(bed.asked[0].first == "sidecar-2");
+    BOOST_TEST(bed.driver.calls.empty());
+    BOOST_TEST(reply->sent.empty());
+    bed.replySeal(peer::seal_state::sealed);
+    BOOST_REQUIRE(bed.driver.calls.size() == 1U);
+    BOOST_TEST(!bed.driver.calls[0].call.idempotent);
+    BOOST_TEST(bed.driver.calls[0].call.idempotencyKey == bed.key);
+    bed.answerRun("done");
+    BOOST_TEST(reply->body() == "done");
+    BOOST_TEST(!reply->all<peer::run_head>()[0].replayed);
+}
+
+BOOST_AUTO_TEST_CASE(a_key_sent_twice_runs_once_and_both_get_its_answer)
+{
+    keyed_bed bed;
+    const auto first = bed.send("r1");
+    const auto during = bed.send("r2");
+    bed.replySeal(peer::seal_state::sealed);
+    BOOST_REQUIRE(bed.driver.calls.size() == 1U);
+    bed.answerRun("done");
+    const auto after = bed.send("r3");
+    BOOST_TEST(bed.driver.calls.size() == 1U);
+    BOOST_TEST(first->body() == "done");
+    for (const auto &reply : {during, after}) {
+        BOOST_TEST(reply->body() == "done");
+        BOOST_REQUIRE(reply->all<peer::run_head>().size() == 1U);
+        BOOST_TEST(reply->all<peer::run_head>()[0].replayed);
+        BOOST_TEST(reply->all<peer::run_end>().size() == 1U);
+    }
+    BOOST_TEST(bed.subject.idle());
+}
+
+BOOST_AUTO_TEST_CASE(a_key_that_ran_elsewhere_is_answered_from_there)
+{
+    keyed_bed bed;
+    const auto reply = bed.send("r1");
+    bed.replySeal(peer::seal_state::ran);
+    BOOST_TEST(bed.driver.calls.empty());
+    BOOST_TEST(reply->body() == "recorded there");
+    BOOST_TEST(bed.subject.idle());
+}
+
+BOOST_AUTO_TEST_CASE(a_key_that_may_have_run_elsewhere_does_not_run_here)
+{
+    for (auto state : {peer::seal_state::taken, peer::seal_state::unknown}) {
+        keyed_bed bed;
+        const auto reply = bed.send("r1");
+        bed.replySeal(state);
+        BOOST_TEST(bed.driver.calls.empty());
+        BOOST_REQUIRE(reply->refusal().has_value());
+        BOOST_TEST((reply->refusal()->outcome == outcome::unknown));
+        BOOST_TEST(bed.subject.idle());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_seal_by_another_process_at_the_replicas_address_does_not_count)
+{
+    keyed_bed bed;
+    const auto reply = bed.send("r1");
+    bed.replySeal(peer::seal_state::sealed, "sidecar-9");
+    BOOST_TEST(bed.driver.calls.empty());
+    BOOST_TEST((reply->refusal()->outcome == outcome::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_does_not_answer_stops_the_key_after_a_time)
+{
+    keyed_bed bed;
+    const auto reply = bed.send("r1");
+    bed.pass(1s);
+    BOOST_TEST(bed.driver.calls.empty());
+    BOOST_REQUIRE(reply->refusal().has_value());
+    BOOST_TEST((reply->refusal()->outcome == outcome::unknown));
+    BOOST_TEST(bed.subject.idle());
+}
+
+BOOST_AUTO_TEST_CASE(a_key_whose_run_broke_is_unknown_for_all_and_never_runs_again)
+{
+    keyed_bed bed;
+    const auto first = bed.send("r1");
+    const auto second = bed.send("r2");
+    bed.replySeal(peer::seal_state::sealed);
+    bed.driver.end(0, call_end::broken, "timeout");
+    const auto third = bed.send("r3");
+    BOOST_TEST(bed.driver.calls.size() == 1U);
+    for (const auto &reply : {first, second, third}) {
+        BOOST_REQUIRE(reply->refusal().has_value());
+        BOOST_TEST((reply->refusal()->outcome == outcome::unknown));
+        BOOST_TEST(!reply->refusal()->tryElsewhere);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_goes_before_the_seals_arrive_runs_nothing)
+{
+    keyed_bed bed;
+    const auto first = bed.send("r1");
+    first->closed();
+    bed.replySeal(peer::seal_state::sealed);
+    BOOST_TEST(bed.driver.calls.empty());
+    BOOST_TEST(bed.subject.idle());
+    const auto again = bed.send("r2");
+    BOOST_TEST((again->refusal()->outcome == outcome::not_run));
+}
+
+BOOST_AUTO_TEST_CASE(a_waiter_past_its_deadline_is_not_told_that_its_key_did_not_run)
+{
+    keyed_bed bed;
+    (void)bed.send("r1");
+    bed.replySeal(peer::seal_state::sealed);
+    auto impatient = dispatcher_bed::serviceCall("r2", false);
+    impatient.idempotencyKey = bed.key;
+    impatient.deadlineLeft = 300ms;
+    const auto reply = bed.submit(impatient);
+    bed.pass(300ms);
+    BOOST_REQUIRE(reply->refusal().has_value());
+    BOOST_TEST((reply->refusal()->outcome == outcome::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_between_seal_and_run_runs_nothing)
+{
+    keyed_bed bed;
+    const auto reply = bed.send("r1");
+    bed.clock.advance(10min);
+    bed.replySeal(peer::seal_state::sealed);
+    BOOST_TEST(bed.driver.calls.empty());
+    BOOST_REQUIRE(reply->refusal().has_value());
+    BOOST_TEST(!reply->refusal()->tryElsewhere);
+    BOOST_TEST(bed.subject.idle());
+}
+
+BOOST_AUTO_TEST_CASE(without_a_key_nothing_is_run_only_once)
+{
+    keyed_bed bed;
+    bed.key.clear();
+    const auto reply = bed.send("r1");
+    BOOST_TEST(reply->refusal()->code == "missing_idempotency_key");
+    BOOST_TEST((reply->refusal()->outcome == outcome::not_run));
+}
+
+BOOST_AUTO_TEST_CASE(a_sealed_key_does_not_run_here_afterwards)
+{
+    keyed_bed bed;
+    peer::seal_request request;
+    request.service = "pivot";
+    request.idempotencyKey = bed.key;
+    request.asker = {"sidecar-2", 1};
+    const auto seal = bed.subject.onSealRequest(request);
+    BOOST_TEST((seal.state == peer::seal_state::sealed));
+    BOOST_TEST(seal.by.id == "sidecar-1");
+    const auto reply = bed.send("r1");
+    BOOST_TEST(bed.driver.calls.empty());
+    BOOST_TEST((reply->refusal()->outcome == outcome::unknown));
+}
