--- a/libs/engine/src/http_engine_driver.cpp
+++ b/libs/engine/src/http_engine_driver.cpp
@@ -33,7 +33,7 @@
 public:
     completion(const target_call &call, call_callbacks callbacks, std::function<void()> breakOff)
         : m_requestId(call.requestId)
-        , m_check(call.model, call.stream, maxAnswerBytes)
+        , m_check(call.requestId, call.model, call.stream, maxAnswerBytes)
         , m_callbacks(std::move(callbacks))
         , m_breakOff(std::move(breakOff))
     {
@@ -175,6 +175,7 @@
         }
         http::client_request request = post(call.path, std::move(*body), call.timeout);
         request.headers.emplace_back("X-Request-Id", call.requestId);
+        request.freshConnection = !call.idempotent;
         {
             const std::scoped_lock lock(m_mutex);
             m_requestIds.emplace(id, call.requestId);
