--- a/libs/entry/include/medlarrack/entry/entry_service.hpp
+++ b/libs/entry/include/medlarrack/entry/entry_service.hpp
@@ -38,7 +38,7 @@
 class entry_service
 {
 public:
-    entry_service(entry_settings settings, entry_parts parts);
+    entry_service(entry_settings settings, const entry_parts &parts);
     ~entry_service();
     entry_service(const entry_service &) = delete;
     entry_service &operator=(const entry_service &) = delete;
--- a/libs/entry/include/medlarrack/entry/entry_settings.hpp
+++ b/libs/entry/include/medlarrack/entry/entry_settings.hpp
@@ -112,8 +112,8 @@
     trace_settings trace;
 };
 
-/// Reads settings; all faults are added at once. Nothing is returned when there is one. The member "platform" is left to
-/// the reader of the platform's services.
+/// Reads settings; all faults are added at once. Nothing is returned when there is one. The member "platform" is left
+/// to the reader of the platform's services.
 [[nodiscard]] std::optional<entry_settings> parseSettings(const nlohmann::json &root, settings::fault_list &faults);
 
 } // namespace medlarrack::entry
--- a/libs/entry/include/medlarrack/entry/sidecar_link.hpp
+++ b/libs/entry/include/medlarrack/entry/sidecar_link.hpp
@@ -15,8 +15,7 @@
 
     /// As peer::client::start().
     virtual peer::client::stream_id start(const peer::endpoint &to, const peer::message &request,
-                                          peer::stream_callbacks callbacks)
-        = 0;
+                                          peer::stream_callbacks callbacks) = 0;
     /// As peer::client::cancel().
     virtual void cancel(peer::client::stream_id stream) = 0;
 };
--- a/libs/entry/src/answer_assembler.hpp
+++ b/libs/entry/src/answer_assembler.hpp
@@ -16,8 +16,8 @@
     void beginAttempt();
     /// Forgets everything taken; the next attempt starts from the beginning.
     void restart();
-    /// The part of a piece that is new to the caller, maybe empty. Nothing when the piece leaves a gap or isn't the next
-    /// one of its attempt: the answer is broken then.
+    /// The part of a piece that is new to the caller, maybe empty. Nothing when the piece leaves a gap or isn't the
+    /// next one of its attempt: the answer is broken then.
     [[nodiscard]] std::optional<std::string_view> take(const peer::run_chunk &piece);
     /// Whether the attempt's pieces reach up to its end, and no byte taken before lies beyond.
     [[nodiscard]] bool isWhole(std::uint64_t totalBytes) const;
--- a/libs/entry/src/answer_relay.cpp
+++ b/libs/entry/src/answer_relay.cpp
@@ -12,9 +12,9 @@
 constexpr int statusOk = 200;
 
 /// Headers of a target that say something about its connection or that we set.
-constexpr std::array<std::string_view, 11> ownHeaders
-    = {"connection",   "content-length", "date",      "idempotency-key", "keep-alive",   "server",
-       "transfer-encoding", "trailer",   "upgrade",   "x-instance",      "x-request-id"};
+constexpr std::array<std::string_view, 11> ownHeaders = {
+    "connection",        "content-length", "date",    "idempotency-key", "keep-alive",  "server",
+    "transfer-encoding", "trailer",        "upgrade", "x-instance",      "x-request-id"};
 
 bool isOwnHeader(std::string_view name)
 {
@@ -130,23 +130,23 @@
 
 http::header_list answer_relay::answerHeaders(const peer::run_head &head, const std::string &instanceId) const
 {
-    http::header_list result;
+    http::header_list headers;
     for (const auto &[name, value] : head.headers) {
         if (!isOwnHeader(name)) {
-            result.emplace_back(name, value);
+            headers.emplace_back(name, value);
         }
     }
-    result.emplace_back("X-Request-Id", m_request.requestId);
-    result.emplace_back("X-Instance", instanceId);
+    headers.emplace_back("X-Request-Id", m_request.requestId);
+    headers.emplace_back("X-Instance", instanceId);
     if (m_request.kind == peer::work_kind::completion) {
         const auto stall = std::chrono::duration_cast<std::chrono::milliseconds>(head.loadStall);
-        result.emplace_back("X-Adapter", m_request.adapter.toString());
-        result.emplace_back("X-Load-Stall-Ms", std::to_string(stall.count()));
+        headers.emplace_back("X-Adapter", m_request.adapter.toString());
+        headers.emplace_back("X-Load-Stall-Ms", std::to_string(stall.count()));
     }
     if (!m_request.idempotencyKey.empty()) {
-        result.emplace_back("Idempotency-Key", m_request.idempotencyKey);
+        headers.emplace_back("Idempotency-Key", m_request.idempotencyKey);
     }
-    return result;
+    return headers;
 }
 
 } // namespace medlarrack::entry
--- a/libs/entry/src/call_parser.cpp
+++ b/libs/entry/src/call_parser.cpp
@@ -64,8 +64,9 @@
     }
     const auto model = body.find("model");
     if (model == body.end() || !model->is_string()) {
-        refuse(error, 400, "bad_model", "the body needs a text \"model\" of the form operator/name or "
-                                        "operator/name@version");
+        refuse(error, 400, "bad_model",
+               "the body needs a text \"model\" of the form operator/name or "
+               "operator/name@version");
         return std::nullopt;
     }
     const auto stream = body.find("stream");
@@ -171,8 +172,9 @@
     const std::string_view name = model.substr(0, at);
     const auto slash = name.find('/');
     if (slash == std::string_view::npos || name.substr(0, slash).empty() || name.substr(slash + 1).empty()) {
-        return refuse(error, 404, "unknown_adapter", "the model must be of the form operator/name or "
-                                                     "operator/name@version");
+        return refuse(error, 404, "unknown_adapter",
+                      "the model must be of the form operator/name or "
+                      "operator/name@version");
     }
     if (name.substr(0, slash) != value.operatorName) {
         return refuse(error, 403, "adapter_not_allowed", "the adapter belongs to another operator than the key");
--- /dev/null
+++ b/libs/entry/src/entry_service.cpp
@@ -0,0 +1,299 @@
+#include "front.hpp"
+#include "load_watcher.hpp"
+#include "shared_tables.hpp"
+
+#include <medlarrack/entry/entry_service.hpp>
+#include <medlarrack/entry/sidecar_link.hpp>
+#include <medlarrack/http/server.hpp>
+#include <medlarrack/instances/view.hpp>
+#include <medlarrack/log/log.hpp>
+#include <medlarrack/tickets/state.hpp>
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <utility>
+
+namespace medlarrack::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto tickInterval = 250ms;
+/// Time for the last answers to leave before the connections are closed.
+constexpr auto flushTime = 250ms;
+constexpr std::size_t debugTargets = 1'000;
+
+http::server_limits serverLimits(const listen_settings &settings)
+{
+    return {settings.maxBodyBytes, settings.maxHeaderBytes, settings.maxConnections,
+            settings.readTimeout,  settings.writeTimeout,   settings.maxBufferedBytes};
+}
+
+} // namespace
+
+class entry_service::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(entry_settings settings, const entry_parts &parts)
+        : m_context(parts.context)
+        , m_clock(parts.clock)
+        , m_tickets(parts.tickets)
+        , m_instances(parts.instances)
+        , m_tables(std::make_shared<shared_tables>(std::move(settings), parts))
+        , m_settings(m_tables->settings)
+        , m_watcher(std::make_shared<load_watcher>(std::shared_ptr<target_directory>(m_tables, &m_tables->targets),
+                                                   parts.link, m_clock, m_settings.routing.maxLoadWatches))
+        , m_front(m_context, shared_tables::environment(m_tables), m_tables->admission, m_tables->registry, hooks())
+        , m_strand(asio::make_strand(m_context))
+        , m_tick(m_strand)
+        , m_drainTimer(m_strand)
+    {
+    }
+
+    bool start(core::reason &why)
+    {
+        if (!listen(m_callers, m_settings.callers, false, why)) {
+            return false;
+        }
+        if (m_settings.admin && !listen(m_admin, *m_settings.admin, true, why)) {
+            return false;
+        }
+        scheduleTick();
+        return true;
+    }
+
+    void drain(std::function<void()> done)
+    {
+        asio::post(m_strand, [self = shared_from_this(), done = std::move(done)]() mutable {
+            self->beginDrain(std::move(done));
+        });
+    }
+
+    void stop()
+    {
+        m_watcher->stop();
+        if (m_callers) {
+            m_callers->stop();
+        }
+        if (m_admin) {
+            m_admin->stop();
+        }
+        asio::post(m_strand, [self = shared_from_this()] {
+            self->m_stopped = true;
+            self->m_tick.cancel();
+            self->m_drainTimer.cancel();
+        });
+    }
+
+    [[nodiscard]] std::uint16_t callersPort() const
+    {
+        return m_callers->port();
+    }
+
+    [[nodiscard]] std::optional<std::uint16_t> adminPort() const
+    {
+        return m_admin ? std::optional(m_admin->port()) : std::nullopt;
+    }
+
+    [[nodiscard]] std::size_t inFlight() const
+    {
+        return m_tables->admission.inFlight();
+    }
+
+private:
+    front_hooks hooks()
+    {
+        front_hooks result;
+        result.notReady = [this] {
+            return notReady();
+        };
+        result.debugState = [this] {
+            return debugState();
+        };
+        result.refreshMetrics = [this] {
+            refreshMetrics();
+        };
+        return result;
+    }
+
+    bool listen(std::unique_ptr<http::server> &server, const listen_settings &settings, bool admin, core::reason &why)
+    {
+        http::request_handler handler;
+        if (admin) {
+            handler = [this](const http::request &request, const std::shared_ptr<http::responder> &responder) {
+                m_front.handleAdmin(request, *responder);
+            };
+        } else {
+            handler = [this](http::request request, const std::shared_ptr<http::responder> &responder) {
+                m_front.handleCaller(std::move(request), responder, !m_settings.admin);
+            };
+        }
+        server = std::make_unique<http::server>(m_context, serverLimits(settings), std::move(handler));
+        return server->start(settings.address, settings.port, why);
+    }
+
+    [[nodiscard]] std::string notReady() const
+    {
+        if (m_draining) {
+            return "draining";
+        }
+        if (m_tickets.newest() == 0) {
+            return "no change ticket is known yet";
+        }
+        if (!m_instances.lastRead()) {
+            return "no instance list has been read yet";
+        }
+        return {};
+    }
+
+    [[nodiscard]] std::string debugState() const
+    {
+        const nlohmann::json state = {
+            {"instance", m_settings.instanceId},
+            {"data_centre", m_settings.dataCentre},
+            {"draining", m_draining.load()},
+            {"not_ready", notReady()},
+            {"newest_ticket", m_tickets.newest()},
+            {"contiguous_ticket", m_tickets.contiguous()},
+            {"adapters", m_tickets.adapterCount()},
+            {"in_flight", m_tables->admission.inFlight()},
+            {"in_flight_by_operator", m_tables->admission.inFlightByOperator()},
+            {"load_watches", m_watcher->watches()},
+            {"suspects", m_tables->suspects.size()},
+            {"groups", nlohmann::json::parse(m_tables->targets.debugJson(debugTargets))},
+            {"changes", nlohmann::json::parse(m_tables->trace.changesJson())},
+        };
+        return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+    void refreshMetrics()
+    {
+        m_tables->registry.gauge("medlarrack_entry_in_flight", "Requests in flight", {},
+                                 static_cast<double>(m_tables->admission.inFlight()));
+        m_tables->registry.gauge("medlarrack_entry_newest_ticket", "Newest change ticket in force", {},
+                                 static_cast<double>(m_tickets.newest()));
+        m_tables->registry.gauge("medlarrack_entry_suspects", "Fingerprints remembered as suspects", {},
+                                 static_cast<double>(m_tables->suspects.size()));
+        m_tables->registry.gauge("medlarrack_entry_load_watches", "Load streams open", {},
+                                 static_cast<double>(m_watcher->watches()));
+    }
+
+    void scheduleTick()
+    {
+        m_tick.expires_after(tickInterval);
+        m_tick.async_wait([self = shared_from_this()](const std::error_code &error) {
+            if (!error && !self->m_stopped) {
+                self->m_watcher->tick(self->m_tickets.newest());
+                self->scheduleTick();
+            }
+        });
+    }
+
+    void beginDrain(std::function<void()> done)
+    {
+        if (m_draining) {
+            return;
+        }
+        m_draining = true;
+        m_drainDone = std::move(done);
+        m_tables->trace.change(m_clock.wallNow(), "entry", "draining", "asked to stop");
+        log::write(log::level::info, "draining", {{"in_flight", std::uint64_t{m_tables->admission.inFlight()}}});
+        m_drainTimer.expires_after(m_settings.drain.grace);
+        m_drainTimer.async_wait([self = shared_from_this()](const std::error_code &error) {
+            if (!error) {
+                self->m_front.refuseNew();
+                self->m_callers->stopAccepting();
+                self->m_drainUntil = self->m_clock.now() + self->m_settings.drain.maxWait;
+                self->waitForRequests();
+            }
+        });
+    }
+
+    void waitForRequests()
+    {
+        constexpr auto pollInterval = 20ms;
+        const std::size_t left = m_tables->admission.inFlight();
+        const bool late = m_clock.now() >= m_drainUntil;
+        if (left > 0 && !late) {
+            m_drainTimer.expires_after(pollInterval);
+            m_drainTimer.async_wait([self = shared_from_this()](const std::error_code &error) {
+                if (!error) {
+                    self->waitForRequests();
+                }
+            });
+            return;
+        }
+        if (left > 0) {
+            log::write(log::level::warning, "requests cut off at the end of the drain",
+                       {{"in_flight", std::uint64_t{left}}});
+        }
+        m_drainTimer.expires_after(flushTime);
+        m_drainTimer.async_wait([self = shared_from_this()](const std::error_code &error) {
+            if (!error) {
+                self->m_drainDone();
+            }
+        });
+    }
+
+    asio::io_context &m_context;
+    const core::clock &m_clock;
+    const tickets::state &m_tickets;
+    const instances::view &m_instances;
+    const std::shared_ptr<shared_tables> m_tables;
+    const entry_settings &m_settings;
+    const std::shared_ptr<load_watcher> m_watcher;
+    front m_front;
+    std::unique_ptr<http::server> m_callers;
+    std::unique_ptr<http::server> m_admin;
+    asio::strand<asio::io_context::executor_type> m_strand;
+    asio::steady_timer m_tick;
+    asio::steady_timer m_drainTimer;
+    std::function<void()> m_drainDone;
+    core::monotonic_time m_drainUntil{};
+    std::atomic<bool> m_draining{false};
+    bool m_stopped = false;
+};
+
+entry_service::entry_service(entry_settings settings, const entry_parts &parts)
+    : m_impl(std::make_shared<impl>(std::move(settings), parts))
+{
+}
+
+entry_service::~entry_service() = default;
+
+bool entry_service::start(core::reason &why)
+{
+    return m_impl->start(why);
+}
+
+std::uint16_t entry_service::callersPort() const
+{
+    return m_impl->callersPort();
+}
+
+std::optional<std::uint16_t> entry_service::adminPort() const
+{
+    return m_impl->adminPort();
+}
+
+void entry_service::drain(std::function<void()> done)
+{
+    m_impl->drain(std::move(done));
+}
+
+void entry_service::stop()
+{
+    m_impl->stop();
+}
+
+std::size_t entry_service::inFlight() const
+{
+    return m_impl->inFlight();
+}
+
+} // namespace medlarrack::entry
--- a/libs/entry/src/entry_settings.cpp
+++ b/libs/entry/src/entry_settings.cpp
@@ -1,5 +1,4 @@
 #include <medlarrack/entry/entry_settings.hpp>
-
 #include <medlarrack/settings/object_reader.hpp>
 
 #include <nlohmann/json.hpp>
--- /dev/null
+++ b/libs/entry/src/front.cpp
@@ -0,0 +1,260 @@
+#include "front.hpp"
+
+#include "request_run.hpp"
+#include "run_metrics.hpp"
+#include "strand_scheduler.hpp"
+
+#include <medlarrack/core/uuid.hpp>
+#include <medlarrack/trace/recorder.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace medlarrack::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto drainingRetryAfter = 1'000ms;
+constexpr std::string_view debugRequests = "/debug/requests/";
+
+void respondJson(http::responder &responder, const std::string &body)
+{
+    responder.respond(200, {{"Content-Type", "application/json"}}, body);
+}
+
+void respondText(http::responder &responder, int status, std::string body)
+{
+    responder.respond(status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(body));
+}
+
+std::string dump(const nlohmann::json &value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<std::string_view> bearerKey(const http::request &request)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const auto header = http::findHeader(request.headers, "Authorization");
+    if (!header || !header->starts_with(scheme)) {
+        return std::nullopt;
+    }
+    return header->substr(scheme.size());
+}
+
+bool isCompletion(std::string_view path)
+{
+    return path == "/v1/chat/completions" || path == "/v1/completions";
+}
+
+error_answer wrongMethod(std::string_view expected)
+{
+    return {405, "wrong_method", "this path takes " + std::string(expected) + " only", core::outcome::not_run, {}};
+}
+
+error_answer unknownPath()
+{
+    return {404, "unknown_path", "nothing is served at this path", core::outcome::not_run, {}};
+}
+
+} // namespace
+
+front::front(asio::io_context &context, std::shared_ptr<const run_environment> environment, admission &admission,
+             metrics::registry &registry, front_hooks hooks)
+    : m_context(context)
+    , m_environment(std::move(environment))
+    , m_admission(admission)
+    , m_registry(registry)
+    , m_hooks(std::move(hooks))
+    , m_parser(m_environment->settings.requests, m_environment->tickets, m_environment->clock)
+{
+}
+
+void front::handleCaller(http::request request, const std::shared_ptr<http::responder> &responder,
+                         bool withOperatorPages)
+{
+    if (healthPage(request, *responder) || (withOperatorPages && operatorPage(request, *responder))) {
+        return;
+    }
+    const auto key = bearerKey(request);
+    if (!key) {
+        refuse(*responder,
+               {401, "missing_key", "a header \"Authorization: Bearer <key>\" is needed", core::outcome::not_run, {}});
+        return;
+    }
+    const auto operatorName = m_environment->tickets.authenticate(*key);
+    if (!operatorName) {
+        refuse(*responder, {401, "wrong_key", "the key is not valid", core::outcome::not_run, {}});
+        return;
+    }
+    authenticated(request, responder, *operatorName);
+}
+
+void front::handleAdmin(const http::request &request, http::responder &responder) const
+{
+    if (!healthPage(request, responder) && !operatorPage(request, responder)) {
+        refuse(responder, unknownPath());
+    }
+}
+
+void front::refuseNew()
+{
+    m_refusing = true;
+}
+
+bool front::healthPage(const http::request &request, http::responder &responder) const
+{
+    if (request.path() == "/healthz") {
+        respondText(responder, 200, "ok\n");
+        return true;
+    }
+    if (request.path() == "/readyz") {
+        const std::string why = m_hooks.notReady();
+        respondText(responder, why.empty() ? 200 : 503, why.empty() ? "ready\n" : why + "\n");
+        return true;
+    }
+    return false;
+}
+
+bool front::operatorPage(const http::request &request, http::responder &responder) const
+{
+    const std::string_view path = request.path();
+    if (path == "/metrics") {
+        m_hooks.refreshMetrics();
+        responder.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_registry.text());
+        return true;
+    }
+    if (path == "/debug/state") {
+        respondJson(responder, m_hooks.debugState());
+        return true;
+    }
+    if (path.starts_with(debugRequests)) {
+        const auto json = m_environment->trace.requestJson(path.substr(debugRequests.size()));
+        if (json) {
+            respondJson(responder, *json);
+        } else {
+            respondError(responder,
+                         {404, "unknown_request", "nothing is kept of this request", core::outcome::unknown, {}}, {});
+        }
+        return true;
+    }
+    return false;
+}
+
+void front::authenticated(const http::request &request, const std::shared_ptr<http::responder> &responder,
+                          const std::string &operatorName)
+{
+    const std::string_view path = request.path();
+    if (path == "/v1/models") {
+        models(request, *responder, operatorName);
+        return;
+    }
+    if (path == "/v1/idempotency-keys") {
+        mintKey(request, *responder, operatorName);
+        return;
+    }
+    const bool completion = isCompletion(path);
+    if (!completion && !path.starts_with("/services/")) {
+        refuse(*responder, unknownPath());
+        return;
+    }
+    if (completion && request.method != "POST") {
+        refuse(*responder, wrongMethod("POST"));
+        return;
+    }
+    if (m_refusing) {
+        refuse(*responder,
+               {503, "draining", "this entry is shutting down", core::outcome::not_run, drainingRetryAfter});
+        return;
+    }
+    error_answer error;
+    auto parsed = completion ? m_parser.completion(request, operatorName, error)
+                             : m_parser.serviceCall(request, operatorName, error);
+    if (!parsed) {
+        refuse(*responder, error);
+        return;
+    }
+    run(std::move(*parsed), responder);
+}
+
+void front::run(call request, const std::shared_ptr<http::responder> &responder)
+{
+    const auto limits = m_environment->tickets.findOperator(request.operatorName);
+    error_answer error;
+    auto permit = m_admission.admit(request.operatorName, limits ? *limits : tickets::operator_state{},
+                                    request.priority, request.acceptedAt, error);
+    if (!permit) {
+        m_environment->metrics.ended(request, error.code, error.outcome, request.acceptedAt);
+        respondError(*responder, error, request.requestId);
+        return;
+    }
+    const auto started = std::make_shared<request_run>(
+        m_environment, std::move(request), std::make_unique<strand_scheduler>(m_context), responder, std::move(permit));
+    started->begin();
+    responder->onClosed([weak = std::weak_ptr(started)] {
+        if (const auto run = weak.lock()) {
+            run->callerGone();
+        }
+    });
+}
+
+void front::models(const http::request &request, http::responder &responder, const std::string &operatorName) const
+{
+    if (request.method != "GET") {
+        refuse(responder, wrongMethod("GET"));
+        return;
+    }
+    nlohmann::json data = nlohmann::json::array();
+    for (const std::string &name : m_environment->tickets.adaptersOf(operatorName)) {
+        const auto adapter = m_environment->tickets.findAdapter(name);
+        if (!adapter) {
+            continue;
+        }
+        for (const auto &[version, source] : adapter->versions) {
+            data.push_back({{"id", name + "@" + version},
+                            {"object", "model"},
+                            {"owned_by", operatorName},
+                            {"parent", adapter->baseModel},
+                            {"current", version == adapter->current}});
+        }
+    }
+    respondJson(responder, dump({{"object", "list"}, {"data", std::move(data)}}));
+}
+
+void front::mintKey(const http::request &request, http::responder &responder, const std::string &operatorName) const
+{
+    if (request.method != "POST") {
+        refuse(responder, wrongMethod("POST"));
+        return;
+    }
+    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    const bool named = body.is_object() && body.contains("service") && body["service"].is_string();
+    if (!named) {
+        refuse(responder,
+               {400, "bad_json", "the body must be a JSON object with a text \"service\"", core::outcome::not_run, {}});
+        return;
+    }
+    const auto service = m_environment->tickets.findService(body["service"].get_ref<const std::string &>());
+    if (!service) {
+        refuse(responder, {404, "unknown_service", "no service of this name", core::outcome::not_run, {}});
+        return;
+    }
+    if (!service->allows(operatorName)) {
+        refuse(responder,
+               {403, "service_not_allowed", "this operator may not call the service", core::outcome::not_run, {}});
+        return;
+    }
+    respondJson(responder, dump({{"idempotency_key", core::makeUuid7(m_environment->clock.wallNow())}}));
+}
+
+void front::refuse(http::responder &responder, const error_answer &error) const
+{
+    m_environment->metrics.refused(error.code);
+    respondError(responder, error, core::makeUuid7(m_environment->clock.wallNow()));
+}
+
+} // namespace medlarrack::entry
--- a/libs/entry/src/request_run.cpp
+++ b/libs/entry/src/request_run.cpp
@@ -339,8 +339,8 @@
     m_doubt = true;
     note("broken", code, {{"attempt", m_attempt}, {"target", m_target.id}, {"detail", detail}});
     failure why;
-    why.error = {502, std::string(code), "the connection to the target broke during the request",
-                 core::outcome::unknown, {}};
+    why.error = {
+        502, std::string(code), "the connection to the target broke during the request", core::outcome::unknown, {}};
     why.result = routing::attempt_result::failed;
     why.mayRetry = true;
     // The target that may have run a key has the record of it.
--- /dev/null
+++ b/libs/entry/src/shared_tables.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "admission.hpp"
+#include "retry_budget.hpp"
+#include "run_environment.hpp"
+#include "run_metrics.hpp"
+#include "shared_suspects.hpp"
+#include "target_directory.hpp"
+
+#include <medlarrack/entry/entry_service.hpp>
+#include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/trace/recorder.hpp>
+
+#include <memory>
+
+namespace medlarrack::entry {
+
+/// The tables of an entry, kept alive by it and by each request in progress.
+class shared_tables
+{
+public:
+    shared_tables(entry_settings entrySettings, const entry_parts &parts);
+    shared_tables(const shared_tables &) = delete;
+    shared_tables &operator=(const shared_tables &) = delete;
+
+    /// The environment of a request; keeps the tables.
+    [[nodiscard]] static std::shared_ptr<const run_environment>
+    environment(const std::shared_ptr<const shared_tables> &tables);
+
+    const entry_settings settings;
+    trace::recorder trace;
+    metrics::registry registry;
+    run_metrics metrics;
+    target_directory targets;
+    shared_suspects suspects;
+    retry_budget retries;
+    entry::admission admission;
+
+private:
+    const run_environment m_environment;
+};
+
+} // namespace medlarrack::entry
