Add the HTTP server and client

Server: RESTinio on the given io_context with a strand per connection. Client: libcurl's multi interface on one strand; a request is sent at most once, not_sent is said only when no connection was ready to send, and an answer whose end isn't marked is broken. client_request has a new flag freshConnection.

--- a/libs/http/include/medlarrack/http/client.hpp
+++ b/libs/http/include/medlarrack/http/client.hpp
@@ -19,21 +19,24 @@
 {
     std::string method = "GET";
     /// "http://127.0.0.1:8000/v1/completions".
-    std::string url;
-    header_list headers;
-    std::string body;
+    std::string url = {};
+    header_list headers = {};
+    std::string body = {};
     /// Time for the whole exchange.
     std::chrono::milliseconds timeout{30'000};
     std::chrono::milliseconds connectTimeout{1'000};
+    /// Opens a connection for this exchange in place of using a kept one. A kept connection may be closed by the server
+    /// at the moment of sending, and then it isn't known whether the request arrived.
+    bool freshConnection = false;
 };
 
 /// How far an exchange came.
 enum class client_progress {
-    /// No byte of the request left this process: the server can't have run it.
+    /// Proven that no byte of the request left this process: the server can't have run it.
     not_sent,
     /// Some of the request may have reached the server; the answer is missing or broken off.
     sent,
-    /// The answer arrived whole.
+    /// The answer arrived whole, as its Content-Length or its last chunk shows.
     complete,
 };
 
@@ -44,7 +47,8 @@
     /// Status of the answer, 0 without one.
     int status = 0;
     header_list headers;
-    /// Set when progress is not complete: code such as "connect_failed", "timeout", "broken_answer", "cancelled".
+    /// Set when progress is not complete: "bad_request" (can't be sent as HTTP), "connect_failed", "timeout",
+    /// "broken_answer" or "cancelled".
     std::string errorCode;
     std::string errorMessage;
 };
@@ -53,15 +57,16 @@
 struct client_callbacks
 {
     /// Once, when the answer's status and headers are known. May be empty.
-    std::function<void(int status, const header_list &headers)> onHead;
+    std::function<void(int status, const header_list &headers)> onHead = {};
     /// For each piece of the body. May be empty.
-    std::function<void(std::string_view piece)> onData;
+    std::function<void(std::string_view piece)> onData = {};
     /// Once, last, also after cancel().
-    std::function<void(const client_result &)> onEnd;
+    std::function<void(const client_result &)> onEnd = {};
 };
 
 /// HTTP client for many exchanges at once over an io_context that the caller runs (libcurl's multi interface).
-/// Connections are kept and used again.
+/// Connections are kept and used again. A request is sent at most once: an exchange never repeats it on a second
+/// connection.
 class client
 {
 public:
--- /dev/null
+++ b/libs/http/src/restinio_responder.cpp
@@ -0,0 +1,139 @@
+#include "restinio_responder.hpp"
+
+#include "field_name.hpp"
+#include "status_text.hpp"
+
+#include <utility>
+
+namespace medlarrack::http::detail {
+
+namespace {
+
+restinio::http_status_line_t statusLine(int status)
+{
+    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, std::string(statusText(status))};
+}
+
+/// Framing is RESTinio's; of the connection's fields only "close" is taken over.
+template<typename Builder>
+void appendHeaders(Builder &builder, const header_list &headers)
+{
+    for (const auto &[name, value] : headers) {
+        if (sameFieldName(name, "Connection")) {
+            if (value == "close") {
+                builder.connection_close();
+            }
+        } else if (!sameFieldName(name, "Content-Length") && !sameFieldName(name, "Transfer-Encoding")) {
+            builder.append_header(name, value);
+        }
+    }
+}
+
+} // namespace
+
+restinio_responder::restinio_responder(restinio::request_handle_t request, std::shared_ptr<connection_link> link,
+                                       std::size_t maxBufferedBytes)
+    : m_link(std::move(link))
+    , m_maxBufferedBytes(maxBufferedBytes)
+    , m_request(std::move(request))
+{
+    m_link->requestStarted();
+}
+
+restinio_responder::~restinio_responder()
+{
+    abort();
+}
+
+void restinio_responder::respond(int status, header_list headers, std::string body)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_state != state::waiting) {
+        return;
+    }
+    finish();
+    auto builder = m_request->create_response(statusLine(status));
+    appendHeaders(builder, headers);
+    builder.set_body(std::move(body));
+    builder.done([link = m_link](const auto &) {
+        link->requestFinished();
+    });
+}
+
+void restinio_responder::begin(int status, header_list headers)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_state != state::waiting) {
+        return;
+    }
+    m_state = state::streaming;
+    m_stream.emplace(m_request->create_response<restinio::chunked_output_t>(statusLine(status)));
+    appendHeaders(*m_stream, headers);
+    m_stream->flush();
+}
+
+void restinio_responder::write(std::string_view piece)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_state != state::streaming || piece.empty()) {
+        return;
+    }
+    const std::size_t size = piece.size();
+    if (!m_link->addBuffered(size, m_maxBufferedBytes)) {
+        // The caller reads too slowly. RESTinio drops what is queued once it notices.
+        m_link->breakOff();
+        return;
+    }
+    m_stream->append_chunk(std::string(piece));
+    m_stream->flush([link = m_link, size](const auto &) {
+        link->removeBuffered(size);
+    });
+}
+
+void restinio_responder::end()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_state != state::streaming) {
+        return;
+    }
+    finish();
+    m_stream->done([link = m_link](const auto &) {
+        link->requestFinished();
+    });
+}
+
+void restinio_responder::abort()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_state == state::ended) {
+        return;
+    }
+    const bool streaming = m_state == state::streaming;
+    finish();
+    if (!streaming) {
+        m_link->breakOff();
+        return;
+    }
+    // Pieces written before go out first.
+    m_stream->flush([link = m_link](const auto &) {
+        link->breakOff();
+    });
+}
+
+void restinio_responder::onClosed(std::function<void()> callback)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_state != state::ended && !m_watch) {
+        m_watch = m_link->watch(std::move(callback));
+    }
+}
+
+void restinio_responder::finish()
+{
+    m_state = state::ended;
+    if (m_watch) {
+        m_link->unwatch(*m_watch);
+    }
+}
+
+} // namespace medlarrack::http::detail
--- /dev/null
+++ b/libs/http/src/restinio_responder.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "connection_link.hpp"
+
+#include <medlarrack/http/responder.hpp>
+
+#include <restinio/all.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace medlarrack::http::detail {
+
+/// Answers one request through RESTinio. Its mutex is taken before that of the connection's link.
+class restinio_responder final : public responder
+{
+public:
+    restinio_responder(restinio::request_handle_t request, std::shared_ptr<connection_link> link,
+                       std::size_t maxBufferedBytes);
+    ~restinio_responder() override;
+
+    void respond(int status, header_list headers, std::string body) override;
+    void begin(int status, header_list headers) override;
+    void write(std::string_view piece) override;
+    void end() override;
+    void abort() override;
+    void onClosed(std::function<void()> callback) override;
+
+private:
+    enum class state {
+        waiting,
+        streaming,
+        ended,
+    };
+
+    using stream_builder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+    void finish();
+
+    const std::shared_ptr<connection_link> m_link;
+    const std::size_t m_maxBufferedBytes;
+    std::mutex m_mutex;
+    state m_state = state::waiting;
+    restinio::request_handle_t m_request;
+    std::optional<stream_builder> m_stream;
+    std::optional<connection_link::watch_id> m_watch;
+};
+
+} // namespace medlarrack::http::detail
--- /dev/null
+++ b/libs/http/src/server.cpp
@@ -0,0 +1,185 @@
+#include "connection_link.hpp"
+#include "connection_table.hpp"
+#include "restinio_responder.hpp"
+#include "restinio_traits.hpp"
+
+#include <medlarrack/http/server.hpp>
+
+#include <atomic>
+#include <exception>
+#include <sys/socket.h>
+#include <utility>
+
+namespace medlarrack::http {
+
+namespace {
+
+/// Field limits of the parser beside the sum that maxHeaderBytes limits.
+constexpr std::size_t maxHeaderFields = 256;
+/// How often timeouts are checked.
+constexpr std::chrono::milliseconds timeoutCheckPeriod{100};
+/// RESTinio limits the time of handlers; ours have deadlines of their own.
+constexpr std::chrono::hours handlerTimeLimit{24 * 365};
+/// With two, RESTinio goes on reading while a request is in progress, and so notices that the caller has left.
+constexpr std::size_t maxPipelinedRequests = 2;
+
+request makeRequest(const restinio::request_t &raw)
+{
+    request made;
+    made.method = raw.header().method().c_str();
+    made.target = raw.header().request_target();
+    raw.header().for_each_field([&made](const restinio::http_header_field_t &field) {
+        made.headers.emplace_back(field.name(), field.value());
+    });
+    made.body = raw.body();
+    return made;
+}
+
+std::size_t headerBytes(const header_list &headers)
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : headers) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
+} // namespace
+
+class server::impl
+{
+public:
+    impl(asio::io_context &context, const server_limits &limits, request_handler handler)
+        : m_context(context)
+        , m_limits(limits)
+        , m_handler(std::make_shared<request_handler>(std::move(handler)))
+        , m_table(std::make_shared<detail::connection_table>(limits.maxConnections))
+    {
+    }
+
+    bool start(const std::string &address, std::uint16_t port, core::reason &why)
+    {
+        try {
+            m_server = std::make_unique<restinio::http_server_t<detail::restinio_traits>>(
+                restinio::external_io_context(m_context), settings(address, port));
+            m_server->open_sync();
+        } catch (const std::exception &error) {
+            m_server.reset();
+            why = {"cannot_listen", "cannot listen on " + address + ":" + std::to_string(port) + ": " + error.what()};
+            return false;
+        }
+        return true;
+    }
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return m_port;
+    }
+
+    void stopAccepting()
+    {
+        // The acceptor may be in use on another thread; this makes its accept fail without touching its state.
+        const int listener = m_listener.exchange(-1);
+        if (listener != -1) {
+            ::shutdown(listener, SHUT_RDWR);
+        }
+    }
+
+    void stop()
+    {
+        stopAccepting();
+        m_table->stop();
+    }
+
+private:
+    using settings_type = restinio::server_settings_t<detail::restinio_traits>;
+
+    settings_type settings(const std::string &address, std::uint16_t port)
+    {
+        settings_type made;
+        made.address(address)
+            .port(port)
+            .timer_manager(timeoutCheckPeriod)
+            .read_next_http_message_timelimit(m_limits.readTimeout)
+            .write_http_response_timelimit(m_limits.writeTimeout)
+            .handle_request_timeout(handlerTimeLimit)
+            .max_pipelined_requests(maxPipelinedRequests)
+            .separate_accept_and_create_connect(true)
+            .connection_state_listener(std::make_shared<detail::connection_listener>(m_table))
+            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                          .max_url_size(m_limits.maxHeaderBytes)
+                                          .max_field_name_size(m_limits.maxHeaderBytes)
+                                          .max_field_value_size(m_limits.maxHeaderBytes)
+                                          .max_field_count(maxHeaderFields)
+                                          .max_body_size(m_limits.maxBodyBytes))
+            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
+                m_port = acceptor.local_endpoint().port();
+                m_listener = acceptor.native_handle();
+            })
+            .request_handler([limits = m_limits, handler = m_handler, table = m_table](auto raw) {
+                return handle(limits, *handler, *table, std::move(raw));
+            });
+        return made;
+    }
+
+    static restinio::request_handling_status_t handle(const server_limits &limits, const request_handler &handler,
+                                                      const detail::connection_table &table,
+                                                      restinio::request_handle_t raw)
+    {
+        auto link = table.find(raw->connection_id());
+        if (!link || table.stopped()) {
+            return restinio::request_rejected();
+        }
+        auto received = makeRequest(*raw);
+        auto answer =
+            std::make_shared<detail::restinio_responder>(std::move(raw), std::move(link), limits.maxBufferedBytes);
+        if (headerBytes(received.headers) > limits.maxHeaderBytes) {
+            answer->respond(
+                431, {{"Content-Type", "application/json"}, {"Connection", "close"}},
+                R"({"error":{"code":"headers_too_large","message":"headers too large","outcome":"not_run"}})");
+        } else {
+            handler(std::move(received), std::move(answer));
+        }
+        return restinio::request_accepted();
+    }
+
+    asio::io_context &m_context;
+    const server_limits m_limits;
+    std::shared_ptr<request_handler> m_handler;
+    std::shared_ptr<detail::connection_table> m_table;
+    std::unique_ptr<restinio::http_server_t<detail::restinio_traits>> m_server;
+    std::uint16_t m_port = 0;
+    std::atomic<int> m_listener{-1};
+};
+
+server::server(asio::io_context &context, server_limits limits, request_handler handler)
+    : m_impl(std::make_unique<impl>(context, limits, std::move(handler)))
+{
+}
+
+server::~server()
+{
+    stop();
+}
+
+bool server::start(const std::string &address, std::uint16_t port, core::reason &why)
+{
+    return m_impl->start(address, port, why);
+}
+
+std::uint16_t server::port() const
+{
+    return m_impl->port();
+}
+
+void server::stopAccepting()
+{
+    m_impl->stopAccepting();
+}
+
+void server::stop()
+{
+    m_impl->stop();
+}
+
+} // namespace medlarrack::http
