--- a/libs/sidecar/src/sidecar_service.cpp
+++ b/libs/sidecar/src/sidecar_service.cpp
@@ -1,19 +1,20 @@
 #include "admin_pages.hpp"
 #include "load_reporter.hpp"
+#include "seal_asker.hpp"
+#include "service_options.hpp"
 
-#include <medlarrack/core/hash.hpp>
-#include <medlarrack/engine/http_engine_driver.hpp>
-#include <medlarrack/engine/http_service_driver.hpp>
 #include <medlarrack/http/client.hpp>
 #include <medlarrack/http/server.hpp>
+#include <medlarrack/instances/view.hpp>
 #include <medlarrack/log/log.hpp>
 #include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/peer/client.hpp>
 #include <medlarrack/peer/server.hpp>
 #include <medlarrack/placement/lru_eviction.hpp>
 #include <medlarrack/placement/paced_load_budget.hpp>
-#include <medlarrack/sidecar/dispatcher.hpp>
 #include <medlarrack/sidecar/request_journal.hpp>
 #include <medlarrack/sidecar/sidecar_service.hpp>
+#include <medlarrack/tickets/state.hpp>
 
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
@@ -27,55 +28,6 @@
 
 constexpr std::chrono::milliseconds tickInterval{20};
 constexpr std::size_t eventsPerRequest = 32;
-/// Concurrency of a plain service unless its settings name one.
-constexpr std::size_t serviceConcurrency = 64;
-
-core::instance_ref makeSelf(const sidecar_settings &settings, const core::clock &clock)
-{
-    return {settings.instanceId, static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count())};
-}
-
-dispatcher_options makeOptions(const sidecar_settings &settings, const core::instance_ref &self)
-{
-    dispatcher_options options;
-    options.self = self;
-    options.isEngine = settings.isEngine();
-    options.service = settings.isEngine() ? "" : settings.group;
-    options.limits.queue = {settings.requests.maxQueued, settings.requests.maxQueuedPerOperator,
-                            settings.requests.maxQueuedBytes};
-    options.limits.slots.longestSlotWait = settings.adapters.longestSlotWait;
-    options.limits.slots.firstBackoff = settings.adapters.firstBackoff;
-    options.limits.slots.longestBackoff = settings.adapters.longestBackoff;
-    options.limits.longestBackoffWait = settings.adapters.longestBackoffWait;
-    if (settings.target.slots != 0) {
-        options.limits.slots.slots = settings.target.slots;
-    }
-    if (!settings.isEngine()) {
-        options.limits.concurrency = serviceConcurrency;
-    }
-    if (settings.target.concurrency != 0) {
-        options.limits.concurrency = settings.target.concurrency;
-    }
-    options.adoptSlots = settings.target.slots == 0;
-    options.adoptConcurrency = settings.target.concurrency == 0;
-    options.maxBodyBytes = settings.requests.maxBodyBytes;
-    options.maxBufferedBytes = settings.requests.maxBufferedBytes;
-    options.pollInterval = settings.target.pollInterval;
-    options.crashCheck = settings.target.crashCheck;
-    options.shortestPause = settings.shortestPause;
-    options.drainGrace = settings.drain.grace;
-    options.seed = core::hash64(settings.instanceId);
-    return options;
-}
-
-std::unique_ptr<engine::target_driver> makeDriver(const sidecar_settings &settings, http::client &client)
-{
-    if (settings.isEngine()) {
-        return std::make_unique<engine::http_engine_driver>(client, settings.target.url);
-    }
-    return std::make_unique<engine::http_service_driver>(client, settings.target.url);
-}
-
 } // namespace
 
 class sidecar_service::impl : public std::enable_shared_from_this<impl>
@@ -84,14 +36,22 @@
     impl(asio::io_context &context, sidecar_settings settings, const core::clock &clock)
         : m_settings(std::move(settings))
         , m_clock(clock)
-        , m_self(makeSelf(m_settings, clock))
+        , m_self(detail::makeSelf(m_settings, clock))
         , m_metrics(m_settings.maxMetricOperators)
         , m_journal(clock, m_settings.traceRequests, eventsPerRequest)
         , m_budget(m_settings.adapters.loadsPerSecond, static_cast<double>(m_settings.adapters.loadsAtOnce),
                    m_settings.adapters.loadsAtOnce, clock.now())
         , m_client(context)
-        , m_driver(makeDriver(m_settings, m_client))
-        , m_dispatcher(makeOptions(m_settings, m_self), makeParts())
+        , m_driver(detail::makeDriver(m_settings, m_client))
+        , m_peerClient(context, {},
+                       [this] {
+                           return hello();
+                       })
+        , m_seals(m_peerClient, m_view, m_settings.group, m_self,
+                  [this](const std::string &memberId, const std::string &key, const auto &reply) {
+                      m_dispatcher.onSealReply(memberId, key, reply);
+                  })
+        , m_dispatcher(detail::makeOptions(m_settings, m_self), makeParts())
         , m_reporter(std::make_shared<detail::load_reporter>())
         , m_pages(
               m_metrics, m_journal,
@@ -102,14 +62,14 @@
                   return stateJson();
               })
         , m_peers(
-              context, peerLimits(),
+              context, detail::peerLimits(m_settings),
               [this] {
                   return hello();
               },
               [this](const auto &from, peer::message message, std::shared_ptr<peer::reply_stream> reply) {
                   onMessage(from, std::move(message), std::move(reply));
               })
-        , m_admin(context, adminLimits(),
+        , m_admin(context, detail::adminLimits(m_settings),
                   [this](const http::request &request, const std::shared_ptr<http::responder> &answer) {
                       m_pages.handle(request, *answer);
                   })
@@ -160,6 +120,7 @@
         m_stopped = true;
         m_admin.stop();
         m_peers.stop();
+        m_peerClient.stop();
         m_driver->stop();
     }
 
@@ -172,42 +133,23 @@
                 m_budget,
                 m_metrics,
                 m_journal,
-                [] {
-                    return std::uint64_t{0};
+                [this] {
+                    return m_state.newest();
                 },
                 [this](const core::adapter_ref &adapter) {
                     return m_settings.platformUrl + "/v1/store/" + adapter.toString();
                 },
                 [this](const std::string &memberId, const std::string &key) {
-                    askSeal(memberId, key);
+                    m_seals.ask(memberId, key);
                 }};
     }
 
-    void askSeal(const std::string &memberId, const std::string &key)
-    {
-        m_dispatcher.onSealReply(memberId, key, std::nullopt);
-    }
-
-    peer::server_limits peerLimits() const
-    {
-        peer::server_limits limits;
-        limits.maxConnections = m_settings.peers.maxConnections;
-        return limits;
-    }
-
-    http::server_limits adminLimits() const
-    {
-        http::server_limits limits;
-        limits.maxConnections = m_settings.admin.maxConnections;
-        limits.maxBodyBytes = 0;
-        return limits;
-    }
-
     peer::hello hello() const
     {
         peer::hello said;
         said.sender = m_self;
         said.dataCentre = m_settings.dataCentre;
+        said.newestTicket = m_state.newest();
         return said;
     }
 
@@ -217,6 +159,8 @@
             m_dispatcher.submit(std::move(*run), std::move(reply));
         } else if (std::holds_alternative<peer::watch_load>(message)) {
             m_reporter->add(std::move(reply), report());
+        } else if (const auto *seal = std::get_if<peer::seal_request>(&message)) {
+            answerSeal(*seal, *reply);
         } else {
             m_metrics.count("medlarrack_sidecar_unexpected_messages_total", "Messages that a sidecar doesn't take.",
                             {});
@@ -224,6 +168,33 @@
         }
     }
 
+    void answerSeal(const peer::seal_request &request, peer::reply_stream &reply)
+    {
+        if (request.service != m_settings.group) {
+            reply.refuse();
+            return;
+        }
+        reply.send(m_dispatcher.onSealRequest(request));
+        reply.end();
+    }
+
+    /// Tells the key registry of a list that was read since the last time.
+    void passInstances()
+    {
+        const auto list = m_view.current();
+        if (list->asOf == m_listPassed) {
+            return;
+        }
+        m_listPassed = list->asOf;
+        std::vector<std::string> members;
+        for (const instances::instance &one : list->instances) {
+            if (one.kind == instances::instance_kind::sidecar && one.group == m_settings.group) {
+                members.push_back(one.id);
+            }
+        }
+        m_dispatcher.onInstanceList(list->asOf, members);
+    }
+
     peer::load_report report() const
     {
         const dispatcher_state state = m_dispatcher.state();
@@ -236,6 +207,7 @@
         said.slots = static_cast<std::uint32_t>(state.slots);
         said.leaving = state.draining || state.superseded;
         said.adapters = state.adapters;
+        said.newestTicket = m_state.newest();
         return said;
     }
 
@@ -260,6 +232,8 @@
                                        {"draining", state.draining},
                                        {"superseded", state.superseded},
                                        {"pauses", state.pauses},
+                                       {"keys", state.keys},
+                                       {"newest_ticket", m_state.newest()},
                                        {"load_watchers", m_reporter->watchers()}};
         return answer.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
     }
@@ -269,6 +243,7 @@
         if (m_stopped) {
             return;
         }
+        passInstances();
         m_dispatcher.tick();
         const auto now = m_clock.now();
         if (m_reporter->due(now)) {
@@ -316,6 +291,10 @@
     placement::paced_load_budget m_budget;
     http::client m_client;
     std::unique_ptr<engine::target_driver> m_driver;
+    tickets::state m_state;
+    instances::view m_view;
+    peer::client m_peerClient;
+    detail::seal_asker m_seals;
     dispatcher m_dispatcher;
     std::shared_ptr<detail::load_reporter> m_reporter;
     detail::admin_pages m_pages;
@@ -327,6 +306,7 @@
     /// Used on the strand only.
     std::optional<core::monotonic_time> m_draining;
     bool m_closing = false;
+    core::wall_time m_listPassed{};
     std::function<void()> m_onDrained;
 };
 
