--- a/libs/http/src/connection_link.hpp
+++ b/libs/http/src/connection_link.hpp
@@ -42,7 +42,7 @@
     [[nodiscard]] bool busy() const;
 
 private:
-    const asio::io_context::executor_type m_executor;
+    asio::io_context::executor_type m_executor;
     mutable std::mutex m_mutex;
     int m_socket;
     bool m_closed = false;
--- a/libs/http/src/connection_table.hpp
+++ b/libs/http/src/connection_table.hpp
@@ -27,7 +27,7 @@
     [[nodiscard]] bool stopped() const;
 
 private:
-    const std::size_t m_maxConnections;
+    std::size_t m_maxConnections;
     mutable std::mutex m_mutex;
     bool m_stopped = false;
     std::unordered_map<connection_id, std::shared_ptr<connection_link>> m_links;
--- a/libs/http/src/restinio_responder.hpp
+++ b/libs/http/src/restinio_responder.hpp
@@ -42,8 +42,8 @@
 
     void finish();
 
-    const std::shared_ptr<connection_link> m_link;
-    const std::size_t m_maxBufferedBytes;
+    std::shared_ptr<connection_link> m_link;
+    std::size_t m_maxBufferedBytes;
     std::mutex m_mutex;
     state m_state = state::waiting;
     restinio::request_handle_t m_request;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -143,7 +143,7 @@
     }
 
     asio::io_context &m_context;
-    const server_limits m_limits;
+    server_limits m_limits;
     std::shared_ptr<request_handler> m_handler;
     std::shared_ptr<detail::connection_table> m_table;
     std::unique_ptr<restinio::http_server_t<detail::restinio_traits>> m_server;
--- a/libs/http/src/watched_socket.hpp
+++ b/libs/http/src/watched_socket.hpp
@@ -32,7 +32,7 @@
 
     strand_type m_strand;
     asio::posix::stream_descriptor m_descriptor;
-    const int m_socket;
+    int m_socket;
     ready_handler m_onReady;
     bool m_wantRead = false;
     bool m_wantWrite = false;
--- a/standins/common/command_line.cpp
+++ b/standins/common/command_line.cpp
@@ -93,9 +93,9 @@
                                }});
 }
 
-void command_line::addHelp(std::string text)
+void command_line::addHelp(std::string_view text)
 {
-    m_impl->extraHelp += std::move(text);
+    m_impl->extraHelp += text;
 }
 
 std::optional<int> command_line::parse(int argc, const char **argv)
--- a/standins/common/command_line.hpp
+++ b/standins/common/command_line.hpp
@@ -31,7 +31,7 @@
     void add(const char *name, std::vector<std::string> &values, std::string help);
     void add(const char *name, bool &flag, std::string help);
     /// Printed after the options by --help.
-    void addHelp(std::string text);
+    void addHelp(std::string_view text);
 
     /// The exit code when the program is to end now: after --help, --version or a wrong option.
     [[nodiscard]] std::optional<int> parse(int argc, const char **argv);
--- a/standins/engine/adapter_slots.hpp
+++ b/standins/engine/adapter_slots.hpp
@@ -41,7 +41,7 @@
         std::vector<done_handler> waiting;
     };
 
-    const std::size_t m_slots;
+    std::size_t m_slots;
     std::map<std::string, slot> m_used;
 };
 
@@ -54,7 +54,7 @@
     bool admit(long long fence);
 
 private:
-    const bool m_enabled;
+    bool m_enabled;
     long long m_newest = 0;
 };
 
--- a/standins/engine/answer_sinks.cpp
+++ b/standins/engine/answer_sinks.cpp
@@ -78,8 +78,8 @@
         m_answer->end();
     }
 
-    const std::shared_ptr<http::responder> m_answer;
-    const answer_faults m_faults;
+    std::shared_ptr<http::responder> m_answer;
+    answer_faults m_faults;
     bool m_ended = false;
 };
 
@@ -116,8 +116,8 @@
     }
 
 private:
-    const std::shared_ptr<http::responder> m_answer;
-    const answer_faults m_faults;
+    std::shared_ptr<http::responder> m_answer;
+    answer_faults m_faults;
     std::string m_text;
 };
 
--- a/standins/engine/batch_model.hpp
+++ b/standins/engine/batch_model.hpp
@@ -60,7 +60,7 @@
     void keep(const std::shared_ptr<generation> &finished, core::monotonic_time now);
     void dropOld(core::monotonic_time now);
 
-    const std::size_t m_batchSize;
+    std::size_t m_batchSize;
     std::function<void(const generation &)> m_firstRun;
     std::uint64_t m_arrivals = 0;
     std::map<order, std::shared_ptr<generation>> m_active;
--- a/standins/engine/engine_program.hpp
+++ b/standins/engine/engine_program.hpp
@@ -53,7 +53,7 @@
     const engine_settings &m_settings;
     engine_faults &m_faults;
     core::system_clock m_clock;
-    const core::wall_time m_startedAt;
+    core::wall_time m_startedAt;
     batch_model m_batch;
     prefix_cache m_cache;
     load_history m_history;
--- a/standins/engine/prefix_cache.hpp
+++ b/standins/engine/prefix_cache.hpp
@@ -46,7 +46,7 @@
     void note(bool stored, std::uint64_t prefix, core::monotonic_time now);
     void evictOldest(core::monotonic_time now);
 
-    const std::size_t m_maxBlocks;
+    std::size_t m_maxBlocks;
     int m_dropEvery = 0;
     long long m_sequence = 0;
     std::list<std::uint64_t> m_byUse;
--- a/standins/plain_service/main.cpp
+++ b/standins/plain_service/main.cpp
@@ -81,20 +81,20 @@
             return;
         }
         if (m_faults.delayMs <= 0) {
-            run(request, std::move(answer));
+            run(request, answer);
             return;
         }
         auto timer = std::make_shared<asio::steady_timer>(m_context, std::chrono::milliseconds(m_faults.delayMs));
         timer->async_wait(
             [this, timer, request = std::move(request), answer = std::move(answer)](const asio::error_code &) mutable {
-                run(request, std::move(answer));
+                run(request, answer);
             });
     }
 
 private:
     inline static const http::header_list json = {{"Content-Type", "application/json"}};
 
-    void run(const http::request &request, std::shared_ptr<http::responder> answer)
+    void run(const http::request &request, const std::shared_ptr<http::responder> &answer)
     {
         crashWhenDue(m_faults.crashBeforeRun);
         if (take(m_faults.cutBeforeRun)) {
