--- /dev/null
+++ b/libs/entry/tests/test_request_run.cpp
@@ -0,0 +1,426 @@
+#include "fakes.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace medlarrack;
+using namespace medlarrack::entry::test;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+/// Where on its path an attempt breaks.
+enum class break_point {
+    notProcessed,
+    beforeAccept,
+    silentSidecar,
+    afterAccept,
+    afterHead,
+    inBody,
+    endWithoutMark,
+    gapInBody,
+    wrongTotal,
+    refusedElsewhere,
+    refusedUnknown,
+    crashed,
+};
+
+constexpr std::array<break_point, 12> allBreaks = {
+    break_point::notProcessed, break_point::beforeAccept,     break_point::silentSidecar,  break_point::afterAccept,
+    break_point::afterHead,    break_point::inBody,           break_point::endWithoutMark, break_point::gapInBody,
+    break_point::wrongTotal,   break_point::refusedElsewhere, break_point::refusedUnknown, break_point::crashed};
+
+std::ostream &operator<<(std::ostream &out, break_point point)
+{
+    return out << "break point " << static_cast<int>(point);
+}
+
+peer::run_refused refusal(core::outcome outcome, bool elsewhere, bool crashed = false)
+{
+    peer::run_refused message;
+    message.outcome = outcome;
+    message.code = crashed ? "target_crashed" : "overloaded";
+    message.tryElsewhere = elsewhere;
+    message.targetCrashed = crashed;
+    return message;
+}
+
+void beginBody(run_fixture &fixture)
+{
+    fixture.accept();
+    fixture.head();
+    const std::uint64_t from = fixture.lastRun().resumeFrom;
+    fixture.piece(from, std::string("answer").substr(from, 2));
+}
+
+void breakAt(run_fixture &fixture, break_point point)
+{
+    switch (point) {
+    case break_point::notProcessed:
+        fixture.endStream(peer::stream_end::not_processed);
+        return;
+    case break_point::beforeAccept:
+        fixture.endStream(peer::stream_end::broken);
+        return;
+    case break_point::silentSidecar:
+        fixture.steps.advance(5'000ms);
+        return;
+    case break_point::afterAccept:
+        fixture.accept();
+        fixture.endStream(peer::stream_end::broken);
+        return;
+    case break_point::afterHead:
+        fixture.accept();
+        fixture.head();
+        fixture.endStream(peer::stream_end::broken);
+        return;
+    case break_point::inBody:
+        beginBody(fixture);
+        fixture.endStream(peer::stream_end::broken);
+        return;
+    case break_point::endWithoutMark:
+        beginBody(fixture);
+        fixture.endStream(peer::stream_end::finished);
+        return;
+    case break_point::gapInBody:
+        beginBody(fixture);
+        fixture.piece(5, "r");
+        return;
+    case break_point::wrongTotal:
+        beginBody(fixture);
+        fixture.deliver(peer::run_end{0, 6});
+        return;
+    case break_point::refusedElsewhere:
+        fixture.deliver(refusal(core::outcome::not_run, true));
+        return;
+    case break_point::refusedUnknown:
+        fixture.accept();
+        fixture.deliver(refusal(core::outcome::unknown, false));
+        return;
+    case break_point::crashed:
+        fixture.accept();
+        fixture.deliver(refusal(core::outcome::unknown, false, true));
+        return;
+    }
+}
+
+/// What is proven when every attempt breaks at that point.
+core::outcome provenAt(break_point point)
+{
+    switch (point) {
+    case break_point::notProcessed:
+    case break_point::refusedElsewhere:
+        return core::outcome::not_run;
+    case break_point::beforeAccept:
+    case break_point::silentSidecar:
+    case break_point::afterAccept:
+    case break_point::refusedUnknown:
+    case break_point::crashed:
+        return core::outcome::unknown;
+    default:
+        return core::outcome::ran;
+    }
+}
+
+bool isFinal(break_point point, bool idempotent)
+{
+    return point == break_point::refusedUnknown || (point == break_point::crashed && !idempotent);
+}
+
+std::string errorField(const run_fixture &fixture, const char *name)
+{
+    const auto start = fixture.caller->body.find("{\"error\"");
+    BOOST_TEST_REQUIRE(start != std::string::npos);
+    return nlohmann::json::parse(fixture.caller->body.substr(start))["error"][name];
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_answer_arrives_whole_with_the_headers_that_say_what_ran)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::completion());
+    BOOST_TEST(fixture.lastRun().adapter.toString() == "slavonska/nozzle-7@v3");
+    BOOST_TEST(fixture.lastRun().idempotent);
+    fixture.answer();
+    BOOST_TEST(fixture.caller->status == 200);
+    BOOST_TEST(fixture.caller->body == "answer");
+    BOOST_TEST(fixture.caller->header("X-Adapter") == "slavonska/nozzle-7@v3");
+    BOOST_TEST(fixture.caller->header("X-Request-Id") == "r-1");
+    BOOST_TEST(fixture.caller->header("X-Instance") == "by");
+    BOOST_TEST(fixture.caller->header("Connection").empty());
+    BOOST_TEST(fixture.admitted.inFlight() == 0U);
+    BOOST_TEST(fixture.trace.requestJson("r-1").has_value());
+}
+
+BOOST_DATA_TEST_CASE(an_idempotent_request_is_answered_whole_after_a_break_anywhere,
+                     data::make(allBreaks) * data::make({false, true}), point, stream)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::completion(stream));
+    breakAt(fixture, point);
+    fixture.steps.advance(20ms);
+    if (isFinal(point, true)) {
+        BOOST_TEST(errorField(fixture, "outcome") == "unknown");
+        return;
+    }
+    BOOST_TEST_REQUIRE(fixture.link.streams.size() == 2U);
+    BOOST_TEST(fixture.lastRun().attempt == 2U);
+    BOOST_TEST((fixture.link.streams[0].to != fixture.link.streams[1].to));
+    fixture.answer();
+    BOOST_TEST(fixture.caller->body == "answer");
+    BOOST_TEST(fixture.caller->ended);
+}
+
+BOOST_DATA_TEST_CASE(a_key_is_sent_again_only_where_that_is_safe, data::make(allBreaks), point)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::pivotStart());
+    breakAt(fixture, point);
+    fixture.steps.advance(20ms);
+    if (isFinal(point, false)) {
+        BOOST_TEST(fixture.link.streams.size() == 1U);
+        BOOST_TEST(errorField(fixture, "outcome") == "unknown");
+        return;
+    }
+    BOOST_TEST_REQUIRE(fixture.link.streams.size() == 2U);
+    BOOST_TEST(fixture.lastRun().idempotencyKey == fixture.link.streams[0].run().idempotencyKey);
+    // A target that may have run the key is asked again first; one that proved it hasn't isn't.
+    const bool sameTarget = fixture.link.streams[0].to == fixture.link.streams[1].to;
+    const bool proven = point == break_point::notProcessed || point == break_point::refusedElsewhere;
+    BOOST_TEST(sameTarget == !proven);
+    fixture.answer();
+    BOOST_TEST(fixture.caller->body == "answer");
+    BOOST_TEST(fixture.caller->header("Idempotency-Key") == fixture.lastRun().idempotencyKey);
+}
+
+BOOST_DATA_TEST_CASE(the_final_answer_claims_only_what_is_proven,
+                     data::make(allBreaks) * data::make({false, true}) * data::make({false, true}), point, keyed,
+                     stream)
+{
+    run_fixture fixture;
+    entry::call request = keyed ? run_fixture::pivotStart() : run_fixture::completion();
+    request.stream = stream;
+    fixture.start(request);
+    const std::size_t attempts = fixture.settings.retries.maxAttempts;
+    for (std::size_t count = 0; count < attempts && fixture.link.streams.size() > count; ++count) {
+        breakAt(fixture, point);
+        fixture.steps.advance(800ms);
+    }
+    BOOST_TEST(fixture.link.streams.size() <= attempts);
+    BOOST_TEST(errorField(fixture, "outcome") == std::string(core::toString(provenAt(point))));
+    BOOST_TEST(fixture.admitted.inFlight() == 0U);
+    // A stream that has begun is never ended in order by an error.
+    BOOST_TEST(fixture.caller->aborted == fixture.caller->streamed);
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_attempt_stays_in_doubt_when_later_ones_are_refused)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::pivotStart());
+    fixture.endStream(peer::stream_end::broken);
+    fixture.steps.advance(20ms);
+    fixture.deliver(refusal(core::outcome::not_run, false));
+    BOOST_TEST(errorField(fixture, "outcome") == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_without_another_place_to_try_is_passed_on_at_once)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::completion());
+    auto message = refusal(core::outcome::not_run, false);
+    message.retryAfter = 1'500ms;
+    fixture.deliver(message);
+    BOOST_TEST(fixture.caller->status == 503);
+    BOOST_TEST(fixture.caller->header("Retry-After") == "2");
+    BOOST_TEST(errorField(fixture, "code") == "overloaded");
+    BOOST_TEST(errorField(fixture, "outcome") == "not_run");
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_neither_repeats_nor_skips)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::completion(true));
+    fixture.accept();
+    fixture.head();
+    fixture.piece(0, "ans");
+    fixture.endStream(peer::stream_end::broken);
+    fixture.steps.advance(1ms);
+    BOOST_TEST(fixture.lastRun().resumeFrom == 3U);
+    fixture.accept();
+    fixture.head();
+    // The sidecar starts a little earlier than it was asked to.
+    fixture.piece(2, "sw");
+    fixture.piece(4, "er");
+    fixture.end(6);
+    BOOST_TEST(fixture.caller->body == "answer");
+    BOOST_TEST(fixture.caller->ended);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_resumed_with_another_status_is_broken)
+{
+    run_fixture fixture;
+    fixture.settings.retries.maxAttempts = 2;
+    fixture.start(run_fixture::completion(true));
+    beginBody(fixture);
+    fixture.endStream(peer::stream_end::broken);
+    fixture.steps.advance(1ms);
+    fixture.accept();
+    fixture.head(500);
+    BOOST_TEST(fixture.caller->aborted);
+    BOOST_TEST(!fixture.caller->ended);
+}
+
+BOOST_AUTO_TEST_CASE(late_and_crossed_messages_are_dropped)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::completion());
+    fixture.steps.advance(2'001ms);
+    BOOST_TEST_REQUIRE(fixture.link.streams.size() == 2U);
+    BOOST_TEST(fixture.link.streams[0].cancelled);
+    // The first attempt wakes up late.
+    fixture.deliver(peer::run_head{}, 1);
+    fixture.deliver(peer::run_chunk{0, 0, "wrong "}, 1);
+    fixture.deliver(peer::run_end{0, 6}, 1);
+    fixture.endStream(peer::stream_end::finished, 1);
+    // The second stream carries a message of another attempt.
+    fixture.deliver(peer::run_chunk{1, 0, "wrong "}, 2);
+    fixture.answer();
+    BOOST_TEST(fixture.caller->body == "answer");
+    BOOST_TEST(fixture.registry.text().find("medlarrack_entry_dropped_messages_total 4") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(at_the_deadline_the_caller_gets_its_final_answer_at_once)
+{
+    run_fixture waiting;
+    waiting.view.apply({waiting.clock.wallNow() + 1ms, {}}, waiting.clock.now());
+    waiting.start(run_fixture::completion(), 500ms);
+    waiting.steps.advance(501ms);
+    BOOST_TEST(waiting.caller->status == 504);
+    BOOST_TEST(errorField(waiting, "outcome") == "not_run");
+
+    run_fixture running;
+    running.start(run_fixture::pivotStart(), 500ms);
+    running.accept();
+    running.steps.advance(501ms);
+    BOOST_TEST(running.caller->status == 504);
+    BOOST_TEST(errorField(running, "outcome") == "unknown");
+    BOOST_TEST(running.link.streams[0].cancelled);
+
+    run_fixture streaming;
+    streaming.start(run_fixture::completion(true), 500ms);
+    beginBody(streaming);
+    streaming.steps.advance(501ms);
+    BOOST_TEST(streaming.caller->aborted);
+    BOOST_TEST(errorField(streaming, "outcome") == "ran");
+}
+
+BOOST_AUTO_TEST_CASE(without_a_target_a_request_waits_a_little_and_is_then_refused)
+{
+    run_fixture fixture;
+    fixture.view.apply({fixture.clock.wallNow() + 1ms, {}}, fixture.clock.now());
+    fixture.start(run_fixture::completion());
+    fixture.steps.advance(1'900ms);
+    BOOST_TEST(fixture.caller->status == 0);
+    fixture.steps.advance(300ms);
+    BOOST_TEST(fixture.caller->status == 503);
+    BOOST_TEST(errorField(fixture, "code") == "no_target");
+    BOOST_TEST(errorField(fixture, "outcome") == "not_run");
+}
+
+BOOST_AUTO_TEST_CASE(a_poison_request_crashes_two_targets_and_is_refused_then)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::completion());
+    for (int count = 0; count < 2; ++count) {
+        fixture.accept();
+        fixture.deliver(refusal(core::outcome::unknown, false, true));
+        fixture.steps.advance(50ms);
+    }
+    BOOST_TEST(fixture.link.streams.size() == 2U);
+    BOOST_TEST(fixture.link.streams[1].run().crashes == 1U);
+    BOOST_TEST(errorField(fixture, "code") == "suspected_crash");
+    BOOST_TEST(errorField(fixture, "outcome") == "unknown");
+
+    // Its caller sends it again.
+    entry::call again = run_fixture::completion();
+    again.requestId = "r-again";
+    fixture.start(again);
+    BOOST_TEST(fixture.link.streams.size() == 2U);
+    BOOST_TEST(fixture.caller->status == 422);
+    BOOST_TEST(errorField(fixture, "outcome") == "not_run");
+}
+
+BOOST_AUTO_TEST_CASE(an_innocent_that_ran_beside_a_crash_is_answered_and_cleared)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::completion());
+    fixture.accept();
+    fixture.deliver(refusal(core::outcome::unknown, false, true));
+    fixture.steps.advance(50ms);
+    fixture.answer();
+    BOOST_TEST(fixture.caller->body == "answer");
+    BOOST_TEST(fixture.suspects.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(when_its_caller_is_gone_an_idempotent_request_is_cancelled_and_a_key_goes_on)
+{
+    run_fixture fixture;
+    const auto run = fixture.start(run_fixture::completion());
+    run->callerGone();
+    fixture.steps.run();
+    BOOST_TEST(fixture.link.streams[0].cancelled);
+    BOOST_TEST(fixture.admitted.inFlight() == 0U);
+    BOOST_TEST(fixture.caller->status == 0);
+
+    const auto start = fixture.start(run_fixture::pivotStart());
+    start->callerGone();
+    fixture.steps.run();
+    BOOST_TEST(!fixture.link.streams[1].cancelled);
+    BOOST_TEST(fixture.admitted.inFlight() == 1U);
+    fixture.answer();
+    BOOST_TEST(fixture.admitted.inFlight() == 0U);
+    BOOST_TEST(fixture.caller->status == 0);
+}
+
+BOOST_AUTO_TEST_CASE(retries_stop_when_the_budget_is_spent)
+{
+    run_fixture fixture;
+    while (fixture.retries.spend()) { }
+    fixture.start(run_fixture::completion());
+    fixture.endStream(peer::stream_end::broken);
+    BOOST_TEST(fixture.link.streams.size() == 1U);
+    BOOST_TEST(fixture.caller->status == 502);
+    // What never reached a target costs nothing.
+    fixture.start(run_fixture::completion());
+    fixture.endStream(peer::stream_end::not_processed);
+    fixture.steps.advance(1ms);
+    BOOST_TEST(fixture.link.streams.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_was_paused_past_the_deadline_sends_nothing_more)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::completion());
+    fixture.clock.advance(10min);
+    fixture.endStream(peer::stream_end::not_processed);
+    fixture.steps.run();
+    BOOST_TEST(fixture.link.streams.size() == 1U);
+    BOOST_TEST(fixture.caller->status == 504);
+    BOOST_TEST(errorField(fixture, "outcome") == "not_run");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_larger_than_allowed_is_an_error_that_says_it_ran)
+{
+    run_fixture fixture;
+    fixture.settings.requests.maxAnswerBytes = 4;
+    fixture.start(run_fixture::completion());
+    fixture.accept();
+    fixture.head();
+    fixture.piece(0, "answer");
+    BOOST_TEST(errorField(fixture, "code") == "answer_too_large");
+    BOOST_TEST(errorField(fixture, "outcome") == "ran");
+}
