--- a/libs/config/include/medlarrack/config/platform_reader.hpp
+++ b/libs/config/include/medlarrack/config/platform_reader.hpp
@@ -40,8 +40,7 @@
 };
 
 /// Keeps the ticket tables and the instance view of a process up to date from the platform's service and from peers.
-/// Thread-safe. Its mutex comes before those of tickets::state and instances::view in the lock order; no callback runs
-/// under it.
+/// Thread-safe. Its mutex comes first in the lock order and is held while callbacks run.
 class platform_reader
 {
 public:
@@ -53,7 +52,8 @@
     platform_reader &operator=(const platform_reader &) = delete;
 
     void start();
-    /// Breaks off what is under way; no callback starts afterwards.
+    /// Drops what is under way and waits for a callback that runs on another thread; none runs afterwards. Not to be
+    /// called with a mutex held that callbacks take.
     void stop();
 
     /// Whether the state in force has been learnt; a process serves only while this is true.
--- a/libs/config/src/reader_session.cpp
+++ b/libs/config/src/reader_session.cpp
@@ -55,14 +55,22 @@
 void reader_session::onStrand(Handler handler)
 {
     asio::post(m_strand, [weak = weak_from_this(), handler = std::move(handler)]() mutable {
-        const auto self = weak.lock();
-        if (self && !self->m_stopped) {
-            handler(*self);
-            self->drive();
+        if (const auto self = weak.lock()) {
+            self->handle(handler);
         }
     });
 }
 
+template<typename Handler>
+void reader_session::handle(Handler &handler)
+{
+    const std::lock_guard lock(m_running);
+    if (!m_stopped) {
+        handler(*this);
+        drive();
+    }
+}
+
 void reader_session::start()
 {
     onStrand([](reader_session &) {});
@@ -70,6 +78,7 @@
 
 void reader_session::stop()
 {
+    const std::lock_guard lock(m_running);
     if (m_stopped.exchange(true)) {
         return;
     }
@@ -106,7 +115,7 @@
 {
     reader_status result;
     {
-        const std::lock_guard lock(m_mutex);
+        const std::lock_guard lock(m_statusMutex);
         result = m_status;
     }
     result.ready = ready();
@@ -146,8 +155,9 @@
     m_timer.expires_after(wait);
     m_timer.async_wait([weak = weak_from_this()](const std::error_code &error) {
         const auto self = weak.lock();
-        if (!error && self && !self->m_stopped) {
-            self->drive();
+        if (!error && self) {
+            auto nothing = [](reader_session &) {};
+            self->handle(nothing);
         }
     });
 }
@@ -313,7 +323,7 @@
 
 void reader_session::updateStatus(const std::function<void(reader_status &)> &change)
 {
-    const std::lock_guard lock(m_mutex);
+    const std::lock_guard lock(m_statusMutex);
     change(m_status);
 }
 
--- a/libs/config/src/reader_session.hpp
+++ b/libs/config/src/reader_session.hpp
@@ -17,8 +17,8 @@
 
 namespace medlarrack::config::detail {
 
-/// Carries out what an update_planner decides. All events run on one strand; the mutex guards the status only and is a
-/// leaf in the lock order.
+/// Carries out what an update_planner decides. All events run on one strand. The running mutex is held while one is
+/// handled, so that stop() can wait for it; it comes first in the lock order. The status mutex is a leaf.
 class reader_session : public std::enable_shared_from_this<reader_session>
 {
 public:
@@ -36,9 +36,11 @@
     using body_handler = std::function<void(const http::client_result &, const std::string &)>;
 
     [[nodiscard]] ticket_position position() const;
-    /// Runs a member on the strand unless stopped.
+    /// Handles an event on the strand and does what is due then, unless stopped.
     template<typename Handler>
     void onStrand(Handler handler);
+    template<typename Handler>
+    void handle(Handler &handler);
     void drive();
     void armTimer();
     void run(const read_changes &call);
@@ -68,7 +70,8 @@
     std::atomic<bool> m_ready{false};
     /// When the planner was last asked, in nanoseconds of monotonic time.
     std::atomic<core::monotonic_time::rep> m_lastDrive{0};
-    mutable std::mutex m_mutex;
+    std::recursive_mutex m_running;
+    mutable std::mutex m_statusMutex;
     reader_status m_status;
 };
 
