--- a/libs/peer/fuzz/fuzz_decoder.cpp
+++ b/libs/peer/fuzz/fuzz_decoder.cpp
@@ -5,8 +5,8 @@
 #include <cstdlib>
 #include <string_view>
 
-/// libFuzzer target: the first byte says in pieces of which size the rest is fed to the decoder. Whatever comes out must
-/// survive encoding and decoding unchanged.
+/// libFuzzer target: the first byte says in pieces of which size the rest is fed to the decoder. Whatever comes out
+/// must survive encoding and decoding unchanged.
 
 namespace {
 
--- a/standins/engine/order_handler.cpp
+++ b/standins/engine/order_handler.cpp
@@ -154,6 +154,10 @@
     const std::string model = textOf(order, "model");
     const bool otherModel = !model.empty() && model != m_baseModel;
     if (role == "idle" || otherModel) {
+        if (!m_batch.idle()) {
+            answerOrder(answer, {409, "in_use"});
+            return;
+        }
         m_slots.clear();
     }
     if (otherModel) {
