--- a/standins/engine/batch_model.cpp
+++ b/standins/engine/batch_model.cpp
@@ -53,7 +53,7 @@
     if (to.done()) {
         sink->finished(to);
     } else {
-        to.sinks.push_back(sink);
+        to.subscribers.push_back({sink, from});
     }
 }
 
@@ -65,8 +65,8 @@
     }
     m_active.erase(order(found->priority, found->arrival));
     m_byId.erase(id);
-    for (const auto &sink : std::exchange(found->sinks, {})) {
-        sink->broken();
+    for (const auto &each : std::exchange(found->subscribers, {})) {
+        each.sink->broken();
     }
     return found;
 }
@@ -137,12 +137,14 @@
     const int index = each.produced++;
     ++m_counters.tokens;
     const std::string text = tokenText(each.seed, index);
-    for (const auto &sink : each.sinks) {
-        sink->token(each, index, text);
+    for (const auto &[sink, from] : each.subscribers) {
+        if (index >= from) {
+            sink->token(each, index, text);
+        }
     }
     if (each.done()) {
-        for (const auto &sink : std::exchange(each.sinks, {})) {
-            sink->finished(each);
+        for (const auto &ended : std::exchange(each.subscribers, {})) {
+            ended.sink->finished(each);
         }
     }
 }
--- a/standins/engine/engine_program.cpp
+++ b/standins/engine/engine_program.cpp
@@ -171,7 +171,7 @@
         return;
     }
     const auto faults = takeAnswerFaults();
-    work->sinks.push_back(read->stream ? makeStreamSink(answer, faults) : makeWholeSink(answer, faults));
+    work->subscribers.push_back({read->stream ? makeStreamSink(answer, faults) : makeWholeSink(answer, faults), 0});
     cancelWhenLeft(this, work, *answer);
     start(work);
 }
--- a/standins/engine/generation.hpp
+++ b/standins/engine/generation.hpp
@@ -28,6 +28,13 @@
     virtual void broken() = 0;
 };
 
+/// A sink and the first token that it wants.
+struct subscriber
+{
+    std::shared_ptr<token_sink> sink;
+    int from = 0;
+};
+
 /// One request in progress or kept after its end.
 struct generation
 {
@@ -46,7 +53,7 @@
     bool started = false;
     std::uint64_t arrival = 0;
     std::uint64_t seed = 0;
-    std::vector<std::shared_ptr<token_sink>> sinks;
+    std::vector<subscriber> subscribers;
 
     [[nodiscard]] bool done() const
     {
--- a/standins/engine/tests/test_engine_model.cpp
+++ b/standins/engine/tests/test_engine_model.cpp
@@ -89,15 +89,19 @@
     batch_model batch(4);
     const auto whole = work("a", 6);
     const auto original = std::make_shared<recording_sink>();
-    whole->sinks.push_back(original);
+    whole->subscribers.push_back({original, 0});
     batch.add(whole);
     batch.step(start);
     batch.step(start);
     const auto resumed = std::make_shared<recording_sink>();
     batch_model::attach(*batch.find("a"), resumed, 1);
+    // Tokens that don't exist yet are waited for.
+    const auto ahead = std::make_shared<recording_sink>();
+    batch_model::attach(*batch.find("a"), ahead, 4);
     for (int i = 0; i < 4; ++i) {
         batch.step(start);
     }
+    BOOST_TEST(ahead->text.size() == original->text.size() / 6 * 2);
     BOOST_TEST(original->text == wholeText(*whole));
     BOOST_TEST(original->text.ends_with(resumed->text));
     BOOST_TEST(resumed->text.size() == original->text.size() / 6 * 5);
@@ -117,7 +121,7 @@
     batch_model there(1);
     const auto moved = work("a", 3);
     const auto sink = std::make_shared<recording_sink>();
-    moved->sinks.push_back(sink);
+    moved->subscribers.push_back({sink, 0});
     here.add(moved);
     here.step(start);
     BOOST_TEST(here.uses("base-8b"));
