Test how many first-time calls are served in each situation

Cause: a scheme that refuses everything would be safe too; the share served has to be stated. Change: data-free tests over three replicas, 90 first-time calls each: no fault, silent replica, replaced replica, list down for an hour, all replaced in a row. Conclusion: callers that need availability through outages use bound keys.

--- a/libs/once/tests/replica_world.cpp
+++ b/libs/once/tests/replica_world.cpp
@@ -283,6 +283,11 @@
     for (replica &one : m_replicas) {
         readList(one, m_lists.size() - 1);
     }
+    exchange();
+}
+
+void replica_world::exchange()
+{
     while (!m_messages.empty() || !m_started.empty()) {
         if (!m_messages.empty()) {
             deliver(0);
@@ -305,11 +310,40 @@
     return key;
 }
 
+std::string replica_world::submitBound(std::uint32_t choice)
+{
+    replica &at = choose(choice);
+    std::string key = makeBoundKey(clockOf(at), {at.id, at.incarnation});
+    submit(at, key);
+    return key;
+}
+
 void replica_world::crash(std::uint32_t choice)
 {
     choose(choice).alive = false;
 }
 
+void replica_world::replace(std::uint32_t choice)
+{
+    replica &at = choose(choice);
+    at.alive = false;
+    at.listed = false;
+    std::erase_if(m_replicas, [](const replica &one) {
+        return !one.alive && !one.listed;
+    });
+    startReplica();
+}
+
+void replica_world::expireSeals()
+{
+    m_messages.clear();
+    for (replica &one : m_replicas) {
+        if (one.alive) {
+            take(one, one.registry->onTimer(clockOf(one) + m_options.sealTimeout));
+        }
+    }
+}
+
 std::vector<std::string> replica_world::violations() const
 {
     std::vector<std::string> found;
--- a/libs/once/tests/replica_world.hpp
+++ b/libs/once/tests/replica_world.hpp
@@ -28,8 +28,16 @@
     void advance(std::chrono::milliseconds by);
     /// Submits a key made now to a replica that runs. Returns the key.
     std::string submitFresh(std::uint32_t choice);
-    /// Kills a replica without its list entry changing.
+    /// Submits a key made now and bound to a replica that runs, to that replica. Returns the key.
+    std::string submitBound(std::uint32_t choice);
+    /// Kills a replica; its list entry stays.
     void crash(std::uint32_t choice);
+    /// Kills a replica, takes it off the list and starts another one.
+    void replace(std::uint32_t choice);
+    /// Delivers all messages and runs everything that was started; lists are read only when told.
+    void exchange();
+    /// Gives up on replicas that don't answer.
+    void expireSeals();
 
     /// Keys run more than once, or run though a caller was told that they were not.
     [[nodiscard]] std::vector<std::string> violations() const;
--- /dev/null
+++ b/libs/once/tests/test_availability.cpp
@@ -0,0 +1,99 @@
+#include "replica_world.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace medlarrack::once;
+using namespace medlarrack::once::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t calls = 90;
+constexpr auto floorWait = 17s;
+
+enum class key_form {
+    unbound,
+    bound,
+};
+
+// A fleet of three that has known itself for long enough to run keys.
+struct settled_fleet
+{
+    settled_fleet()
+    {
+        replicas.settle();
+        replicas.advance(floorWait);
+        replicas.settle();
+    }
+
+    // How many of the first-time calls sent now, spread over the replicas that run, are served.
+    std::uint32_t served(key_form form)
+    {
+        std::uint32_t count = 0;
+        for (std::uint32_t index = 0; index < calls; ++index) {
+            const bool isBound = form == key_form::bound;
+            const auto key = isBound ? replicas.submitBound(index) : replicas.submitFresh(index);
+            replicas.exchange();
+            replicas.expireSeals();
+            count += static_cast<std::uint32_t>(replicas.runsOf(key));
+        }
+        BOOST_TEST(replicas.violations().empty());
+        return count;
+    }
+
+    replica_world replicas{settings()};
+};
+
+// Two thirds of the calls reach a replica that runs when one of three is down.
+constexpr std::uint32_t callsAtTwoOfThree = calls * 2 / 3;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(availability, settled_fleet, *boost::unit_test::label("faults"))
+
+BOOST_AUTO_TEST_CASE(all_first_calls_are_served_without_faults)
+{
+    BOOST_TEST(served(key_form::unbound) == calls);
+    BOOST_TEST(served(key_form::bound) == calls);
+}
+
+BOOST_AUTO_TEST_CASE(bound_keys_are_served_while_a_listed_replica_is_silent)
+{
+    replicas.crash(0);
+    BOOST_TEST(served(key_form::unbound) == 0U);
+    BOOST_TEST(served(key_form::bound) == callsAtTwoOfThree);
+}
+
+BOOST_AUTO_TEST_CASE(unbound_keys_are_served_again_once_a_lost_replica_left_the_list_and_its_lease_ended)
+{
+    replicas.replace(0);
+    replicas.settle();
+    BOOST_TEST(served(key_form::unbound) == 0U);
+    BOOST_TEST(served(key_form::bound) == calls);
+    replicas.advance(floorWait);
+    replicas.settle();
+    BOOST_TEST(served(key_form::unbound) == calls);
+}
+
+BOOST_AUTO_TEST_CASE(bound_keys_are_served_while_the_instance_list_is_down_for_an_hour)
+{
+    replicas.advance(1h);
+    BOOST_TEST(served(key_form::unbound) == 0U);
+    BOOST_TEST(served(key_form::bound) == calls);
+    replicas.settle();
+    BOOST_TEST(served(key_form::unbound) == calls);
+}
+
+BOOST_AUTO_TEST_CASE(unbound_keys_are_served_again_after_all_replicas_were_replaced_in_a_row)
+{
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        replicas.replace(0);
+        replicas.settle();
+    }
+    BOOST_TEST(served(key_form::bound) == calls);
+    replicas.advance(floorWait);
+    replicas.settle();
+    BOOST_TEST(served(key_form::unbound) == calls);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
