--- a/libs/entry/include/medlarrack/entry/entry_service.hpp
+++ b/libs/entry/include/medlarrack/entry/entry_service.hpp
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace medlarrack::instances {
 class view;
@@ -31,7 +33,11 @@
     instances::view &instances;
     sidecar_link &link;
     /// Told when a sidecar mentions a ticket number newer than the one in force here. May be empty.
-    std::function<void(std::uint64_t)> ticketHeard;
+    std::function<void(std::uint64_t number, std::string_view instanceId)> ticketHeard;
+    /// Whether the state in force has been learnt. Empty for always.
+    std::function<bool()> stateKnown;
+    /// State of the reader of tickets and instances as a JSON object, for /debug/state. May be empty.
+    std::function<std::string()> readerState;
 };
 
 /// An entry: answers callers over HTTP by having sidecars run their requests. Runs on the io_context's threads.
--- a/libs/entry/include/medlarrack/entry/entry_settings.hpp
+++ b/libs/entry/include/medlarrack/entry/entry_settings.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace medlarrack::entry {
 
@@ -92,6 +93,22 @@
     std::size_t maxChanges = 512;
 };
 
+/// A peer to ask for tickets while the instance list can't be read.
+struct seed_settings
+{
+    std::string id;
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+/// The platform's service.
+struct platform_settings
+{
+    /// Root, for example "http://127.0.0.1:8500".
+    std::string url;
+    std::vector<seed_settings> seeds;
+};
+
 /// All settings of an entry.
 struct entry_settings
 {
@@ -101,6 +118,7 @@
     std::size_t workers = 4;
     /// Operators with metrics of their own.
     std::size_t maxMetricOperators = 200;
+    platform_settings platform;
     listen_settings callers;
     /// Where /metrics and /debug are served; with callers when absent.
     std::optional<listen_settings> admin;
@@ -115,5 +133,7 @@
 /// Reads settings; all faults are added at once. Nothing is returned when there is one. The member "platform" is left
 /// to the reader of the platform's services.
 [[nodiscard]] std::optional<entry_settings> parseSettings(const nlohmann::json &root, settings::fault_list &faults);
+/// Reads settings from a file.
+[[nodiscard]] std::optional<entry_settings> loadSettings(const std::string &path, settings::fault_list &faults);
 
 } // namespace medlarrack::entry
--- a/libs/entry/src/entry_service.cpp
+++ b/libs/entry/src/entry_service.cpp
@@ -44,6 +44,8 @@
         , m_clock(parts.clock)
         , m_tickets(parts.tickets)
         , m_instances(parts.instances)
+        , m_stateKnown(parts.stateKnown)
+        , m_readerState(parts.readerState)
         , m_tables(std::make_shared<shared_tables>(std::move(settings), parts))
         , m_settings(m_tables->settings)
         , m_watcher(std::make_shared<load_watcher>(std::shared_ptr<target_directory>(m_tables, &m_tables->targets),
@@ -112,6 +114,9 @@
         result.notReady = [this] {
             return notReady();
         };
+        result.stateUnknown = [this] {
+            return stateUnknown();
+        };
         result.debugState = [this] {
             return debugState();
         };
@@ -139,11 +144,13 @@
 
     [[nodiscard]] std::string notReady() const
     {
-        if (m_draining) {
-            return "draining";
-        }
-        if (m_tickets.newest() == 0) {
-            return "no change ticket is known yet";
+        return m_draining ? "draining" : stateUnknown();
+    }
+
+    [[nodiscard]] std::string stateUnknown() const
+    {
+        if (m_stateKnown && !m_stateKnown()) {
+            return "the state in force has not been learnt yet";
         }
         if (!m_instances.lastRead()) {
             return "no instance list has been read yet";
@@ -161,6 +168,7 @@
             {"newest_ticket", m_tickets.newest()},
             {"contiguous_ticket", m_tickets.contiguous()},
             {"adapters", m_tickets.adapterCount()},
+            {"reader", m_readerState ? nlohmann::json::parse(m_readerState()) : nlohmann::json()},
             {"in_flight", m_tables->admission.inFlight()},
             {"in_flight_by_operator", m_tables->admission.inFlightByOperator()},
             {"load_watches", m_watcher->watches()},
@@ -186,8 +194,10 @@
     void scheduleTick()
     {
         m_tick.expires_after(tickInterval);
-        m_tick.async_wait([self = shared_from_this()](const std::error_code &error) {
-            if (!error && !self->m_stopped) {
+        // Weak, so that what is left in the io_context at the end doesn't keep the entry alive.
+        m_tick.async_wait([weak = weak_from_this()](const std::error_code &error) {
+            const auto self = weak.lock();
+            if (!error && self && !self->m_stopped) {
                 self->m_watcher->tick(self->m_tickets.newest());
                 self->scheduleTick();
             }
@@ -244,6 +254,8 @@
     const core::clock &m_clock;
     const tickets::state &m_tickets;
     const instances::view &m_instances;
+    const std::function<bool()> m_stateKnown;
+    const std::function<std::string()> m_readerState;
     const std::shared_ptr<shared_tables> m_tables;
     const entry_settings &m_settings;
     const std::shared_ptr<load_watcher> m_watcher;
--- a/libs/entry/src/entry_settings.cpp
+++ b/libs/entry/src/entry_settings.cpp
@@ -1,4 +1,5 @@
 #include <medlarrack/entry/entry_settings.hpp>
+#include <medlarrack/settings/document.hpp>
 #include <medlarrack/settings/object_reader.hpp>
 
 #include <nlohmann/json.hpp>
@@ -84,6 +85,26 @@
     readInteger(reader, "max_fingerprints", value.maxFingerprints, 1, 1'000'000);
 }
 
+void readPlatform(object_reader &reader, platform_settings &value)
+{
+    constexpr std::string_view scheme = "http://";
+    reader.text("url", value.url);
+    reader.require("url");
+    const bool rooted = value.url.starts_with(scheme) && value.url.size() > scheme.size();
+    if (!value.url.empty() && (!rooted || value.url.find('/', scheme.size()) != std::string::npos)) {
+        reader.addFault("url", "expected a URL of the form \"http://ADDRESS:PORT\" without a path");
+    }
+    reader.objects("seeds", [&](object_reader &part) {
+        seed_settings &seed = value.seeds.emplace_back();
+        part.text("id", seed.id);
+        part.require("id");
+        part.text("address", seed.address);
+        part.require("address");
+        readInteger(part, "port", seed.port, 1, std::numeric_limits<std::uint16_t>::max());
+        part.require("port");
+    });
+}
+
 void readRoot(object_reader &reader, entry_settings &value)
 {
     reader.object("instance", [&](object_reader &part) {
@@ -100,6 +121,10 @@
     reader.object("metrics", [&](object_reader &part) {
         readInteger(part, "max_operators", value.maxMetricOperators, 0, 100'000);
     });
+    reader.object("platform", [&](object_reader &part) {
+        readPlatform(part, value.platform);
+    });
+    reader.require("platform");
     reader.object("callers", [&](object_reader &part) {
         readListen(part, value.callers);
     });
@@ -136,8 +161,6 @@
     entry_settings value;
     object_reader reader(root, "", faults);
     readRoot(reader, value);
-    // Read by others; named here so that finish() doesn't report it.
-    reader.require("platform");
     reader.finish();
     if (faults.size() != before) {
         return std::nullopt;
@@ -145,4 +168,13 @@
     return value;
 }
 
+std::optional<entry_settings> loadSettings(const std::string &path, settings::fault_list &faults)
+{
+    const auto document = settings::document::load(path, faults);
+    if (!document) {
+        return std::nullopt;
+    }
+    return parseSettings(document->root(), faults);
+}
+
 } // namespace medlarrack::entry
--- a/libs/entry/src/front.cpp
+++ b/libs/entry/src/front.cpp
@@ -19,6 +19,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto drainingRetryAfter = 1'000ms;
+constexpr auto notReadyRetryAfter = 1'000ms;
 constexpr std::string_view debugRequests = "/debug/requests/";
 
 void respondJson(http::responder &responder, const std::string &body)
@@ -166,6 +167,11 @@
         refuse(*responder, wrongMethod("POST"));
         return;
     }
+    const std::string notKnown = m_hooks.stateUnknown();
+    if (!notKnown.empty()) {
+        refuse(*responder, {503, "not_ready", notKnown, core::outcome::not_run, notReadyRetryAfter});
+        return;
+    }
     if (m_refusing) {
         refuse(*responder,
                {503, "draining", "this entry is shutting down", core::outcome::not_run, drainingRetryAfter});
--- a/libs/entry/src/front.hpp
+++ b/libs/entry/src/front.hpp
@@ -23,6 +23,8 @@
 {
     /// Readiness: empty when ready, else why not.
     std::function<std::string()> notReady;
+    /// Empty when the state in force is known, else why not.
+    std::function<std::string()> stateUnknown;
     /// The page of /debug/state.
     std::function<std::string()> debugState;
     /// Called before the metrics are rendered.
--- a/libs/entry/src/request_run.cpp
+++ b/libs/entry/src/request_run.cpp
@@ -242,7 +242,7 @@
     m_ran = m_ran || message.outcome == core::outcome::ran;
     m_doubt = m_doubt || message.outcome == core::outcome::unknown;
     if (m_environment->ticketHeard && message.newestTicket > m_environment->tickets.newest()) {
-        m_environment->ticketHeard(message.newestTicket);
+        m_environment->ticketHeard(message.newestTicket, m_target.id);
     }
     note("refused", message.code,
          {{"attempt", m_attempt},
@@ -260,6 +260,11 @@
     if (message.targetCrashed) {
         targetCrashed();
     }
+    if (!message.holderId.empty() && !m_request.idempotent && m_askAgain != message.holderId) {
+        // Only the holder of the key knows what became of it.
+        why.mayRetry = true;
+        why.askNext = message.holderId;
+    }
     attemptFailed(why);
 }
 
@@ -344,7 +349,9 @@
     why.result = routing::attempt_result::failed;
     why.mayRetry = true;
     // The target that may have run a key has the record of it.
-    why.sameTarget = !m_request.idempotent && m_askAgain != m_target.id;
+    if (!m_request.idempotent && m_askAgain != m_target.id) {
+        why.askNext = m_target.id;
+    }
     attemptFailed(why);
 }
 
@@ -358,8 +365,8 @@
     }
     m_environment->metrics.retried(m_request, why.error.code);
     m_state = state::waiting;
-    m_askAgain = why.sameTarget ? m_target.id : std::string();
-    if (!why.sameTarget) {
+    m_askAgain = why.askNext;
+    if (why.askNext != m_target.id) {
         m_tried.push_back(m_target.decision.target);
     }
     m_wakeAt = m_environment->clock.now() + pauseBeforeRetry();
--- a/libs/entry/src/request_run.hpp
+++ b/libs/entry/src/request_run.hpp
@@ -54,8 +54,8 @@
         error_answer error;
         routing::attempt_result result = routing::attempt_result::answered;
         bool mayRetry = false;
-        /// The same target is to be asked again first.
-        bool sameTarget = false;
+        /// Target to be asked next, when it isn't left to routing.
+        std::string askNext;
         /// Costs nothing of the retry budget: nothing reached a target.
         bool free = false;
     };
@@ -116,7 +116,7 @@
     bool m_suspect = false;
     core::instance_ref m_acceptedBy;
     std::vector<routing::target_index> m_tried;
-    /// Target to be asked again first.
+    /// Target that the attempt was or is to be sent to regardless of routing.
     std::string m_askAgain;
 
     /// Some attempt may have run, for all that is known.
--- a/libs/entry/src/run_environment.hpp
+++ b/libs/entry/src/run_environment.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string_view>
 
 namespace medlarrack::tickets {
 class state;
@@ -33,8 +34,8 @@
     retry_budget &retries;
     run_metrics &metrics;
     trace::recorder &trace;
-    /// Told of the newest ticket number that a sidecar mentions. May be empty.
-    std::function<void(std::uint64_t)> ticketHeard;
+    /// Told when a sidecar mentions a ticket number newer than the one in force here. May be empty.
+    std::function<void(std::uint64_t number, std::string_view instanceId)> ticketHeard;
 };
 
 } // namespace medlarrack::entry
--- a/libs/entry/tests/test_request_run.cpp
+++ b/libs/entry/tests/test_request_run.cpp
@@ -65,11 +65,13 @@
     case break_point::beforeAccept:
         fixture.endStream(peer::stream_end::broken);
         return;
-    case break_point::silentSidecar:
-        while (!fixture.link.streams.back().cancelled) {
+    case break_point::silentSidecar: {
+        const auto &stream = fixture.link.streams.back();
+        while (!stream.cancelled) {
             fixture.steps.advance(1ms);
         }
         return;
+    }
     case break_point::afterAccept:
         fixture.accept();
         fixture.endStream(peer::stream_end::broken);
