--- a/libs/sidecar/src/dispatcher_keys.cpp
+++ b/libs/sidecar/src/dispatcher_keys.cpp
@@ -20,7 +20,7 @@
     case once::seal_state::ran:
         return peer::seal_state::ran;
     case once::seal_state::refused:
-        // Not a promise that the asker could run on; the message has no better word.
+        return peer::seal_state::refused;
     case once::seal_state::unknown:
         break;
     }
@@ -36,6 +36,8 @@
         return once::seal_state::taken;
     case peer::seal_state::ran:
         return once::seal_state::ran;
+    case peer::seal_state::refused:
+        return once::seal_state::refused;
     case peer::seal_state::unknown:
         break;
     }
