--- a/libs/peer/src/client_connection.cpp
+++ b/libs/peer/src/client_connection.cpp
@@ -157,6 +157,7 @@
         submitGoaway();
         return;
     }
+    stream->wireId = id;
     m_streams.emplace(id, stream);
 }
 
@@ -185,19 +186,16 @@
         }
         return;
     }
-    const auto found = std::find_if(m_streams.begin(), m_streams.end(), [&](const auto &entry) {
-        return entry.second == stream;
-    });
-    if (found == m_streams.end() || stream->ended || !isOpen()) {
+    if (find(stream->wireId) != stream || stream->ended || !isOpen()) {
         return;
     }
     if (stream->cancelled) {
-        resetStream(found->first, NGHTTP2_CANCEL);
+        resetStream(stream->wireId, NGHTTP2_CANCEL);
         stream->finish(stream_end::cancelled, "cancelled");
         return;
     }
     if (!stream->paused) {
-        grantWindow(found->first, std::exchange(stream->withheldBytes, 0));
+        grantWindow(stream->wireId, std::exchange(stream->withheldBytes, 0));
     }
 }
 
@@ -306,11 +304,11 @@
         stream->failure = why.code + ": " + why.message;
         resetStream(id, NGHTTP2_PROTOCOL_ERROR);
     }
-    deliver(id, *stream);
+    deliver(*stream);
 }
 
 // A callback may cancel its own stream; nothing is delivered after that.
-void client_connection::deliver(std::int32_t, client_stream &stream)
+void client_connection::deliver(client_stream &stream)
 {
     core::reason why;
     while (!stream.ended && !stream.cancelled) {
--- a/libs/peer/src/client_connection.hpp
+++ b/libs/peer/src/client_connection.hpp
@@ -18,6 +18,8 @@
     endpoint to;
     std::string request;
     std::size_t requestSent = 0;
+    /// Number on the wire; 0 until submitted.
+    std::int32_t wireId = 0;
     stream_callbacks callbacks;
     std::atomic<bool> cancelled{false};
     std::atomic<bool> paused{false};
@@ -97,7 +99,7 @@
     void end(const std::shared_ptr<client_stream> &stream, stream_end how, const std::string &detail);
     void endAll(const std::string &detail);
     [[nodiscard]] std::shared_ptr<client_stream> find(std::int32_t stream) const;
-    void deliver(std::int32_t id, client_stream &stream);
+    static void deliver(client_stream &stream);
 
     [[nodiscard]] bool isBusy() const override;
     void onHeadersBegin(std::int32_t stream) override;
--- a/libs/peer/src/connection.cpp
+++ b/libs/peer/src/connection.cpp
@@ -140,6 +140,7 @@
 {
     m_lastReceived = std::chrono::steady_clock::now();
     m_pingOutstanding = false;
+    m_heard = true;
     if (m_finishing) {
         return true;
     }
@@ -327,7 +328,8 @@
     }
     m_lastTick = now;
     const auto silence = now - std::max(m_lastReceived, m_silenceFrom);
-    const bool busy = m_finishing || isBusy();
+    // A peer that has connected owes its settings.
+    const bool busy = m_finishing || !m_heard || isBusy();
     if (busy) {
         m_idleFrom = now;
     }
--- a/libs/peer/src/connection.hpp
+++ b/libs/peer/src/connection.hpp
@@ -135,6 +135,7 @@
     steady_time m_idleFrom;
     steady_time m_lastTick;
     bool m_pingOutstanding = false;
+    bool m_heard = false;
     bool m_writing = false;
     bool m_finishing = false;
     bool m_closed = false;
--- a/libs/peer/src/server_connection.cpp
+++ b/libs/peer/src/server_connection.cpp
@@ -117,6 +117,10 @@
 
 void server_connection::onHeadersBegin(std::int32_t id)
 {
+    // Trailers of a stream that is known already.
+    if (find(id)) {
+        return;
+    }
     // Also while GOAWAY waits to be written: its last stream id is fixed, so a later stream must not run.
     if (m_draining) {
         resetStream(id, NGHTTP2_REFUSED_STREAM);
--- a/libs/peer/src/session_callbacks.cpp
+++ b/libs/peer/src/session_callbacks.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr std::uint64_t resetsAtOnce = 10'000;
+constexpr std::uint64_t resetsPerSecond = 10'000;
+
 connection &ownerOf(void *pointer)
 {
     return *static_cast<connection *>(pointer);
@@ -91,6 +94,8 @@
     nghttp2_session_callbacks_set_on_stream_close_callback(rawCallbacks, &onStreamClose);
     // Windows are given back by grantWindow(), so that a paused stream keeps its sender waiting.
     nghttp2_option_set_no_auto_window_update(rawOptions, 1);
+    // The library's own limit, 33 a second, would close a connection whose callers go away often.
+    nghttp2_option_set_stream_reset_rate_limit(rawOptions, resetsAtOnce, resetsPerSecond);
     nghttp2_session *session = nullptr;
     if (asClient) {
         nghttp2_session_client_new2(&session, rawCallbacks, &owner, rawOptions);
--- a/libs/peer/tests/test_streams.cpp
+++ b/libs/peer/tests/test_streams.cpp
@@ -91,6 +91,47 @@
     BOOST_TEST(record.ends() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(thousands_of_cancelled_streams_leave_the_connection_as_it_was)
+{
+    worker_pool pool;
+    std::atomic<int> closed{0};
+    test_server server(pool, [&](const hello &from, message request, const std::shared_ptr<reply_stream> &reply) {
+        if (std::holds_alternative<watch_load>(request)) {
+            reply->onClosed([&closed, reply] {
+                ++closed;
+            });
+            reply->send(load_report{});
+        } else {
+            echo(from, std::move(request), reply);
+        }
+    });
+    client client(pool.context(), {}, [] {
+        return helloOf("entry-1");
+    });
+    constexpr int rounds = 30;
+    constexpr int atOnce = 100;
+    for (int round = 0; round < rounds; ++round) {
+        std::deque<stream_record> records(atOnce);
+        for (auto &record : records) {
+            const auto stream = client.start(server.at(), watch_load{}, record.callbacks());
+            BOOST_REQUIRE(record.has(1));
+            client.cancel(stream);
+        }
+        for (auto &record : records) {
+            BOOST_REQUIRE(record.ended());
+            BOOST_TEST((record.end() == stream_end::cancelled), record.detail());
+        }
+    }
+    BOOST_TEST(eventually([&] {
+        return closed == rounds * atOnce;
+    }));
+    stream_record record;
+    client.start(server.at(), requestWith("x"), record.callbacks());
+    BOOST_REQUIRE(record.ended());
+    BOOST_TEST((record.end() == stream_end::finished), record.detail());
+    BOOST_TEST(client.connections() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_stream_is_proven_not_processed)
 {
     worker_pool pool;
