--- a/libs/sidecar/include/medlarrack/sidecar/dispatcher.hpp
+++ b/libs/sidecar/include/medlarrack/sidecar/dispatcher.hpp
@@ -114,6 +114,8 @@
     /// What a replica that was asked for a seal said; nothing when it gave no answer.
     void onSealReply(const std::string &memberId, const std::string &key, const std::optional<peer::seal_reply> &reply);
 
+    /// Makes a change to the eviction policy or the load budget while the dispatcher doesn't use them.
+    void update(const std::function<void()> &change);
     /// Weight of an operator in fair shares.
     void setWeight(std::string_view operatorName, double weight);
     /// Sizes published for the target's group; they hold unless the engine reports its own.
--- a/libs/sidecar/src/dispatcher.cpp
+++ b/libs/sidecar/src/dispatcher.cpp
@@ -110,6 +110,12 @@
     return seen;
 }
 
+void dispatcher::impl::update(const std::function<void()> &change)
+{
+    const std::scoped_lock lock(m_mutex);
+    change();
+}
+
 void dispatcher::impl::setWeight(std::string_view operatorName, double weight)
 {
     const std::scoped_lock lock(m_mutex);
@@ -370,6 +376,11 @@
     m_impl->onSealReply(memberId, key, reply);
 }
 
+void dispatcher::update(const std::function<void()> &change)
+{
+    m_impl->update(change);
+}
+
 void dispatcher::setWeight(std::string_view operatorName, double weight)
 {
     m_impl->setWeight(operatorName, weight);
--- a/libs/sidecar/src/dispatcher_impl.hpp
+++ b/libs/sidecar/src/dispatcher_impl.hpp
@@ -35,6 +35,7 @@
     void onInstanceList(core::wall_time asOf, std::span<const std::string> members);
     [[nodiscard]] peer::seal_reply onSealRequest(const peer::seal_request &request);
     void onSealReply(const std::string &memberId, const std::string &key, const std::optional<peer::seal_reply> &reply);
+    void update(const std::function<void()> &change);
     void setWeight(std::string_view operatorName, double weight);
     void setSizes(std::size_t slots, std::size_t concurrency);
 
--- /dev/null
+++ b/libs/sidecar/src/platform_link.cpp
@@ -0,0 +1,121 @@
+#include "platform_link.hpp"
+
+#include <medlarrack/config/peer_questions.hpp>
+#include <medlarrack/log/log.hpp>
+
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace medlarrack::sidecar::detail {
+namespace {
+
+/// Time for a peer to send its tickets.
+constexpr std::chrono::milliseconds peerTimeout{2'000};
+
+void logMalformed(std::string_view /*text*/, const std::vector<tickets::ticket_fault> &faults)
+{
+    for (const tickets::ticket_fault &fault : faults) {
+        log::write(log::level::warning, "ticket refused", {{"pointer", fault.pointer}, {"fault", fault.message}});
+    }
+}
+
+} // namespace
+
+platform_link::platform_link(asio::io_context &context, const sidecar_settings &settings, const core::clock &clock,
+                             http::client &client, peer::client &peers)
+    : m_context(context)
+    , m_settings(settings)
+    , m_clock(clock)
+    , m_client(client)
+    , m_peers(peers)
+{
+}
+
+void platform_link::start(std::uint16_t peersPort)
+{
+    config::reader_callbacks callbacks;
+    callbacks.onMalformed = logMalformed;
+    callbacks.askPeer = config::askThrough(m_context, m_peers, peerTimeout);
+    m_reader = std::make_unique<config::platform_reader>(m_context, m_client, readerSettings(peersPort), m_state,
+                                                         m_view, m_clock, std::move(callbacks));
+    m_reader->start();
+    m_started = true;
+}
+
+void platform_link::stop()
+{
+    if (m_started) {
+        m_reader->stop();
+    }
+}
+
+const tickets::state &platform_link::state() const
+{
+    return m_state;
+}
+
+const instances::view &platform_link::view() const
+{
+    return m_view;
+}
+
+void platform_link::noteNewest(std::uint64_t newestTicket, std::string_view senderId)
+{
+    if (m_started && newestTicket > m_state.newest()) {
+        m_reader->noteNewest(newestTicket, senderId);
+    }
+}
+
+peer::tickets_reply platform_link::answer(const peer::tickets_request &request) const
+{
+    if (!m_started) {
+        peer::tickets_reply nothing;
+        nothing.complete = false;
+        return nothing;
+    }
+    return m_reader->answer(request);
+}
+
+std::optional<group_view> platform_link::takeGroup()
+{
+    const auto list = m_view.current();
+    if (list->asOf == m_given) {
+        return std::nullopt;
+    }
+    m_given = list->asOf;
+    group_view seen;
+    seen.asOf = list->asOf;
+    seen.live = 0;
+    for (const instances::instance &one : list->instances) {
+        if (one.kind != instances::instance_kind::sidecar || one.group != m_settings.group) {
+            continue;
+        }
+        seen.members.push_back(one.id);
+        seen.live += one.leaving ? 0 : 1;
+        seen.selfLeaving = seen.selfLeaving || (one.leaving && one.id == m_settings.instanceId);
+    }
+    return seen;
+}
+
+std::string platform_link::statusJson() const
+{
+    return !m_started ? "{}" : config::toJson(m_reader->status(), m_clock.now()).dump();
+}
+
+config::reader_settings platform_link::readerSettings(std::uint16_t peersPort) const
+{
+    config::reader_settings made;
+    made.platformUrl = m_settings.platformUrl;
+    made.self.id = m_settings.instanceId;
+    made.self.kind = instances::instance_kind::sidecar;
+    made.self.target = m_settings.isEngine() ? instances::target_kind::engine : instances::target_kind::service;
+    made.self.group = m_settings.group;
+    made.self.dataCentre = m_settings.dataCentre;
+    made.self.address = m_settings.peers.address;
+    made.self.port = peersPort;
+    return made;
+}
+
+} // namespace medlarrack::sidecar::detail
--- /dev/null
+++ b/libs/sidecar/src/platform_link.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <medlarrack/config/platform_reader.hpp>
+#include <medlarrack/core/clock.hpp>
+#include <medlarrack/http/client.hpp>
+#include <medlarrack/instances/view.hpp>
+#include <medlarrack/peer/client.hpp>
+#include <medlarrack/sidecar/sidecar_settings.hpp>
+#include <medlarrack/tickets/state.hpp>
+
+#include <asio/io_context.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace medlarrack::sidecar::detail {
+
+/// What the instance list says of this sidecar's target group.
+struct group_view
+{
+    core::wall_time asOf{};
+    /// Ids of the group's sidecars, leaving ones included.
+    std::vector<std::string> members;
+    /// Sidecars that aren't leaving, this one included.
+    std::size_t live = 1;
+    /// This sidecar is listed as leaving.
+    bool selfLeaving = false;
+};
+
+/// The published state and the instance list as this sidecar knows them. Thread-safe.
+class platform_link
+{
+public:
+    /// All must outlive the link.
+    platform_link(asio::io_context &context, const sidecar_settings &settings, const core::clock &clock,
+                  http::client &client, peer::client &peers);
+
+    /// Begins to read; the port is the one that peers connect to.
+    void start(std::uint16_t peersPort);
+    void stop();
+
+    [[nodiscard]] const tickets::state &state() const;
+    [[nodiscard]] const instances::view &view() const;
+    /// A peer named its newest ticket.
+    void noteNewest(std::uint64_t newestTicket, std::string_view senderId);
+    [[nodiscard]] peer::tickets_reply answer(const peer::tickets_request &request) const;
+    /// The group as in the newest list; nothing when that list was given out before.
+    [[nodiscard]] std::optional<group_view> takeGroup();
+    /// The reader's status as JSON text.
+    [[nodiscard]] std::string statusJson() const;
+
+private:
+    [[nodiscard]] config::reader_settings readerSettings(std::uint16_t peersPort) const;
+
+    asio::io_context &m_context;
+    const sidecar_settings &m_settings;
+    const core::clock &m_clock;
+    http::client &m_client;
+    peer::client &m_peers;
+    tickets::state m_state;
+    instances::view m_view;
+    /// Set once, before m_started.
+    std::unique_ptr<config::platform_reader> m_reader;
+    std::atomic<bool> m_started{false};
+    core::wall_time m_given{};
+};
+
+} // namespace medlarrack::sidecar::detail
--- a/libs/sidecar/src/sidecar_service.cpp
+++ b/libs/sidecar/src/sidecar_service.cpp
@@ -1,11 +1,11 @@
 #include "admin_pages.hpp"
 #include "load_reporter.hpp"
+#include "platform_link.hpp"
 #include "seal_asker.hpp"
 #include "service_options.hpp"
 
 #include <medlarrack/http/client.hpp>
 #include <medlarrack/http/server.hpp>
-#include <medlarrack/instances/view.hpp>
 #include <medlarrack/log/log.hpp>
 #include <medlarrack/metrics/registry.hpp>
 #include <medlarrack/peer/client.hpp>
@@ -14,7 +14,6 @@
 #include <medlarrack/placement/paced_load_budget.hpp>
 #include <medlarrack/sidecar/request_journal.hpp>
 #include <medlarrack/sidecar/sidecar_service.hpp>
-#include <medlarrack/tickets/state.hpp>
 
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
@@ -47,7 +46,8 @@
                        [this] {
                            return hello();
                        })
-        , m_seals(m_peerClient, m_view, m_settings.group, m_self,
+        , m_platform(context, m_settings, clock, m_client, m_peerClient)
+        , m_seals(m_peerClient, m_platform.view(), m_settings.group, m_self,
                   [this](const std::string &memberId, const std::string &key, const auto &reply) {
                       m_dispatcher.onSealReply(memberId, key, reply);
                   })
@@ -85,6 +85,7 @@
         if (!m_peers.start(peers.address, peers.port, why) || !m_admin.start(admin.address, admin.port, why)) {
             return false;
         }
+        m_platform.start(m_peers.port());
         asio::post(m_strand, [self = shared_from_this()] {
             self->tick();
         });
@@ -121,6 +122,7 @@
         m_admin.stop();
         m_peers.stop();
         m_peerClient.stop();
+        m_platform.stop();
         m_driver->stop();
     }
 
@@ -134,7 +136,7 @@
                 m_metrics,
                 m_journal,
                 [this] {
-                    return m_state.newest();
+                    return m_platform.state().newest();
                 },
                 [this](const core::adapter_ref &adapter) {
                     return m_settings.platformUrl + "/v1/store/" + adapter.toString();
@@ -149,16 +151,22 @@
         peer::hello said;
         said.sender = m_self;
         said.dataCentre = m_settings.dataCentre;
-        said.newestTicket = m_state.newest();
+        said.newestTicket = m_platform.state().newest();
         return said;
     }
 
-    void onMessage(const peer::hello & /*from*/, peer::message message, std::shared_ptr<peer::reply_stream> reply)
+    void onMessage(const peer::hello &from, peer::message message, std::shared_ptr<peer::reply_stream> reply)
     {
         if (auto *run = std::get_if<peer::run_request>(&message)) {
+            m_platform.noteNewest(run->newestTicket, from.sender.id);
+            passWeight(run->operatorName);
             m_dispatcher.submit(std::move(*run), std::move(reply));
         } else if (std::holds_alternative<peer::watch_load>(message)) {
+            m_platform.noteNewest(std::get<peer::watch_load>(message).newestTicket, from.sender.id);
             m_reporter->add(std::move(reply), report());
+        } else if (const auto *question = std::get_if<peer::tickets_request>(&message)) {
+            reply->send(m_platform.answer(*question));
+            reply->end();
         } else if (const auto *seal = std::get_if<peer::seal_request>(&message)) {
             answerSeal(*seal, *reply);
         } else {
@@ -178,21 +186,42 @@
         reply.end();
     }
 
-    /// Tells the key registry of a list that was read since the last time.
-    void passInstances()
+    void passWeight(const std::string &operatorName)
     {
-        const auto list = m_view.current();
-        if (list->asOf == m_listPassed) {
-            return;
+        if (const auto published = m_platform.state().findOperator(operatorName)) {
+            m_dispatcher.setWeight(operatorName, published->weight);
         }
-        m_listPassed = list->asOf;
-        std::vector<std::string> members;
-        for (const instances::instance &one : list->instances) {
-            if (one.kind == instances::instance_kind::sidecar && one.group == m_settings.group) {
-                members.push_back(one.id);
+    }
+
+    /// Tells the dispatcher what was published since the last time.
+    void passPublished()
+    {
+        bool changed = false;
+        if (const auto seen = m_platform.takeGroup()) {
+            m_dispatcher.onInstanceList(seen->asOf, seen->members);
+            if (seen->selfLeaving) {
+                m_dispatcher.drain();
             }
+            changed = seen->live != m_liveMembers;
+            m_liveMembers = std::max<std::size_t>(seen->live, 1);
+        }
+        auto group = m_platform.state().findGroup(m_settings.group);
+        changed = changed || group != m_group;
+        m_group = std::move(group);
+        if (changed && m_group) {
+            passGroup();
         }
-        m_dispatcher.onInstanceList(list->asOf, members);
+    }
+
+    /// Each live sidecar of the group has an equal share of the store.
+    void passGroup()
+    {
+        m_dispatcher.setSizes(m_group->slots, m_group->batchSize);
+        const auto members = static_cast<double>(m_liveMembers);
+        m_dispatcher.update([&] {
+            m_budget.configure(m_group->storeLoadsPerSecond / members, m_group->storeLoadsAtOnce,
+                               std::max<std::size_t>(m_group->storeLoadsAtOnce / m_liveMembers, 1), m_clock.now());
+        });
     }
 
     peer::load_report report() const
@@ -207,7 +236,7 @@
         said.slots = static_cast<std::uint32_t>(state.slots);
         said.leaving = state.draining || state.superseded;
         said.adapters = state.adapters;
-        said.newestTicket = m_state.newest();
+        said.newestTicket = m_platform.state().newest();
         return said;
     }
 
@@ -233,8 +262,9 @@
                                        {"superseded", state.superseded},
                                        {"pauses", state.pauses},
                                        {"keys", state.keys},
-                                       {"newest_ticket", m_state.newest()},
-                                       {"load_watchers", m_reporter->watchers()}};
+                                       {"newest_ticket", m_platform.state().newest()},
+                                       {"load_watchers", m_reporter->watchers()},
+                                       {"platform", nlohmann::json::parse(m_platform.statusJson())}};
         return answer.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
     }
 
@@ -243,7 +273,7 @@
         if (m_stopped) {
             return;
         }
-        passInstances();
+        passPublished();
         m_dispatcher.tick();
         const auto now = m_clock.now();
         if (m_reporter->due(now)) {
@@ -291,9 +321,8 @@
     placement::paced_load_budget m_budget;
     http::client m_client;
     std::unique_ptr<engine::target_driver> m_driver;
-    tickets::state m_state;
-    instances::view m_view;
     peer::client m_peerClient;
+    detail::platform_link m_platform;
     detail::seal_asker m_seals;
     dispatcher m_dispatcher;
     std::shared_ptr<detail::load_reporter> m_reporter;
@@ -306,7 +335,9 @@
     /// Used on the strand only.
     std::optional<core::monotonic_time> m_draining;
     bool m_closing = false;
-    core::wall_time m_listPassed{};
+    /// The published group that the dispatcher knows.
+    std::shared_ptr<const tickets::group_state> m_group;
+    std::size_t m_liveMembers = 1;
     std::function<void()> m_onDrained;
 };
 
