Give sidecars a little less time than the caller and ask the holder of a key

A sidecar that refuses at its deadline can prove that nothing ran; its refusal has to arrive before the entry gives up with an unproven outcome. A refusal that names the key's holder sends the next attempt there.

--- a/libs/entry/src/request_run.cpp
+++ b/libs/entry/src/request_run.cpp
@@ -20,6 +20,16 @@
 
 constexpr auto targetPollInterval = 100ms;
 constexpr auto noTargetRetryAfter = 1'000ms;
+/// Part of the time left that is kept back, so that a sidecar's refusal at its deadline, which may prove that nothing
+/// ran, arrives before ours.
+constexpr int answerShare = 10;
+constexpr auto maxAnswerTime = 25ms;
+
+std::chrono::milliseconds sidecarDeadline(std::chrono::nanoseconds left)
+{
+    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(left);
+    return whole - std::min<std::chrono::milliseconds>(whole / answerShare, maxAnswerTime);
+}
 
 } // namespace
 
@@ -151,7 +161,7 @@
     message.kind = m_request.kind;
     message.operatorName = m_request.operatorName;
     message.priority = m_request.priority;
-    message.deadlineLeft = std::chrono::duration_cast<std::chrono::milliseconds>(m_request.deadline - now);
+    message.deadlineLeft = sidecarDeadline(m_request.deadline - now);
     message.adapter = m_request.adapter;
     message.baseModel = m_request.baseModel;
     message.service = m_request.service;
--- a/libs/entry/tests/test_request_run.cpp
+++ b/libs/entry/tests/test_request_run.cpp
@@ -322,6 +322,35 @@
     BOOST_TEST(errorField(streaming, "outcome") == "ran");
 }
 
+BOOST_AUTO_TEST_CASE(a_sidecar_is_given_a_little_less_time_so_that_its_refusal_arrives_first)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::completion(), 500ms);
+    BOOST_TEST((fixture.lastRun().deadlineLeft == 475ms));
+    fixture.start(run_fixture::completion(), 40ms);
+    BOOST_TEST((fixture.lastRun().deadlineLeft == 36ms));
+}
+
+BOOST_AUTO_TEST_CASE(the_holder_of_a_key_is_asked_what_became_of_it)
+{
+    run_fixture fixture;
+    fixture.start(run_fixture::pivotStart());
+    const std::uint16_t first = fixture.link.streams[0].to.port;
+    const std::uint16_t holder = first == 203 ? 201 : 203;
+    auto message = refusal(core::outcome::unknown, false);
+    message.code = "held_by_other_replica";
+    message.holderId = holder == 203 ? "pivot-3" : "pivot-1";
+    fixture.deliver(message);
+    fixture.steps.advance(1ms);
+    BOOST_TEST_REQUIRE(fixture.link.streams.size() == 2U);
+    BOOST_TEST(fixture.link.streams[1].to.port == holder);
+    // It names itself: no going in circles.
+    fixture.deliver(message);
+    fixture.steps.advance(1ms);
+    BOOST_TEST(fixture.link.streams.size() == 2U);
+    BOOST_TEST(errorField(fixture, "outcome") == "unknown");
+}
+
 BOOST_AUTO_TEST_CASE(without_a_target_a_request_waits_a_little_and_is_then_refused)
 {
     run_fixture fixture;
