--- a/libs/engine/include/medlarrack/engine/fence_source.hpp
+++ b/libs/engine/include/medlarrack/engine/fence_source.hpp
@@ -18,6 +18,8 @@
 
     /// The next number; each is larger than the one before.
     [[nodiscard]] std::uint64_t next();
+    /// Whether no number has been taken since this one.
+    [[nodiscard]] bool isNewest(std::uint64_t fence) const;
     /// A target answered that a newer process gives orders: this one must not give any more.
     void supersede();
     [[nodiscard]] bool superseded() const;
--- a/libs/engine/src/fence_source.cpp
+++ b/libs/engine/src/fence_source.cpp
@@ -17,6 +17,11 @@
     return ++m_last;
 }
 
+bool fence_source::isNewest(std::uint64_t fence) const
+{
+    return fence == m_last;
+}
+
 void fence_source::supersede()
 {
     m_superseded = true;
--- a/libs/sidecar/src/dispatcher_impl.hpp
+++ b/libs/sidecar/src/dispatcher_impl.hpp
@@ -116,6 +116,7 @@
     void markCrashed(std::uint64_t restartedMs);
     [[nodiscard]] std::vector<suspect> takeSettled(bool answered, core::monotonic_time now);
     void give(const placement::slot_order &order, std::uint64_t pauses, std::uint64_t engineRun);
+    void giveAgain(const placement::slot_order &order, std::uint64_t engineRun);
     void orderEnded(const placement::slot_order &order, engine::order_end end, std::uint64_t engineRun);
     effects supersede(core::monotonic_time now);
 
--- a/libs/sidecar/src/dispatcher_target.cpp
+++ b/libs/sidecar/src/dispatcher_target.cpp
@@ -160,8 +160,14 @@
         return;
     }
     const std::uint64_t fence = m_fences.next();
-    const auto ended = [weak = weak_from_this(), order, engineRun](order_end end) {
-        if (const auto self = weak.lock()) {
+    const auto ended = [weak = weak_from_this(), order, engineRun, fence](order_end end) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        if (end == order_end::old_fence && !self->m_fences.isNewest(fence)) {
+            self->giveAgain(order, engineRun);
+        } else {
             self->orderEnded(order, end, engineRun);
         }
     };
@@ -172,6 +178,14 @@
     }
 }
 
+void dispatcher::impl::giveAgain(const slot_order &order, std::uint64_t engineRun)
+{
+    // A later order of this process may have overtaken it on the wire: no proof of another process.
+    m_parts.metrics.count("medlarrack_sidecar_orders_overtaken_total",
+                          "Orders refused as old after a later one was given, and given again.", {});
+    give(order, m_pauses.look(), engineRun);
+}
+
 void dispatcher::impl::orderEnded(const slot_order &order, order_end end, std::uint64_t engineRun)
 {
     const bool isLoad = order.what == slot_order::kind::load;
--- a/libs/sidecar/tests/test_dispatcher_faults.cpp
+++ b/libs/sidecar/tests/test_dispatcher_faults.cpp
@@ -157,6 +157,24 @@
     BOOST_TEST(bed.subject.state().superseded);
 }
 
+BOOST_AUTO_TEST_CASE(an_order_overtaken_by_a_later_one_of_the_same_sidecar_is_given_again)
+{
+    dispatcher_bed bed;
+    bed.bringUp();
+    const auto first = bed.submit(dispatcher_bed::completion("r1", "a"));
+    const auto second = bed.submit(dispatcher_bed::completion("r2", "b"));
+    BOOST_REQUIRE(bed.driver.orders.size() == 2U);
+    bed.driver.answerOrder(1, order_end::done);
+    bed.driver.answerOrder(0, order_end::old_fence);
+    BOOST_TEST(!bed.subject.state().superseded);
+    BOOST_REQUIRE(bed.driver.orders.size() == 3U);
+    BOOST_TEST(bed.driver.orders[2].adapter.toString() == "farm/a@v1");
+    BOOST_TEST(bed.driver.orders[2].fence > bed.driver.orders[1].fence);
+    // Refused with no later order given, it is proof.
+    bed.driver.answerOrder(2, order_end::old_fence);
+    BOOST_TEST(bed.subject.state().superseded);
+}
+
 BOOST_AUTO_TEST_CASE(a_new_sidecar_orders_nothing_before_it_knows_what_the_engine_holds)
 {
     dispatcher_bed bed;
