--- a/libs/http/src/restinio_responder.cpp
+++ b/libs/http/src/restinio_responder.cpp
@@ -69,7 +69,7 @@
     m_state = state::streaming;
     m_stream.emplace(m_request->create_response<restinio::chunked_output_t>(statusLine(status)));
     appendHeaders(*m_stream, headers);
-    m_stream->flush();
+    flushPending();
 }
 
 void restinio_responder::write(std::string_view piece)
@@ -78,18 +78,43 @@
     if (m_state != state::streaming || piece.empty()) {
         return;
     }
-    const std::size_t size = piece.size();
-    if (!m_link->addBuffered(size, m_maxBufferedBytes)) {
+    if (!m_link->addBuffered(piece.size(), m_maxBufferedBytes)) {
         // The caller reads too slowly. RESTinio drops what is queued once it notices.
         m_link->breakOff();
         return;
     }
-    m_stream->append_chunk(std::string(piece));
-    m_stream->flush([link = m_link, size](const auto &) {
+    m_pending.append(piece);
+    if (!m_writing) {
+        flushPending();
+    }
+}
+
+void restinio_responder::flushPending()
+{
+    const std::size_t size = m_pending.size();
+    m_writing = true;
+    m_stream->append_chunk(std::exchange(m_pending, {}));
+    m_stream->flush([link = m_link, size, weak = weak_from_this()](const auto &error) {
         link->removeBuffered(size);
+        // With an error RESTinio may call from within flush(), under the mutex; nothing is written then any more.
+        if (error) {
+            return;
+        }
+        if (const auto self = weak.lock()) {
+            self->onWritten();
+        }
     });
 }
 
+void restinio_responder::onWritten()
+{
+    const std::lock_guard lock(m_mutex);
+    m_writing = false;
+    if (m_state == state::streaming && !m_pending.empty()) {
+        flushPending();
+    }
+}
+
 void restinio_responder::end()
 {
     const std::lock_guard lock(m_mutex);
@@ -97,7 +122,10 @@
         return;
     }
     finish();
-    m_stream->done([link = m_link](const auto &) {
+    const std::size_t size = m_pending.size();
+    m_stream->append_chunk(std::exchange(m_pending, {}));
+    m_stream->done([link = m_link, size](const auto &) {
+        link->removeBuffered(size);
         link->requestFinished();
     });
 }
@@ -115,6 +143,7 @@
         return;
     }
     // Pieces written before go out first.
+    m_stream->append_chunk(std::exchange(m_pending, {}));
     m_stream->flush([link = m_link](const auto &) {
         link->breakOff();
     });
--- a/libs/http/src/restinio_responder.hpp
+++ b/libs/http/src/restinio_responder.hpp
@@ -16,8 +16,9 @@
 
 namespace medlarrack::http::detail {
 
-/// Answers one request through RESTinio. Its mutex is taken before that of the connection's link.
-class restinio_responder final : public responder
+/// Answers one request through RESTinio. Pieces that come while one is being written go out together after it. Its
+/// mutex is taken before that of the connection's link.
+class restinio_responder final : public responder, public std::enable_shared_from_this<restinio_responder>
 {
 public:
     restinio_responder(restinio::request_handle_t request, std::shared_ptr<connection_link> link,
@@ -41,6 +42,9 @@
     using stream_builder = restinio::response_builder_t<restinio::chunked_output_t>;
 
     void finish();
+    /// Hands all pending pieces to RESTinio as one chunk.
+    void flushPending();
+    void onWritten();
 
     std::shared_ptr<connection_link> m_link;
     std::size_t m_maxBufferedBytes;
@@ -48,6 +52,8 @@
     state m_state = state::waiting;
     restinio::request_handle_t m_request;
     std::optional<stream_builder> m_stream;
+    bool m_writing = false;
+    std::string m_pending;
     std::optional<connection_link::watch_id> m_watch;
 };
 
--- a/libs/http/tests/test_server.cpp
+++ b/libs/http/tests/test_server.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
+#include <string>
+#include <thread>
 
 using namespace medlarrack;
 using namespace medlarrack::http;
@@ -76,6 +78,29 @@
     BOOST_TEST((record.result->progress == client_progress::complete));
 }
 
+BOOST_AUTO_TEST_CASE(pieces_written_from_another_thread_keep_their_order)
+{
+    constexpr int pieces = 5'000;
+    std::string expected;
+    for (int i = 0; i < pieces; ++i) {
+        expected += std::to_string(i) + ";";
+    }
+    std::thread writer;
+    const auto server = serve([&](const request &, const std::shared_ptr<responder> &answer) {
+        writer = std::thread([answer] {
+            answer->begin(200, {});
+            for (int i = 0; i < pieces; ++i) {
+                answer->write(std::to_string(i) + ";");
+            }
+            answer->end();
+        });
+    });
+    const auto record = run({"GET", urlOf(server->port(), "/")});
+    writer.join();
+    BOOST_TEST((record.result->progress == client_progress::complete));
+    BOOST_TEST((record.body == expected));
+}
+
 BOOST_AUTO_TEST_CASE(a_broken_off_stream_is_never_complete)
 {
     const auto server = serve([](const request &received, const std::shared_ptr<responder> &answer) {
