Notice a pause also when readiness is asked for first

A woken process answered ready until its planner next ran; the test that should have seen it only looked at the end. ready() now notices the pause itself, the test watches the whole time, and peers in the tests answer later than the service, as a stale copy would be read first.

--- a/libs/config/src/update_planner.cpp
+++ b/libs/config/src/update_planner.cpp
@@ -269,6 +269,7 @@
 
 bool update_planner::ready(const ticket_position &position, core::monotonic_time now)
 {
+    m_impl->noticePause(now);
     return m_impl->gate.ready(position, now);
 }
 
--- a/libs/config/tests/planner_world.cpp
+++ b/libs/config/tests/planner_world.cpp
@@ -13,6 +13,8 @@
 
 constexpr auto stepTime = 10ms;
 constexpr auto peerTimeout = 500ms;
+/// Longer than the service's, so that a stale copy is read before peers answer.
+constexpr auto peerLatency = 30ms;
 constexpr std::uint64_t seed = 20261203;
 
 } // namespace
@@ -219,7 +221,7 @@
     }
     auto &asked = *found->second;
     const auto reply = detail::makeReply(*asked.state, asked.planner->ready(asked.position(), m_now), {question.after});
-    later(0ms, [this, &process, question, reply] {
+    later(peerLatency, [this, &process, question, reply] {
         const auto outcome = detail::applyReply(*process.state, question.after, reply);
         const bool unsure = outcome.more && reply.tickets.empty();
         const auto result = unsure ? peer_result::unsure : outcome.more ? peer_result::part : peer_result::whole;
--- a/libs/config/tests/test_distribution.cpp
+++ b/libs/config/tests/test_distribution.cpp
@@ -148,6 +148,21 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(the_first_reader_of_a_new_data_centre_does_not_trust_its_stale_copy, fleet)
+{
+    service.staleAt["zupanja"] = 1;
+    auto &fresh = add("zupanja-0", "zupanja");
+    bool servedOldState = false;
+    const auto learnt = [&] {
+        const bool ready = isReady(fresh, *this);
+        servedOldState |= ready && fresh.slots() != 3U;
+        return ready;
+    };
+    BOOST_TEST(runUntil(learnt, inForceLimit));
+    BOOST_TEST(fresh.planner->reads());
+    BOOST_TEST(!servedOldState);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_third_that_starts_anew_against_a_stale_copy_waits_for_the_others_state, fleet)
 {
     service.staleAt["dakovo"] = 1;
@@ -273,13 +288,15 @@
     service.publish();
     run(10s);
     paused.paused = false;
-    const auto wokeAt = now();
+    bool servedOldState = false;
     BOOST_TEST(runUntil(
         [&] {
-            return isReady(paused, *this) && paused.slots() == 4U;
+            const bool ready = isReady(paused, *this);
+            servedOldState |= ready && paused.slots() == 3U;
+            return ready && paused.slots() == 4U;
         },
         inForceLimit));
-    BOOST_TEST((now() > wokeAt));
+    BOOST_TEST(!servedOldState);
 }
 
 BOOST_FIXTURE_TEST_CASE(a_number_heard_in_a_message_is_fetched_from_its_sender, fleet)
