--- /dev/null
+++ b/bench/routing/routing_bench.cpp
@@ -0,0 +1,196 @@
+#include "allocation_counter.hpp"
+
+#include <medlarrack/routing/baseline_policies.hpp>
+#include <medlarrack/routing/bounded_load_policy.hpp>
+#include <medlarrack/routing/router.hpp>
+
+#include <benchmark/benchmark.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <tuple>
+
+// Time and allocations of one routing decision, over four sizes of the fleet.
+namespace {
+
+using namespace medlarrack;
+
+constexpr core::monotonic_time start{std::chrono::hours(1)};
+constexpr std::size_t slots = 8;
+/// Attempts in progress per target.
+constexpr std::size_t inFlightPerTarget = 4;
+
+std::vector<instances::instance> makeTargets(std::size_t count)
+{
+    std::vector<instances::instance> result;
+    for (std::size_t number = 0; number < count; ++number) {
+        instances::instance item;
+        item.id = "e-" + std::to_string(1'000'000 + number);
+        item.group = "assistant";
+        item.dataCentre = "dc-" + std::to_string(number % 22);
+        result.push_back(item);
+    }
+    return result;
+}
+
+std::unique_ptr<routing::routing_policy> makePolicy(int kind)
+{
+    switch (kind) {
+    case 0:
+        return std::make_unique<routing::bounded_load_policy>();
+    case 1:
+        return std::make_unique<routing::random_policy>(1);
+    case 2:
+        return std::make_unique<routing::least_outstanding_policy>();
+    default:
+        return std::make_unique<routing::rendezvous_policy>();
+    }
+}
+
+/// Adapters by a popularity that falls with their rank, drawn ahead so that drawing costs the loop nothing.
+std::vector<std::uint64_t> drawAdapters(std::size_t adapters)
+{
+    constexpr std::size_t draws = 1U << 18U;
+    std::vector<double> weights;
+    for (std::size_t rank = 1; rank <= adapters; ++rank) {
+        weights.push_back(1.0 / static_cast<double>(rank));
+    }
+    std::mt19937_64 random(20261203);
+    std::discrete_distribution<std::uint64_t> distribution(weights.begin(), weights.end());
+    std::vector<std::uint64_t> result;
+    for (std::size_t count = 0; count < draws; ++count) {
+        result.push_back(distribution(random) * 0x9e3779b97f4a7c15U + 1);
+    }
+    return result;
+}
+
+/// A fleet in use: each adapter has been routed once, targets have reported, and attempts are in progress.
+class running_fleet
+{
+public:
+    running_fleet(int policy, std::size_t targets, std::size_t adapters)
+        : m_router({.dataCentre = "dc-0"}, makePolicy(policy))
+        , m_adapters(drawAdapters(adapters))
+        , m_listed(makeTargets(targets))
+    {
+        m_router.update(m_listed, 10, start);
+        // Only the standard policy keeps something of each adapter.
+        for (std::size_t adapter = 0; policy == 0 && adapter < adapters; ++adapter) {
+            const routing::query asked = queryOf(adapter * 0x9e3779b97f4a7c15U + 1);
+            const auto chosen = m_router.choose(asked);
+            m_router.sent(chosen->target, asked);
+            m_router.ended(chosen->target, asked, routing::attempt_result::answered);
+        }
+        for (std::size_t count = 0; count < targets * inFlightPerTarget; ++count) {
+            step();
+        }
+        report();
+    }
+
+    /// A decision with its bookkeeping; the oldest attempt ends for each one that begins.
+    void step()
+    {
+        m_now += std::chrono::microseconds(100);
+        const routing::query asked = queryOf(m_adapters[m_next++ % m_adapters.size()]);
+        const auto chosen = m_router.choose(asked);
+        m_router.sent(chosen->target, asked);
+        m_inFlight[m_begun++ % m_inFlight.size()] = {chosen->target, asked.adapter};
+        if (m_begun >= m_listed.size() * inFlightPerTarget) {
+            const attempt &oldest = m_inFlight[(m_begun - m_listed.size() * inFlightPerTarget) % m_inFlight.size()];
+            m_router.ended(oldest.target, queryOf(oldest.adapter), routing::attempt_result::answered);
+        }
+    }
+
+    /// Removes a target and lists it again.
+    void churn()
+    {
+        const auto removed = m_listed.back();
+        m_listed.pop_back();
+        m_router.update(m_listed, 10, m_now);
+        m_listed.push_back(removed);
+        m_router.update(m_listed, 10, m_now);
+    }
+
+private:
+    struct attempt
+    {
+        routing::target_index target = 0;
+        std::uint64_t adapter = 0;
+    };
+
+    [[nodiscard]] routing::query queryOf(std::uint64_t adapter) const
+    {
+        routing::query asked;
+        asked.adapter = adapter;
+        asked.now = m_now;
+        return asked;
+    }
+
+    void report()
+    {
+        std::uint64_t sequence = 0;
+        for (const auto &item : m_listed) {
+            routing::target_report report{1, ++sequence, 4, 0, 16, slots, {}};
+            for (std::size_t slot = 0; slot < slots; ++slot) {
+                report.adapters.push_back(m_adapters[(sequence * slots + slot) % m_adapters.size()]);
+            }
+            m_router.takeReport(item.id, std::move(report), m_now);
+        }
+    }
+
+    routing::router m_router;
+    const std::vector<std::uint64_t> m_adapters;
+    std::vector<instances::instance> m_listed;
+    core::monotonic_time m_now = start;
+    std::size_t m_next = 0;
+    std::size_t m_begun = 0;
+    std::vector<attempt> m_inFlight = std::vector<attempt>(1U << 18U);
+};
+
+/// The fleet of a benchmark, kept over its repetitions.
+running_fleet &fleetOf(int policy, const benchmark::State &state)
+{
+    using fleet_size = std::tuple<int, std::int64_t, std::int64_t>;
+    static std::map<fleet_size, std::unique_ptr<running_fleet>> fleets;
+    auto &fleet = fleets[{policy, state.range(0), state.range(1)}];
+    if (!fleet) {
+        const auto targets = static_cast<std::size_t>(state.range(0));
+        fleet = std::make_unique<running_fleet>(policy, targets, static_cast<std::size_t>(state.range(1)));
+    }
+    return *fleet;
+}
+
+void decide(benchmark::State &state, int policy)
+{
+    running_fleet &fleet = fleetOf(policy, state);
+    const std::uint64_t before = allocationCount();
+    for (auto unused : state) {
+        fleet.step();
+    }
+    state.counters["allocations"] =
+        benchmark::Counter(static_cast<double>(allocationCount() - before), benchmark::Counter::kAvgIterations);
+}
+
+void change(benchmark::State &state)
+{
+    running_fleet &fleet = fleetOf(0, state);
+    for (auto unused : state) {
+        fleet.churn();
+    }
+}
+
+void sizes(benchmark::internal::Benchmark *benchmark)
+{
+    benchmark->Args({18, 3'000})->Args({300, 10'000})->Args({2'000, 30'000})->Args({10'000, 70'000});
+}
+
+BENCHMARK_CAPTURE(decide, bounded_load, 0)->Apply(sizes);
+BENCHMARK_CAPTURE(decide, random, 1)->Apply(sizes);
+BENCHMARK_CAPTURE(decide, least_outstanding, 2)->Apply(sizes);
+BENCHMARK_CAPTURE(decide, rendezvous, 3)->Apply(sizes);
+BENCHMARK(change)->Apply(sizes)->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/libs/routing/src/adapter_table.cpp
+++ b/libs/routing/src/adapter_table.cpp
@@ -115,9 +115,22 @@
 
 void adapter_table::chooseHomes(const target_table &targets, std::uint64_t adapter, adapter_record &record) const
 {
+    std::array<std::uint64_t, maxHomes> weights{};
     record.homeCount = 0;
     for (const target_index target : targets.candidates()) {
-        insertHome(targets, adapter, record, target);
+        const std::uint64_t weight = weightOf(targets, adapter, target);
+        if (record.homeCount == maxHomes && weight <= weights.back()) {
+            continue;
+        }
+        const std::size_t last = std::min<std::size_t>(record.homeCount, maxHomes - 1);
+        std::size_t place = last;
+        for (; place > 0 && weights[place - 1] < weight; --place) {
+            weights[place] = weights[place - 1];
+            record.homes[place] = record.homes[place - 1];
+        }
+        weights[place] = weight;
+        record.homes[place] = target;
+        record.homeCount = static_cast<std::uint8_t>(last + 1);
     }
     record.homesKnown = true;
 }
