--- a/libs/sidecar/src/sidecar_service.cpp
+++ b/libs/sidecar/src/sidecar_service.cpp
@@ -224,6 +224,14 @@
         });
     }
 
+    void showLoad(const peer::load_report &load)
+    {
+        m_metrics.gauge("medlarrack_sidecar_running", "Requests at the target.", {}, load.running);
+        m_metrics.gauge("medlarrack_sidecar_queued", "Requests in the queue.", {}, load.queued);
+        m_metrics.gauge("medlarrack_sidecar_places", "Requests that the target runs at once; 0 while it is down.", {},
+                        load.batchSize);
+    }
+
     peer::load_report report() const
     {
         const dispatcher_state state = m_dispatcher.state();
@@ -277,7 +285,9 @@
         m_dispatcher.tick();
         const auto now = m_clock.now();
         if (m_reporter->due(now)) {
-            m_reporter->publish(report(), now);
+            const peer::load_report load = report();
+            showLoad(load);
+            m_reporter->publish(load, now);
         }
         if (m_draining && drained(now)) {
             if (const auto callback = std::exchange(m_onDrained, nullptr)) {
