--- a/libs/tickets/include/medlarrack/tickets/state.hpp
+++ b/libs/tickets/include/medlarrack/tickets/state.hpp
@@ -25,12 +25,19 @@
     std::uint64_t contiguous = 0;
 };
 
+/// Whether the texts of tickets are kept for peers. They are most of the memory; a process that no peer asks needs
+/// none.
+enum class ticket_texts {
+    keep,
+    drop,
+};
+
 /// The published state in force: per object, what the ticket with the largest number says. Thread-safe; its one mutex
 /// is a leaf in the lock order. Looked-up objects stay valid after later changes.
 class state
 {
 public:
-    state();
+    explicit state(ticket_texts texts = ticket_texts::keep);
     ~state();
     state(const state &) = delete;
     state &operator=(const state &) = delete;
@@ -46,7 +53,7 @@
     /// Largest number n such that all tickets up to n are applied or marked as seen.
     [[nodiscard]] std::uint64_t contiguous() const;
     /// Published texts of the tickets that are still the newest of some object and have a number above the given one,
-    /// ascending, at most maxBytes in sum (at least one).
+    /// ascending, at most maxBytes in sum (at least one). None when texts are dropped.
     [[nodiscard]] text_page textsAfter(std::uint64_t number, std::size_t maxBytes) const;
 
     [[nodiscard]] std::shared_ptr<const operator_state> findOperator(std::string_view name) const;
--- a/libs/tickets/src/state.cpp
+++ b/libs/tickets/src/state.cpp
@@ -67,6 +67,12 @@
 class state::impl
 {
 public:
+    explicit impl(ticket_texts texts)
+        : keepsTexts(texts == ticket_texts::keep)
+    {
+    }
+
+    const bool keepsTexts;
     mutable std::shared_mutex mutex;
     object_table<operator_state> operators;
     /// By operator, then by the adapter's name within it.
@@ -109,7 +115,9 @@
         release(slot.ticket);
         slot.ticket = number;
         slot.value = value;
-        ++liveTickets[number].objects;
+        if (keepsTexts) {
+            ++liveTickets[number].objects;
+        }
     }
 
     void release(std::uint64_t number)
@@ -121,8 +129,8 @@
     }
 };
 
-state::state()
-    : m_impl(std::make_unique<impl>())
+state::state(ticket_texts texts)
+    : m_impl(std::make_unique<impl>(texts))
 {
 }
 
--- a/libs/tickets/tests/test_state.cpp
+++ b/libs/tickets/tests/test_state.cpp
@@ -193,6 +193,17 @@
     BOOST_TEST(tables.textsAfter(5, 1000).texts.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_state_without_texts_holds_the_same_objects)
+{
+    state tables(ticket_texts::drop);
+    tables.apply(adapterTicket(2, "a/x", adapterAt("v2")));
+    tables.apply(adapterTicket(1, "a/x", adapterAt("v1")));
+    BOOST_TEST(versionOf(tables, "a/x") == "v2");
+    BOOST_TEST(tables.contiguous() == 2U);
+    BOOST_TEST(tables.textsAfter(0, 1000).texts.empty());
+    BOOST_TEST(tables.textsAfter(0, 1000).contiguous == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_bearer_key_names_its_operator_also_when_names_hold_dots)
 {
     state tables;
