Bind keys to the replica that they go to

Cause: entries made unbound keys for calls without one, and POST /v1/idempotency-keys too; such calls were refused while the instance list was stale or a replica silent, for no gain. Change: keys made by an entry are bound to a replica's incarnation as last reported; bound keys go to their home first; callers' keys may be any printable text of up to 256 characters (libs/once says what each form gets).

--- a/libs/entry/src/call.hpp
+++ b/libs/entry/src/call.hpp
@@ -31,7 +31,7 @@
     std::string body;
     bool stream = false;
     bool idempotent = true;
-    /// Set when not idempotent.
+    /// Set when not idempotent; empty until the run begins when the caller gave none.
     std::string idempotencyKey;
     /// Hash of operator, adapter or service call, and body.
     std::uint64_t fingerprint = 0;
--- a/libs/entry/src/call_parser.cpp
+++ b/libs/entry/src/call_parser.cpp
@@ -2,6 +2,7 @@
 
 #include <medlarrack/core/hash.hpp>
 #include <medlarrack/core/uuid.hpp>
+#include <medlarrack/once/request_key.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -114,10 +115,8 @@
     if (value.idempotent) {
         copyHeader(request, "Idempotency-Key", value);
         value.idempotencyKey.clear();
-    } else if (value.idempotencyKey.empty()) {
-        value.idempotencyKey = core::makeUuid7(m_clock.wallNow());
     }
-    value.keyHash = value.idempotent ? 0 : core::hash64(value.idempotencyKey);
+    value.keyHash = value.idempotencyKey.empty() ? 0 : core::hash64(value.idempotencyKey);
     value.group = value.service;
     value.method = request.method;
     value.path = std::string(path) + request.target.substr(request.path().size());
@@ -139,8 +138,9 @@
         value.priority = *known;
     }
     if (const auto key = http::findHeader(request.headers, "Idempotency-Key")) {
-        if (!core::uuid7Time(*key)) {
-            return refuse(error, 400, "bad_idempotency_key", "Idempotency-Key must be a UUID of version 7");
+        if (!once::parseKey(*key)) {
+            return refuse(error, 400, "bad_idempotency_key",
+                          "Idempotency-Key must be 1 to 256 printable ASCII characters without spaces");
         }
         value.idempotencyKey = *key;
     }
--- a/libs/entry/src/front.cpp
+++ b/libs/entry/src/front.cpp
@@ -254,7 +254,10 @@
                {403, "service_not_allowed", "this operator may not call the service", core::outcome::not_run, {}});
         return;
     }
-    respondJson(responder, dump({{"idempotency_key", core::makeUuid7(m_environment->clock.wallNow())}}));
+    routing::query asked;
+    asked.now = m_environment->clock.now();
+    std::string key = m_environment->targets.makeKey(body["service"].get_ref<const std::string &>(), asked);
+    respondJson(responder, dump({{"idempotency_key", std::move(key)}}));
 }
 
 void front::refuse(http::responder &responder, const error_answer &error) const
--- a/libs/entry/src/request_run.cpp
+++ b/libs/entry/src/request_run.cpp
@@ -4,7 +4,9 @@
 #include "run_metrics.hpp"
 #include "shared_suspects.hpp"
 
+#include <medlarrack/core/hash.hpp>
 #include <medlarrack/entry/sidecar_link.hpp>
+#include <medlarrack/once/request_key.hpp>
 #include <medlarrack/tickets/state.hpp>
 #include <medlarrack/trace/recorder.hpp>
 
@@ -63,6 +65,7 @@
 void request_run::start()
 {
     m_environment->retries.earn();
+    settleKey();
     note("accepted", {},
          {{"operator", m_request.operatorName},
           {"class", core::toString(m_request.priority)},
@@ -76,6 +79,22 @@
     choose();
 }
 
+void request_run::settleKey()
+{
+    if (m_request.idempotent) {
+        return;
+    }
+    if (m_request.idempotencyKey.empty()) {
+        m_request.idempotencyKey = m_environment->targets.makeKey(m_request.group, query());
+        m_request.keyHash = core::hash64(m_request.idempotencyKey);
+    }
+    const auto key = once::parseKey(m_request.idempotencyKey);
+    if (key && key->home) {
+        // Only there can it run.
+        m_askAgain = key->home->id;
+    }
+}
+
 void request_run::choose()
 {
     m_state = state::waiting;
--- a/libs/entry/src/request_run.hpp
+++ b/libs/entry/src/request_run.hpp
@@ -61,6 +61,8 @@
     };
 
     void start();
+    /// Makes the key of a request that lacks one, and goes first to the home of a bound key.
+    void settleKey();
     void choose();
     void noTarget();
     [[nodiscard]] std::optional<chosen_target> chooseTarget();
@@ -104,7 +106,7 @@
     void note(std::string_view what, std::string_view why = {}, std::initializer_list<trace::fact> known = {});
 
     const std::shared_ptr<const run_environment> m_environment;
-    const call m_request;
+    call m_request;
     std::unique_ptr<scheduler> m_steps;
     std::unique_ptr<admission::permit> m_permit;
     answer_relay m_relay;
--- a/libs/entry/src/target_directory.cpp
+++ b/libs/entry/src/target_directory.cpp
@@ -1,6 +1,8 @@
 #include "target_directory.hpp"
 
 #include <medlarrack/core/hash.hpp>
+#include <medlarrack/core/uuid.hpp>
+#include <medlarrack/once/request_key.hpp>
 #include <medlarrack/routing/bounded_load_policy.hpp>
 
 #include <nlohmann/json.hpp>
@@ -121,6 +123,25 @@
     return found->take({*index, routing::choice_reason::same_again, targets.at(*index).load(), 0}, asked);
 }
 
+std::string target_directory::makeKey(std::string_view group, const routing::query &asked)
+{
+    const core::wall_time birth = m_clock.wallNow();
+    const auto found = find(group);
+    if (!found) {
+        return core::makeUuid7(birth);
+    }
+    const std::lock_guard lock(found->mutex);
+    const auto decision = found->router.choose(asked);
+    if (!decision) {
+        return core::makeUuid7(birth);
+    }
+    const auto &home = found->router.targets().at(decision->target);
+    if (!home.reported) {
+        return core::makeUuid7(birth);
+    }
+    return once::makeBoundKey(birth, {home.instance.id, home.report.incarnation});
+}
+
 void target_directory::ended(std::string_view group, routing::target_index target, const routing::query &asked,
                              routing::attempt_result result, std::string_view cause)
 {
--- a/libs/entry/src/target_directory.hpp
+++ b/libs/entry/src/target_directory.hpp
@@ -51,6 +51,9 @@
     /// As choose(), but the target named, if it still takes work.
     [[nodiscard]] std::optional<chosen_target> again(std::string_view group, std::string_view id,
                                                      const routing::query &asked);
+    /// Makes an idempotency key bound to a target of the group that could take a request now; an unbound one while no
+    /// target has told its incarnation. Counts no attempt.
+    [[nodiscard]] std::string makeKey(std::string_view group, const routing::query &asked);
     void ended(std::string_view group, routing::target_index target, const routing::query &asked,
                routing::attempt_result result, std::string_view cause);
 
--- a/libs/entry/tests/test_request_run.cpp
+++ b/libs/entry/tests/test_request_run.cpp
@@ -1,5 +1,7 @@
 #include "fakes.hpp"
 
+#include <medlarrack/once/request_key.hpp>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -201,6 +203,32 @@
     BOOST_TEST(fixture.caller->header("Idempotency-Key") == fixture.lastRun().idempotencyKey);
 }
 
+BOOST_AUTO_TEST_CASE(a_call_without_a_key_gets_one_bound_to_the_replica_that_it_goes_to)
+{
+    run_fixture fixture;
+    for (const std::string id : {"pivot-1", "pivot-2", "pivot-3"}) {
+        fixture.targets.takeReport(id, peer::load_report{{id, 40}, 1});
+    }
+    auto request = run_fixture::pivotStart();
+    request.idempotencyKey.clear();
+    request.keyHash = 0;
+    fixture.start(std::move(request));
+    const auto key = once::parseKey(fixture.lastRun().idempotencyKey);
+    BOOST_TEST_REQUIRE((key && key->home));
+    BOOST_TEST(key->home->incarnation == 40U);
+    BOOST_TEST(key->home->id == "pivot-" + std::to_string(fixture.link.streams[0].to.port - 200));
+}
+
+BOOST_DATA_TEST_CASE(a_bound_key_is_sent_to_its_home, data::make({1, 2, 3}), number)
+{
+    run_fixture fixture;
+    auto request = run_fixture::pivotStart();
+    request.idempotencyKey =
+        once::makeBoundKey(fixture.clock.wallNow(), {"pivot-" + std::to_string(number), 7});
+    fixture.start(std::move(request));
+    BOOST_TEST(fixture.link.streams[0].to.port == 200 + number);
+}
+
 BOOST_DATA_TEST_CASE(the_final_answer_claims_only_what_is_proven,
                      data::make(allBreaks) * data::make({false, true}) * data::make({false, true}), point, keyed,
                      stream)
