--- a/libs/entry/src/answer_relay.cpp
+++ b/libs/entry/src/answer_relay.cpp
@@ -76,7 +76,7 @@
         return result::taken;
     }
     if (m_body.size() + fresh->size() > m_maxAnswerBytes) {
-        return result::tooLarge;
+        return result::too_large;
     }
     m_body += *fresh;
     return result::taken;
--- a/libs/entry/src/answer_relay.hpp
+++ b/libs/entry/src/answer_relay.hpp
@@ -24,7 +24,7 @@
         /// The answer doesn't fit together; the attempt is broken.
         broken,
         /// A whole answer is larger than allowed.
-        tooLarge,
+        too_large,
     };
 
     answer_relay(const call &request, std::shared_ptr<http::responder> responder, std::size_t maxAnswerBytes);
--- a/libs/entry/src/entry_service.cpp
+++ b/libs/entry/src/entry_service.cpp
@@ -134,8 +134,8 @@
                 m_front.handleAdmin(request, *responder);
             };
         } else {
-            handler = [this](http::request request, const std::shared_ptr<http::responder> &responder) {
-                m_front.handleCaller(std::move(request), responder, !m_settings.admin);
+            handler = [this](const http::request &request, const std::shared_ptr<http::responder> &responder) {
+                m_front.handleCaller(request, responder, !m_settings.admin);
             };
         }
         server = std::make_unique<http::server>(m_context, serverLimits(settings), std::move(handler));
--- a/libs/entry/src/front.cpp
+++ b/libs/entry/src/front.cpp
@@ -75,7 +75,7 @@
 {
 }
 
-void front::handleCaller(http::request request, const std::shared_ptr<http::responder> &responder,
+void front::handleCaller(const http::request &request, const std::shared_ptr<http::responder> &responder,
                          bool withOperatorPages)
 {
     if (healthPage(request, *responder) || (withOperatorPages && operatorPage(request, *responder))) {
--- a/libs/entry/src/front.hpp
+++ b/libs/entry/src/front.hpp
@@ -39,7 +39,8 @@
           metrics::registry &registry, front_hooks hooks);
 
     /// A request on the callers' port. Operators' pages are served there too when they have no port of their own.
-    void handleCaller(http::request request, const std::shared_ptr<http::responder> &responder, bool withOperatorPages);
+    void handleCaller(const http::request &request, const std::shared_ptr<http::responder> &responder,
+                      bool withOperatorPages);
     /// A request on the operators' port.
     void handleAdmin(const http::request &request, http::responder &responder) const;
     /// New requests get "Connection: close" from now on.
--- a/libs/entry/src/request_run.cpp
+++ b/libs/entry/src/request_run.cpp
@@ -1,6 +1,7 @@
 #include "request_run.hpp"
 
 #include "retry_budget.hpp"
+#include "run_message.hpp"
 #include "run_metrics.hpp"
 #include "shared_suspects.hpp"
 
@@ -20,16 +21,6 @@
 
 constexpr auto targetPollInterval = 100ms;
 constexpr auto noTargetRetryAfter = 1'000ms;
-/// Part of the time left that is kept back, so that a sidecar's refusal at its deadline, which may prove that nothing
-/// ran, arrives before ours.
-constexpr int answerShare = 10;
-constexpr auto maxAnswerTime = 25ms;
-
-std::chrono::milliseconds sidecarDeadline(std::chrono::nanoseconds left)
-{
-    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(left);
-    return whole - std::min<std::chrono::milliseconds>(whole / answerShare, maxAnswerTime);
-}
 
 } // namespace
 
@@ -155,26 +146,10 @@
 peer::run_request request_run::requestMessage() const
 {
     const auto now = m_environment->clock.now();
-    peer::run_request message;
-    message.requestId = m_request.requestId;
+    auto message = makeRunRequest(m_request, m_request.deadline - now);
     message.attempt = m_attempt;
-    message.kind = m_request.kind;
-    message.operatorName = m_request.operatorName;
-    message.priority = m_request.priority;
-    message.deadlineLeft = sidecarDeadline(lastMoment() - now);
-    message.adapter = m_request.adapter;
-    message.baseModel = m_request.baseModel;
-    message.service = m_request.service;
-    message.method = m_request.method;
-    message.path = m_request.path;
-    message.headers = m_request.headers;
-    message.body = m_request.body;
-    message.idempotent = m_request.idempotent;
-    message.idempotencyKey = m_request.idempotencyKey;
-    message.stream = m_request.stream;
     message.resumeFrom = m_relay.relayedBytes();
     message.newestTicket = m_environment->tickets.newest();
-    message.fingerprint = m_request.fingerprint;
     message.crashes = m_environment->suspects.crashes(m_request.fingerprint, now);
     return message;
 }
@@ -344,7 +319,7 @@
         m_environment->link.cancel(m_stream);
         attemptBroken("answer_broken", "the pieces of the answer don't fit together");
         return;
-    case answer_relay::result::tooLarge:
+    case answer_relay::result::too_large:
         giveUp({502, "answer_too_large", "the answer is larger than allowed", core::outcome::ran, {}});
         return;
     }
--- a/libs/entry/tests/test_request_run.cpp
+++ b/libs/entry/tests/test_request_run.cpp
@@ -14,24 +14,25 @@
 
 /// Where on its path an attempt breaks.
 enum class break_point {
-    notProcessed,
-    beforeAccept,
-    silentSidecar,
-    afterAccept,
-    afterHead,
-    inBody,
-    endWithoutMark,
-    gapInBody,
-    wrongTotal,
-    refusedElsewhere,
-    refusedUnknown,
+    not_processed,
+    before_accept,
+    silent_sidecar,
+    after_accept,
+    after_head,
+    in_body,
+    end_without_mark,
+    gap_in_body,
+    wrong_total,
+    refused_elsewhere,
+    refused_unknown,
     crashed,
 };
 
 constexpr std::array<break_point, 12> allBreaks = {
-    break_point::notProcessed, break_point::beforeAccept,     break_point::silentSidecar,  break_point::afterAccept,
-    break_point::afterHead,    break_point::inBody,           break_point::endWithoutMark, break_point::gapInBody,
-    break_point::wrongTotal,   break_point::refusedElsewhere, break_point::refusedUnknown, break_point::crashed};
+    break_point::not_processed,     break_point::before_accept,   break_point::silent_sidecar,
+    break_point::after_accept,      break_point::after_head,      break_point::in_body,
+    break_point::end_without_mark,  break_point::gap_in_body,     break_point::wrong_total,
+    break_point::refused_elsewhere, break_point::refused_unknown, break_point::crashed};
 
 std::ostream &operator<<(std::ostream &out, break_point point)
 {
@@ -59,48 +60,48 @@
 void breakAt(run_fixture &fixture, break_point point)
 {
     switch (point) {
-    case break_point::notProcessed:
+    case break_point::not_processed:
         fixture.endStream(peer::stream_end::not_processed);
         return;
-    case break_point::beforeAccept:
+    case break_point::before_accept:
         fixture.endStream(peer::stream_end::broken);
         return;
-    case break_point::silentSidecar: {
+    case break_point::silent_sidecar: {
         const auto &stream = fixture.link.streams.back();
         while (!stream.cancelled) {
             fixture.steps.advance(1ms);
         }
         return;
     }
-    case break_point::afterAccept:
+    case break_point::after_accept:
         fixture.accept();
         fixture.endStream(peer::stream_end::broken);
         return;
-    case break_point::afterHead:
+    case break_point::after_head:
         fixture.accept();
         fixture.head();
         fixture.endStream(peer::stream_end::broken);
         return;
-    case break_point::inBody:
+    case break_point::in_body:
         beginBody(fixture);
         fixture.endStream(peer::stream_end::broken);
         return;
-    case break_point::endWithoutMark:
+    case break_point::end_without_mark:
         beginBody(fixture);
         fixture.endStream(peer::stream_end::finished);
         return;
-    case break_point::gapInBody:
+    case break_point::gap_in_body:
         beginBody(fixture);
         fixture.piece(5, "r");
         return;
-    case break_point::wrongTotal:
+    case break_point::wrong_total:
         beginBody(fixture);
         fixture.deliver(peer::run_end{0, 7});
         return;
-    case break_point::refusedElsewhere:
+    case break_point::refused_elsewhere:
         fixture.deliver(refusal(core::outcome::not_run, true));
         return;
-    case break_point::refusedUnknown:
+    case break_point::refused_unknown:
         fixture.accept();
         fixture.deliver(refusal(core::outcome::unknown, false));
         return;
@@ -115,13 +116,13 @@
 core::outcome provenAt(break_point point)
 {
     switch (point) {
-    case break_point::notProcessed:
-    case break_point::refusedElsewhere:
+    case break_point::not_processed:
+    case break_point::refused_elsewhere:
         return core::outcome::not_run;
-    case break_point::beforeAccept:
-    case break_point::silentSidecar:
-    case break_point::afterAccept:
-    case break_point::refusedUnknown:
+    case break_point::before_accept:
+    case break_point::silent_sidecar:
+    case break_point::after_accept:
+    case break_point::refused_unknown:
     case break_point::crashed:
         return core::outcome::unknown;
     default:
@@ -131,7 +132,7 @@
 
 bool isFinal(break_point point, bool idempotent)
 {
-    return point == break_point::refusedUnknown || (point == break_point::crashed && !idempotent);
+    return point == break_point::refused_unknown || (point == break_point::crashed && !idempotent);
 }
 
 std::string errorField(const run_fixture &fixture, const char *name)
@@ -194,7 +195,7 @@
     BOOST_TEST(fixture.lastRun().idempotencyKey == fixture.link.streams[0].run().idempotencyKey);
     // A target that may have run the key is asked again first; one that proved it hasn't isn't.
     const bool sameTarget = fixture.link.streams[0].to == fixture.link.streams[1].to;
-    const bool proven = point == break_point::notProcessed || point == break_point::refusedElsewhere;
+    const bool proven = point == break_point::not_processed || point == break_point::refused_elsewhere;
     BOOST_TEST(sameTarget == !proven);
     fixture.answer();
     BOOST_TEST(fixture.caller->body == "answer");
