--- a/libs/tickets/include/medlarrack/tickets/objects.hpp
+++ b/libs/tickets/include/medlarrack/tickets/objects.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +28,42 @@
     double weight = 1;
 };
 
+/// A version of an adapter and where its weights come from.
+struct adapter_version
+{
+    std::string name;
+    std::string source;
+};
+
+/// An adapter's few versions, sorted by name; kept in one piece, as there are very many adapters.
+class version_list
+{
+public:
+    /// False when a version of that name is there already.
+    bool emplace(std::string name, std::string source);
+    [[nodiscard]] bool contains(std::string_view name) const;
+
+    [[nodiscard]] auto begin() const
+    {
+        return m_versions.begin();
+    }
+    [[nodiscard]] auto end() const
+    {
+        return m_versions.end();
+    }
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_versions.size();
+    }
+    void shrink()
+    {
+        m_versions.shrink_to_fit();
+    }
+
+private:
+    std::vector<adapter_version> m_versions;
+};
+
 struct adapter_state
 {
     std::string baseModel;
@@ -35,8 +71,7 @@
     std::string group;
     /// The version that a request without one runs on.
     std::string current;
-    /// Source of each version.
-    std::map<std::string, std::string, std::less<>> versions;
+    version_list versions;
 };
 
 /// A kind of call of a plain service.
--- a/libs/tickets/src/object_checks.cpp
+++ b/libs/tickets/src/object_checks.cpp
@@ -102,6 +102,7 @@
         }
         result.versions.emplace(member.key(), parseVersion(member.value(), memberPointer, sink));
     }
+    result.versions.shrink();
 }
 
 service_call parseCall(const nlohmann::json &value, const std::string &pointer, fault_sink &sink)
--- a/libs/tickets/src/objects.cpp
+++ b/libs/tickets/src/objects.cpp
@@ -1,6 +1,7 @@
 #include <medlarrack/tickets/objects.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarrack::tickets {
 
@@ -39,8 +40,32 @@
     return pattern == path ? path.size() + 1 : 0;
 }
 
+auto position(const std::vector<adapter_version> &versions, std::string_view name)
+{
+    return std::lower_bound(versions.begin(), versions.end(), name,
+                            [](const adapter_version &left, std::string_view right) {
+                                return left.name < right;
+                            });
+}
+
 } // namespace
 
+bool version_list::emplace(std::string name, std::string source)
+{
+    if (contains(name)) {
+        return false;
+    }
+    const auto place = position(m_versions, name);
+    m_versions.insert(place, {std::move(name), std::move(source)});
+    return true;
+}
+
+bool version_list::contains(std::string_view name) const
+{
+    const auto found = position(m_versions, name);
+    return found != m_versions.end() && found->name == name;
+}
+
 bool service_state::isIdempotent(std::string_view method, std::string_view path) const
 {
     const auto plain = path.substr(0, path.find('?'));
