--- a/libs/sidecar/include/medlarrack/sidecar/dispatcher.hpp
+++ b/libs/sidecar/include/medlarrack/sidecar/dispatcher.hpp
@@ -98,7 +98,7 @@
     dispatcher &operator=(const dispatcher &) = delete;
 
     /// Takes a request and answers on the stream.
-    void submit(peer::run_request request, std::shared_ptr<peer::reply_stream> reply);
+    void submit(peer::run_request request, const std::shared_ptr<peer::reply_stream> &reply);
     /// To be called every few tens of milliseconds: deadlines, polls of the target, detection of pauses.
     void tick();
     /// Takes no new work from now on; work in progress goes on.
--- a/libs/sidecar/include/medlarrack/sidecar/scheduler.hpp
+++ b/libs/sidecar/include/medlarrack/sidecar/scheduler.hpp
@@ -111,8 +111,8 @@
     [[nodiscard]] std::optional<refusal> refuseForBackoff(const overload::queue_item &item,
                                                           core::monotonic_time now) const;
     [[nodiscard]] bool mayRun(const overload::queue_item &item) const;
-    void refuse(std::vector<overload::queue_item> items, const core::reason &why, std::chrono::milliseconds retryAfter,
-                core::monotonic_time now, effects &to);
+    void refuse(const std::vector<overload::queue_item> &items, const core::reason &why,
+                std::chrono::milliseconds retryAfter, core::monotonic_time now, effects &to);
     void noteStalls(const core::adapter_ref &adapter, core::monotonic_time now);
     void startRuns(core::monotonic_time now, effects &to);
     void giveOrders(core::monotonic_time now, effects &to);
--- a/libs/sidecar/src/dispatcher.cpp
+++ b/libs/sidecar/src/dispatcher.cpp
@@ -33,7 +33,7 @@
     m_scheduler.allowOrders(false);
 }
 
-void dispatcher::impl::submit(peer::run_request message, std::shared_ptr<peer::reply_stream> reply)
+void dispatcher::impl::submit(peer::run_request message, const std::shared_ptr<peer::reply_stream> &reply)
 {
     request_ptr request;
     std::optional<core::reason> refused;
@@ -330,9 +330,9 @@
 
 dispatcher::~dispatcher() = default;
 
-void dispatcher::submit(peer::run_request request, std::shared_ptr<peer::reply_stream> reply)
+void dispatcher::submit(peer::run_request request, const std::shared_ptr<peer::reply_stream> &reply)
 {
-    m_impl->submit(std::move(request), std::move(reply));
+    m_impl->submit(std::move(request), reply);
 }
 
 void dispatcher::tick()
--- a/libs/sidecar/src/dispatcher_impl.hpp
+++ b/libs/sidecar/src/dispatcher_impl.hpp
@@ -26,7 +26,7 @@
 public:
     impl(dispatcher_options options, dispatcher_parts parts);
 
-    void submit(peer::run_request request, std::shared_ptr<peer::reply_stream> reply);
+    void submit(peer::run_request request, const std::shared_ptr<peer::reply_stream> &reply);
     void tick();
     void drain();
     [[nodiscard]] bool idle() const;
--- a/libs/sidecar/src/load_reporter.cpp
+++ b/libs/sidecar/src/load_reporter.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-void load_reporter::add(std::shared_ptr<peer::reply_stream> watcher, peer::load_report report)
+void load_reporter::add(const std::shared_ptr<peer::reply_stream> &watcher, peer::load_report report)
 {
     std::uint64_t id = 0;
     {
--- a/libs/sidecar/src/load_reporter.hpp
+++ b/libs/sidecar/src/load_reporter.hpp
@@ -19,7 +19,7 @@
 {
 public:
     /// Adds a watcher and sends it the report.
-    void add(std::shared_ptr<peer::reply_stream> watcher, peer::load_report report);
+    void add(const std::shared_ptr<peer::reply_stream> &watcher, peer::load_report report);
     /// Whether reports may be sent now.
     [[nodiscard]] bool due(core::monotonic_time now) const;
     /// Sends a report to all watchers if it differs from the one before.
--- a/libs/sidecar/src/scheduler.cpp
+++ b/libs/sidecar/src/scheduler.cpp
@@ -65,8 +65,8 @@
     }
     const std::uint64_t request = item.id;
     auto pushed = m_queue.push(std::move(item), m_limits.concurrency, now);
-    refuse(std::move(pushed.displaced), {"queue_full", "more urgent work took the place in the queue"},
-           pushed.retryAfter, now, result);
+    refuse(pushed.displaced, {"queue_full", "more urgent work took the place in the queue"}, pushed.retryAfter, now,
+           result);
     if (!pushed.queued) {
         result.refusals.push_back({request, std::move(pushed.why), pushed.retryAfter, true});
         return result;
@@ -123,11 +123,10 @@
     (void)m_slots.loadEnded(adapter, toLoadEnd(end), now);
     const auto until = m_slots.backoff(adapter, now);
     if (until && isAdapterFault(end)) {
-        auto waiting = m_queue.takeIf([&adapter](const queue_item &item) {
+        const auto waiting = m_queue.takeIf([&adapter](const queue_item &item) {
             return item.adapter == adapter;
         });
-        refuse(std::move(waiting), {"load_failed", "the target could not load the adapter"}, roundUp(*until - now), now,
-               result);
+        refuse(waiting, {"load_failed", "the target could not load the adapter"}, roundUp(*until - now), now, result);
     }
     pump(now, result);
     return result;
@@ -248,8 +247,8 @@
     return item.adapter.adapter.empty() || m_slots.isReady(item.adapter);
 }
 
-void scheduler::refuse(std::vector<queue_item> items, const core::reason &why, std::chrono::milliseconds retryAfter,
-                       core::monotonic_time now, effects &to)
+void scheduler::refuse(const std::vector<queue_item> &items, const core::reason &why,
+                       std::chrono::milliseconds retryAfter, core::monotonic_time now, effects &to)
 {
     for (const queue_item &item : items) {
         m_queued.erase(item.id);
--- a/libs/sidecar/src/sidecar_service.cpp
+++ b/libs/sidecar/src/sidecar_service.cpp
@@ -66,8 +66,8 @@
               [this] {
                   return hello();
               },
-              [this](const auto &from, peer::message message, std::shared_ptr<peer::reply_stream> reply) {
-                  onMessage(from, std::move(message), std::move(reply));
+              [this](const auto &from, peer::message message, const std::shared_ptr<peer::reply_stream> &reply) {
+                  onMessage(from, std::move(message), reply);
               })
         , m_admin(context, detail::adminLimits(m_settings),
                   [this](const http::request &request, const std::shared_ptr<http::responder> &answer) {
@@ -155,15 +155,15 @@
         return said;
     }
 
-    void onMessage(const peer::hello &from, peer::message message, std::shared_ptr<peer::reply_stream> reply)
+    void onMessage(const peer::hello &from, peer::message message, const std::shared_ptr<peer::reply_stream> &reply)
     {
         if (auto *run = std::get_if<peer::run_request>(&message)) {
             m_platform.noteNewest(run->newestTicket, from.sender.id);
             passWeight(run->operatorName);
-            m_dispatcher.submit(std::move(*run), std::move(reply));
+            m_dispatcher.submit(std::move(*run), reply);
         } else if (std::holds_alternative<peer::watch_load>(message)) {
             m_platform.noteNewest(std::get<peer::watch_load>(message).newestTicket, from.sender.id);
-            m_reporter->add(std::move(reply), report());
+            m_reporter->add(reply, report());
         } else if (const auto *question = std::get_if<peer::tickets_request>(&message)) {
             reply->send(m_platform.answer(*question));
             reply->end();
