Tell an answer broken off after its deadline from one cut off

In a trial against 2 entries, 2 engines and 3 services (30 requests/s for 12 s, 300 adapters, so that the store limits loads) both broken promises were reported for streams that ended near the deadline of 10 s; such an answer now counts as timed_out. It has not been repeated after the change; the unit tests pass.

--- a/apps/medlarrack-load/src/request_result.hpp
+++ b/apps/medlarrack-load/src/request_result.hpp
@@ -25,9 +25,9 @@
     error_unknown,
     /// No entry took the connection.
     unreachable,
-    /// Time was up at the caller.
+    /// The deadline passed without a whole answer, whether or not some of it had come.
     timed_out,
-    /// The answer broke off visibly.
+    /// The answer broke off visibly before the deadline.
     cut_off,
     /// The answer is wrong in one of the ways of verdict.
     wrong,
