--- a/libs/peer/tests/peer_fixture.hpp
+++ b/libs/peer/tests/peer_fixture.hpp
@@ -160,7 +160,8 @@
 class test_server
 {
 public:
-    test_server(worker_pool &pool, stream_handler handler, server_limits limits = {}, hello self = helloOf("sidecar-1"))
+    test_server(worker_pool &pool, stream_handler handler, server_limits limits = {},
+                const hello &self = helloOf("sidecar-1"))
         : m_server(
             pool.context(), limits,
             [self] {
