--- a/libs/http/src/connection_table.cpp
+++ b/libs/http/src/connection_table.cpp
@@ -38,6 +38,9 @@
     m_stopped = true;
     for (const auto &[id, link] : m_links) {
         link->breakOff();
+        // Reported now: the io_context may be stopped before the connection's strand notices, and a callback that owns
+        // its responder would then never be destroyed.
+        link->markClosed();
     }
 }
 
