Believe the instance view for how long a target is leaving

A sidecar that left and started again under its instance's name stayed excluded until it was unlisted, because the router never took a leaving back. The view keeps incarnations apart, so the router now follows it: reports of a later incarnation that serves bring the target back with a slow start, and a refusal with code "leaving" counts as a first hand notice. The router test that a list never brings a target back is replaced by tests that a list which still has it leaving, and reports of the same incarnation, don't.

--- a/libs/entry/src/load_watcher.cpp
+++ b/libs/entry/src/load_watcher.cpp
@@ -28,9 +28,6 @@
 void load_watcher::tick(std::uint64_t newestTicket)
 {
     auto wanted = m_targets->sidecars();
-    std::erase_if(wanted, [](const watchable &item) {
-        return item.leaving;
-    });
     if (wanted.size() > m_maxWatches) {
         const auto last = wanted.begin() + static_cast<std::ptrdiff_t>(m_maxWatches);
         std::nth_element(wanted.begin(), last, wanted.end(), [](const watchable &one, const watchable &other) {
--- a/libs/entry/src/request_run.cpp
+++ b/libs/entry/src/request_run.cpp
@@ -21,6 +21,8 @@
 
 constexpr auto targetPollInterval = 100ms;
 constexpr auto noTargetRetryAfter = 1'000ms;
+/// Code of a sidecar's refusal because it takes no new work any more.
+constexpr std::string_view leavingCode = "leaving";
 
 } // namespace
 
@@ -242,6 +244,9 @@
     // A request that may run at most once goes on only when this attempt is proven not to have run.
     const bool safe = m_request.idempotent || message.outcome == core::outcome::not_run;
     why.mayRetry = safe && (message.tryElsewhere || message.targetCrashed);
+    if (message.code == leavingCode) {
+        m_environment->targets.markLeaving(m_target.id, m_acceptedBy.incarnation, "refused a request");
+    }
     if (message.targetCrashed) {
         targetCrashed();
     }
--- a/libs/entry/src/target_directory.cpp
+++ b/libs/entry/src/target_directory.cpp
@@ -161,7 +161,9 @@
         found->router.takeReport(id, std::move(taken), m_clock.now());
     }
     if (report.leaving) {
-        markLeaving(id, "load report");
+        markLeaving(id, report.sender.incarnation, "load report");
+    } else {
+        m_view.markServing(id, report.sender.incarnation);
     }
 }
 
@@ -174,20 +176,20 @@
     }
 }
 
-void target_directory::markLeaving(std::string_view id, std::string_view cause)
+void target_directory::markLeaving(std::string_view id, std::uint64_t incarnation, std::string_view cause)
 {
     const auto found = groupOf(id);
     if (!found) {
         return;
     }
-    {
-        const std::lock_guard lock(found->mutex);
-        if (!found->router.markLeaving(id)) {
-            return;
-        }
+    // Of an unknown incarnation the view couldn't tell when it is followed by one that serves.
+    if (incarnation != 0) {
+        m_view.markLeaving(id, incarnation);
+    }
+    const std::lock_guard lock(found->mutex);
+    if (found->router.markLeaving(id)) {
+        m_trace.change(m_clock.wallNow(), "target " + std::string(id), "leaving", cause);
     }
-    m_view.markLeaving(id);
-    m_trace.change(m_clock.wallNow(), "target " + std::string(id), "leaving", cause);
 }
 
 std::vector<watchable> target_directory::sidecars()
@@ -202,7 +204,7 @@
             const auto &target = targets.at(index);
             if (target.listed) {
                 const auto usedAt = index < group->usedAt.size() ? group->usedAt[index] : core::monotonic_time{};
-                result.push_back({target.instance.id, endpointOf(target.instance), target.leaving, usedAt});
+                result.push_back({target.instance.id, endpointOf(target.instance), usedAt});
             }
         }
     }
--- a/libs/entry/src/target_directory.hpp
+++ b/libs/entry/src/target_directory.hpp
@@ -31,7 +31,6 @@
 {
     std::string id;
     peer::endpoint endpoint;
-    bool leaving = false;
     core::monotonic_time usedAt{};
 };
 
@@ -56,8 +55,8 @@
 
     void takeReport(std::string_view id, const peer::load_report &report);
     void loseReport(std::string_view id);
-    /// A sidecar said itself that it is leaving.
-    void markLeaving(std::string_view id, std::string_view cause);
+    /// A sidecar said itself that it is leaving. The incarnation is 0 when not known.
+    void markLeaving(std::string_view id, std::uint64_t incarnation, std::string_view cause);
 
     /// All listed sidecars.
     [[nodiscard]] std::vector<watchable> sidecars();
--- a/libs/entry/tests/test_request_run.cpp
+++ b/libs/entry/tests/test_request_run.cpp
@@ -360,6 +360,28 @@
     BOOST_TEST(errorField(fixture, "outcome") == "unknown");
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_says_it_leaves_gets_nothing_more_until_a_later_incarnation_serves)
+{
+    run_fixture fixture;
+    const auto report = [&](std::uint64_t incarnation, bool leaving) {
+        peer::load_report message;
+        message.sender = {"pivot-1", incarnation};
+        message.sequence = 1;
+        message.leaving = leaving;
+        fixture.targets.takeReport("pivot-1", message);
+    };
+    const std::vector<routing::target_index> others = {1, 2};
+    routing::query onlyFirst;
+    onlyFirst.excluded = others;
+    BOOST_TEST(fixture.targets.choose("pivot", onlyFirst)->id == "pivot-1");
+    report(5, true);
+    BOOST_TEST(!fixture.targets.choose("pivot", onlyFirst));
+    report(5, false);
+    BOOST_TEST(!fixture.targets.choose("pivot", onlyFirst));
+    report(6, false);
+    BOOST_TEST(fixture.targets.choose("pivot", onlyFirst)->id == "pivot-1");
+}
+
 BOOST_AUTO_TEST_CASE(without_a_target_a_request_waits_a_little_and_is_then_refused)
 {
     run_fixture fixture;
--- a/libs/routing/include/medlarrack/routing/target_table.hpp
+++ b/libs/routing/include/medlarrack/routing/target_table.hpp
@@ -53,7 +53,7 @@
         std::vector<target_index> removed;
     };
 
-    /// Takes the group's instances from a new instance list.
+    /// Takes the group's instances from a new instance list, which is believed also where it takes back a leaving.
     changes update(std::span<const instances::instance> listed, core::monotonic_time now);
     /// The target won't take new work any more. False when that was known or the target isn't.
     bool markLeaving(target_index index);
@@ -87,6 +87,7 @@
 
     target_index add(const instances::instance &listed, core::monotonic_time now);
     void unlist(target_index index);
+    void comeBack(target_index index, core::monotonic_time now);
     void addCandidate(target_index index);
     void removeCandidate(target_index index);
     void freeIfUnused(target_index index);
--- a/libs/routing/src/target_table.cpp
+++ b/libs/routing/src/target_table.cpp
@@ -31,6 +31,8 @@
         m_targets[*known].instance = item;
         if (item.leaving) {
             markLeaving(*known);
+        } else if (m_targets[*known].leaving) {
+            comeBack(*known, now);
         }
     }
     for (target_index index = 0; index < m_targets.size(); ++index) {
@@ -204,6 +206,16 @@
     freeIfUnused(index);
 }
 
+void target_table::comeBack(target_index index, core::monotonic_time now)
+{
+    target &value = m_targets[index];
+    value.leaving = false;
+    value.failures = 0;
+    value.slowStart = true;
+    value.startedAt = now;
+    addCandidate(index);
+}
+
 void target_table::addCandidate(target_index index)
 {
     m_positions[index] = static_cast<std::uint32_t>(m_candidates.size());
--- a/libs/routing/tests/test_routing.cpp
+++ b/libs/routing/tests/test_routing.cpp
@@ -171,10 +171,18 @@
     for (std::uint64_t name = 0; name < 100; ++name) {
         BOOST_TEST(fleet.choose({.adapter = name, .excluded = tried})->target == 2U);
     }
-    // An older list doesn't bring it back.
-    fleet.router.update(fleet.listed, 1, start);
     const std::vector<routing::target_index> allLive = {0, 2};
     BOOST_TEST(!fleet.choose({.adapter = adapter, .excluded = allLive}));
+
+    // The instance view says for how long: a list that still has it leaving keeps it out, one that doesn't brings it
+    // back.
+    fleet.listed[1].leaving = true;
+    fleet.router.update(fleet.listed, 1, start);
+    BOOST_TEST(!fleet.choose({.adapter = adapter, .excluded = allLive}));
+    fleet.listed[1].leaving = false;
+    fleet.router.update(fleet.listed, 1, start);
+    BOOST_TEST(fleet.choose({.adapter = adapter, .excluded = allLive})->target == 1U);
+    BOOST_TEST(fleet.router.targets().share(1, start) < 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_failed_target_gets_nothing_until_its_backoff_is_over_and_then_one_attempt)
