--- a/examples/requests.sh
+++ b/examples/requests.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 entry=${1:-http://127.0.0.1:8080}
 key=${2:-slavonska.demo}
-model=${3:-slavonska/a-1}
+model=${3:-slavonska/nozzle-7}
 auth="Authorization: Bearer $key"
 json="Content-Type: application/json"
 
@@ -12,9 +12,9 @@
     -d "{\"model\": \"$model\", \"prompt\": \"Nozzle 7 drips\", \"max_tokens\": 4}" "$entry/v1/completions"
 echo
 
-echo "-- a streamed chat completion on the version v1"
+echo "-- a streamed chat completion on the version v2"
 curl -sS -N -H "$auth" -H "$json" -H "X-Priority: interactive" \
-    -d "{\"model\": \"$model@v1\", \"stream\": true, \"max_tokens\": 4,
+    -d "{\"model\": \"$model@v2\", \"stream\": true, \"max_tokens\": 4,
          \"messages\": [{\"role\": \"user\", \"content\": \"Wheel track alarm\"}]}" "$entry/v1/chat/completions"
 echo
 
--- a/libs/sidecar/src/request_journal.cpp
+++ b/libs/sidecar/src/request_journal.cpp
@@ -38,7 +38,8 @@
     auto events = nlohmann::json::array();
     for (const entry &item : found->second.entries) {
         events.push_back(
-            {{"at_ms", item.at.time_since_epoch().count()}, {"event", item.event}, {"detail", item.detail}});
+            // The names that trace::recorder uses, which medlarrackctl joins.
+            {{"at_ms", item.at.time_since_epoch().count()}, {"what", item.event}, {"why", item.detail}});
     }
     const nlohmann::json answer = {
         {"request_id", requestId}, {"events", std::move(events)}, {"events_dropped", found->second.dropped}};
