--- a/libs/entry/src/load_watcher.cpp
+++ b/libs/entry/src/load_watcher.cpp
@@ -13,6 +13,8 @@
 
 constexpr auto firstBackoff = 250ms;
 constexpr auto maxBackoff = 5'000ms;
+/// Each watch adds this to the interval of all: reports of some 250 bytes then take 20 kB/s however many are watched.
+constexpr auto intervalPerWatch = 12ms;
 
 } // namespace
 
@@ -85,6 +87,11 @@
     }));
 }
 
+std::chrono::milliseconds load_watcher::reportInterval() const
+{
+    return intervalPerWatch * static_cast<std::int64_t>(m_watches.size());
+}
+
 void load_watcher::open(const std::string &id, watch &value, std::uint64_t newestTicket)
 {
     value.open = true;
@@ -101,7 +108,7 @@
             self->onEnd(id, number);
         }
     };
-    value.stream = m_link.start(value.endpoint, peer::watch_load{newestTicket}, std::move(callbacks));
+    value.stream = m_link.start(value.endpoint, peer::watch_load{newestTicket, reportInterval()}, std::move(callbacks));
 }
 
 void load_watcher::onMessage(const std::string &id, std::uint64_t number, const peer::message &message)
--- a/libs/entry/src/load_watcher.hpp
+++ b/libs/entry/src/load_watcher.hpp
@@ -42,6 +42,8 @@
         std::chrono::milliseconds backoff{0};
     };
 
+    /// Time between two reports of one sidecar that keeps the reports of all within bounds.
+    [[nodiscard]] std::chrono::milliseconds reportInterval() const;
     void open(const std::string &id, watch &value, std::uint64_t newestTicket);
     void onMessage(const std::string &id, std::uint64_t number, const peer::message &message);
     void onEnd(const std::string &id, std::uint64_t number);
--- a/libs/peer/include/medlarrack/peer/messages.hpp
+++ b/libs/peer/include/medlarrack/peer/messages.hpp
@@ -144,6 +144,8 @@
 struct watch_load
 {
     std::uint64_t newestTicket = 0;
+    /// Reports shall follow each other no faster than this; only leaving is said at once.
+    std::chrono::milliseconds shortestInterval{0};
 };
 
 /// Asks a peer for change tickets newer than a number; answered with tickets_reply.
--- a/libs/peer/src/schema.hpp
+++ b/libs/peer/src/schema.hpp
@@ -102,7 +102,8 @@
 struct schema<watch_load>
 {
     static constexpr std::uint64_t type = 9;
-    static constexpr auto fields = std::make_tuple(field{1, &watch_load::newestTicket});
+    static constexpr auto fields =
+        std::make_tuple(field{1, &watch_load::newestTicket}, field{2, &watch_load::shortestInterval});
 };
 
 template<>
--- a/libs/peer/tests/test_codec.cpp
+++ b/libs/peer/tests/test_codec.cpp
@@ -53,7 +53,7 @@
         run_chunk{2, 77, "data: {}"},
         run_end{2, 99},
         load_report{{"sidecar-1", 6}, 4, 5, 6, 16, 8, true, {{"a/b", "v1"}, {"a/c", "v2"}}, 12},
-        watch_load{12},
+        watch_load{12, 250ms},
         tickets_request{11},
         tickets_reply{{"{\"ticket\": 12}", "{}"}, 13, false},
         seal_request{"pivot", "key", {"sidecar-1", 6}},
--- a/libs/sidecar/src/load_reporter.cpp
+++ b/libs/sidecar/src/load_reporter.cpp
@@ -22,17 +22,18 @@
 
 } // namespace
 
-void load_reporter::add(const std::shared_ptr<peer::reply_stream> &watcher, peer::load_report report)
+void load_reporter::add(const std::shared_ptr<peer::reply_stream> &stream, std::chrono::milliseconds interval,
+                        peer::load_report report, core::monotonic_time now)
 {
     std::uint64_t id = 0;
     {
         const std::scoped_lock lock(m_mutex);
+        number(report);
         id = ++m_lastWatcher;
-        m_watchers.emplace(id, watcher);
-        report.sequence = ++m_sequence;
+        m_watchers.emplace(id, watcher{stream, interval, now, report.sequence, report.leaving});
     }
-    watcher->send(report);
-    watcher->onClosed([weak = weak_from_this(), id] {
+    stream->send(report);
+    stream->onClosed([weak = weak_from_this(), id] {
         if (const auto self = weak.lock()) {
             self->forget(id);
         }
@@ -42,9 +43,7 @@
 bool load_reporter::due(core::monotonic_time now) const
 {
     const std::scoped_lock lock(m_mutex);
-    const auto interval = std::max<std::chrono::milliseconds>(
-        shortestInterval, intervalPerWatcher * static_cast<std::int64_t>(m_watchers.size()));
-    return now - m_lastSent >= interval;
+    return now - m_lastSent >= shortestInterval;
 }
 
 void load_reporter::publish(peer::load_report report, core::monotonic_time now)
@@ -52,21 +51,40 @@
     std::vector<std::shared_ptr<peer::reply_stream>> receivers;
     {
         const std::scoped_lock lock(m_mutex);
-        if (m_last && saysTheSame(*m_last, report)) {
-            return;
-        }
-        report.sequence = ++m_sequence;
-        m_last = report;
+        number(report);
         m_lastSent = now;
-        for (const auto &[id, watcher] : m_watchers) {
-            receivers.push_back(watcher);
+        for (auto &[id, one] : m_watchers) {
+            if (!wants(one, now)) {
+                continue;
+            }
+            one.sentAt = now;
+            one.seen = report.sequence;
+            one.sawLeaving = report.leaving;
+            receivers.push_back(one.stream);
         }
     }
-    for (const auto &watcher : receivers) {
-        if (watcher->bufferedBytes() <= maxBufferedBytes) {
-            watcher->send(report);
-        }
+    for (const auto &stream : receivers) {
+        stream->send(report);
+    }
+}
+
+void load_reporter::number(peer::load_report &report)
+{
+    if (!m_last || !saysTheSame(*m_last, report)) {
+        ++m_sequence;
+    }
+    report.sequence = m_sequence;
+    m_last = report;
+}
+
+bool load_reporter::wants(const watcher &one, core::monotonic_time now) const
+{
+    if (one.seen == m_sequence || one.stream->bufferedBytes() > maxBufferedBytes) {
+        return false;
     }
+    const auto ownShare = intervalPerWatcher * static_cast<std::int64_t>(m_watchers.size());
+    const bool mayFollow = now - one.sentAt >= std::max<std::chrono::milliseconds>(one.interval, ownShare);
+    return mayFollow || (m_last->leaving && !one.sawLeaving);
 }
 
 void load_reporter::close()
@@ -76,8 +94,8 @@
         const std::scoped_lock lock(m_mutex);
         closed = std::exchange(m_watchers, {});
     }
-    for (const auto &[id, watcher] : closed) {
-        watcher->end();
+    for (const auto &[id, one] : closed) {
+        one.stream->end();
     }
 }
 
@@ -87,15 +105,15 @@
     return m_watchers.size();
 }
 
-void load_reporter::forget(std::uint64_t watcher)
+void load_reporter::forget(std::uint64_t id)
 {
     // Destroyed after the mutex has been released.
     std::shared_ptr<peer::reply_stream> dropped;
     {
         const std::scoped_lock lock(m_mutex);
-        const auto found = m_watchers.find(watcher);
+        const auto found = m_watchers.find(id);
         if (found != m_watchers.end()) {
-            dropped = std::move(found->second);
+            dropped = std::move(found->second.stream);
             m_watchers.erase(found);
         }
     }
--- a/libs/sidecar/src/load_reporter.hpp
+++ b/libs/sidecar/src/load_reporter.hpp
@@ -4,6 +4,7 @@
 #include <medlarrack/peer/messages.hpp>
 #include <medlarrack/peer/reply_stream.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <mutex>
@@ -12,27 +13,42 @@
 
 namespace medlarrack::sidecar::detail {
 
-/// Sends load reports to the entries that watch, when something changed and not too often: the interval grows with the
-/// number of watchers, so that reports take a bounded share of the network. Thread-safe; its mutex is a leaf in the
-/// lock order.
+/// Sends load reports to the entries that watch, when something changed and not too often: a watcher gets reports no
+/// faster than it asked for, nor than the number of watchers allows, so that reports take a bounded share of the
+/// network at both ends. That the target is leaving is said at once. Thread-safe; its mutex is a leaf in the lock
+/// order.
 class load_reporter : public std::enable_shared_from_this<load_reporter>
 {
 public:
     /// Adds a watcher and sends it the report.
-    void add(const std::shared_ptr<peer::reply_stream> &watcher, peer::load_report report);
+    void add(const std::shared_ptr<peer::reply_stream> &stream, std::chrono::milliseconds interval,
+             peer::load_report report, core::monotonic_time now);
     /// Whether reports may be sent now.
     [[nodiscard]] bool due(core::monotonic_time now) const;
-    /// Sends a report to all watchers if it differs from the one before.
+    /// Sends a report to the watchers that haven't seen its content and whose interval has passed.
     void publish(peer::load_report report, core::monotonic_time now);
     /// Ends all watchers' streams.
     void close();
     [[nodiscard]] std::size_t watchers() const;
 
 private:
-    void forget(std::uint64_t watcher);
+    struct watcher
+    {
+        std::shared_ptr<peer::reply_stream> stream;
+        std::chrono::milliseconds interval{0};
+        core::monotonic_time sentAt{};
+        /// Sequence number of the content seen.
+        std::uint64_t seen = 0;
+        bool sawLeaving = false;
+    };
+
+    /// Numbers the report anew if its content differs from the last one's.
+    void number(peer::load_report &report);
+    [[nodiscard]] bool wants(const watcher &one, core::monotonic_time now) const;
+    void forget(std::uint64_t id);
 
     mutable std::mutex m_mutex;
-    std::unordered_map<std::uint64_t, std::shared_ptr<peer::reply_stream>> m_watchers;
+    std::unordered_map<std::uint64_t, watcher> m_watchers;
     std::uint64_t m_lastWatcher = 0;
     std::uint64_t m_sequence = 0;
     std::optional<peer::load_report> m_last;
--- a/libs/sidecar/src/sidecar_service.cpp
+++ b/libs/sidecar/src/sidecar_service.cpp
@@ -161,9 +161,9 @@
             m_platform.noteNewest(run->newestTicket, from.sender.id);
             passWeight(run->operatorName);
             m_dispatcher.submit(std::move(*run), reply);
-        } else if (std::holds_alternative<peer::watch_load>(message)) {
-            m_platform.noteNewest(std::get<peer::watch_load>(message).newestTicket, from.sender.id);
-            m_reporter->add(reply, report());
+        } else if (const auto *watch = std::get_if<peer::watch_load>(&message)) {
+            m_platform.noteNewest(watch->newestTicket, from.sender.id);
+            m_reporter->add(reply, watch->shortestInterval, report(), m_clock.now());
         } else if (const auto *question = std::get_if<peer::tickets_request>(&message)) {
             reply->send(m_platform.answer(*question));
             reply->end();
