Share heaps between threads

Cause: an entry with 70,000 adapters held 103,796 KiB, its tables 31.7 MB; memory freed after parsing tickets stays in the heap of each thread. Ruled out: texts of tickets (entries drop them).

--- a/apps/medlarrack-entry/main.cpp
+++ b/apps/medlarrack-entry/main.cpp
@@ -1,6 +1,7 @@
 #include "entry_process.hpp"
 
 #include <medlarrack/daemon/command_line.hpp>
+#include <medlarrack/daemon/heap.hpp>
 #include <medlarrack/daemon/signals.hpp>
 #include <medlarrack/daemon/worker_pool.hpp>
 #include <medlarrack/log/log.hpp>
@@ -52,6 +53,7 @@
 
 int main(int argumentCount, const char **arguments)
 {
+    daemon::shareHeaps();
     int exitCode = daemon::exitOk;
     const auto options =
         daemon::parseCommandLine(argumentCount, arguments, "medlarrack-entry", MEDLARRACK_VERSION, exitCode);
--- a/apps/medlarrack-sidecar/main.cpp
+++ b/apps/medlarrack-sidecar/main.cpp
@@ -1,5 +1,6 @@
 #include <medlarrack/core/system_clock.hpp>
 #include <medlarrack/daemon/command_line.hpp>
+#include <medlarrack/daemon/heap.hpp>
 #include <medlarrack/daemon/signals.hpp>
 #include <medlarrack/daemon/worker_pool.hpp>
 #include <medlarrack/log/log.hpp>
@@ -51,6 +52,7 @@
 
 int main(int argumentCount, const char **arguments)
 {
+    daemon::shareHeaps();
     int exitCode = daemon::exitOk;
     const auto options =
         daemon::parseCommandLine(argumentCount, arguments, "medlarrack-sidecar", MEDLARRACK_VERSION, exitCode);
