Mend what the linter found in the whole tree

Change: parameters by reference, a benchmark loop without an unused value, one use after a move in a test.

--- a/bench/routing/routing_bench.cpp
+++ b/bench/routing/routing_bench.cpp
@@ -165,7 +165,7 @@
 {
     running_fleet &fleet = fleetOf(policy, state);
     const std::uint64_t before = allocationCount();
-    for (auto unused : state) {
+    while (state.KeepRunning()) {
         fleet.step();
     }
     state.counters["allocations"] =
@@ -175,7 +175,7 @@
 void change(benchmark::State &state)
 {
     running_fleet &fleet = fleetOf(0, state);
-    for (auto unused : state) {
+    while (state.KeepRunning()) {
         fleet.churn();
     }
 }
--- a/libs/engine/src/http_engine_driver.cpp
+++ b/libs/engine/src/http_engine_driver.cpp
@@ -166,7 +166,7 @@
     {
     }
 
-    void run(call_id id, target_call call, call_callbacks callbacks)
+    void run(call_id id, const target_call &call, call_callbacks callbacks)
     {
         auto body = detail::completionBody(call);
         if (!body) {
--- a/libs/entry/tests/test_entry_service.cpp
+++ b/libs/entry/tests/test_entry_service.cpp
@@ -76,7 +76,7 @@
         return settings;
     }
 
-    void onPeer(peer::message message, std::shared_ptr<peer::reply_stream> reply)
+    void onPeer(peer::message message, const std::shared_ptr<peer::reply_stream> &reply)
     {
         auto *run = std::get_if<peer::run_request>(&message);
         if (run == nullptr) {
@@ -111,7 +111,8 @@
         }
     };
 
-    std::future<answer> send(std::string method, std::string path, std::string body, std::string key = "slavonska.demo")
+    std::future<answer> send(std::string method, const std::string &path, std::string body,
+                             const std::string &key = "slavonska.demo")
     {
         http::client_request request;
         request.method = std::move(method);
@@ -155,7 +156,7 @@
             return peer::hello{{"assistant-1", 1}, "osijek"};
         },
         [this](const peer::hello & /*from*/, peer::message message, std::shared_ptr<peer::reply_stream> reply) {
-            onPeer(std::move(message), std::move(reply));
+            onPeer(std::move(message), reply);
         }};
     peer::client peers{context, {}, [] {
                            return peer::hello{{"entry-1", 1}, "osijek"};
@@ -243,6 +244,7 @@
         held[0].first->send(peer::run_end{1, held[0].second});
         held[0].first->end();
     }
-    BOOST_TEST(wait(std::move(running)).body == "part");
+    const answer whole = wait(std::move(running));
+    BOOST_TEST(whole.body == "part");
     BOOST_TEST((done.wait_for(30s) == std::future_status::ready));
 }
--- a/libs/peer/fuzz/fuzz_decoder.cpp
+++ b/libs/peer/fuzz/fuzz_decoder.cpp
@@ -28,6 +28,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer calls this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     if (size == 0) {
--- a/libs/sidecar/src/sidecar_service.cpp
+++ b/libs/sidecar/src/sidecar_service.cpp
@@ -66,7 +66,7 @@
               [this] {
                   return hello();
               },
-              [this](const auto &from, peer::message message, const std::shared_ptr<peer::reply_stream> &reply) {
+              [this](const auto &from, peer::message &&message, const std::shared_ptr<peer::reply_stream> &reply) {
                   onMessage(from, std::move(message), reply);
               })
         , m_admin(context, detail::adminLimits(m_settings),
