--- a/apps/medlarrack-entry/main.cpp
+++ b/apps/medlarrack-entry/main.cpp
@@ -1,7 +1,6 @@
 #include "entry_process.hpp"
 
-#include <medlarrack/daemon/command_line.hpp>
-#include <medlarrack/daemon/heap.hpp>
+#include <medlarrack/daemon/run_program.hpp>
 #include <medlarrack/daemon/signals.hpp>
 #include <medlarrack/daemon/worker_pool.hpp>
 #include <medlarrack/log/log.hpp>
@@ -53,21 +52,5 @@
 
 int main(int argumentCount, const char **arguments)
 {
-    daemon::shareHeaps();
-    int exitCode = daemon::exitOk;
-    const auto options =
-        daemon::parseCommandLine(argumentCount, arguments, "medlarrack-entry", MEDLARRACK_VERSION, exitCode);
-    if (!options) {
-        return exitCode;
-    }
-    settings::fault_list faults;
-    const auto settings = entry::loadSettings(options->settingsPath, faults);
-    if (!settings) {
-        std::cerr << settings::toText(faults, options->settingsPath);
-        return daemon::exitSettings;
-    }
-    if (options->checkOnly) {
-        return daemon::exitOk;
-    }
-    return serve(*options, *settings);
+    return daemon::runProgram(argumentCount, arguments, "medlarrack-entry", entry::loadSettings, serve);
 }
--- a/apps/medlarrack-sidecar/main.cpp
+++ b/apps/medlarrack-sidecar/main.cpp
@@ -1,10 +1,8 @@
 #include <medlarrack/core/system_clock.hpp>
-#include <medlarrack/daemon/command_line.hpp>
-#include <medlarrack/daemon/heap.hpp>
+#include <medlarrack/daemon/run_program.hpp>
 #include <medlarrack/daemon/signals.hpp>
 #include <medlarrack/daemon/worker_pool.hpp>
 #include <medlarrack/log/log.hpp>
-#include <medlarrack/settings/fault.hpp>
 #include <medlarrack/sidecar/sidecar_service.hpp>
 #include <medlarrack/sidecar/sidecar_settings.hpp>
 
@@ -12,22 +10,18 @@
 #include <asio/io_context.hpp>
 
 #include <iostream>
-#include <utility>
 
 namespace {
 
 using namespace medlarrack;
 
-int serve(const daemon::command_line &options, sidecar::sidecar_settings settings)
+int serve(const daemon::command_line &options, const sidecar::sidecar_settings &settings)
 {
     log::start("medlarrack-sidecar", log::levelFromString(settings.logLevel));
-    const std::size_t workers = settings.workers;
-    const std::string peersAddress = settings.peers.address;
-    const std::string adminAddress = settings.admin.address;
     const core::system_clock clock;
     asio::io_context context;
     const auto guard = asio::make_work_guard(context);
-    sidecar::sidecar_service service(context, std::move(settings), clock);
+    sidecar::sidecar_service service(context, settings, clock);
     core::reason why;
     if (!service.start(why)) {
         log::write(log::level::error, why.message, {{"code", why.code}});
@@ -39,10 +33,10 @@
         });
     });
     if (options.printPort) {
-        std::cout << "listening peers " << peersAddress << ':' << service.peersPort() << '\n'
-                  << "listening admin " << adminAddress << ':' << service.adminPort() << std::endl;
+        std::cout << "listening peers " << settings.peers.address << ':' << service.peersPort() << '\n'
+                  << "listening admin " << settings.admin.address << ':' << service.adminPort() << std::endl;
     }
-    daemon::worker_pool pool(context, workers);
+    daemon::worker_pool pool(context, settings.workers);
     pool.join();
     service.stop();
     return daemon::exitOk;
@@ -52,21 +46,5 @@
 
 int main(int argumentCount, const char **arguments)
 {
-    daemon::shareHeaps();
-    int exitCode = daemon::exitOk;
-    const auto options =
-        daemon::parseCommandLine(argumentCount, arguments, "medlarrack-sidecar", MEDLARRACK_VERSION, exitCode);
-    if (!options) {
-        return exitCode;
-    }
-    settings::fault_list faults;
-    auto settings = sidecar::loadSettings(options->settingsPath, faults);
-    if (!settings) {
-        std::cerr << settings::toText(faults, options->settingsPath);
-        return daemon::exitSettings;
-    }
-    if (options->checkOnly) {
-        return daemon::exitOk;
-    }
-    return serve(*options, std::move(*settings));
+    return daemon::runProgram(argumentCount, arguments, "medlarrack-sidecar", sidecar::loadSettings, serve);
 }
--- a/libs/entry/src/entry_settings.cpp
+++ b/libs/entry/src/entry_settings.cpp
@@ -1,6 +1,5 @@
 #include <medlarrack/entry/entry_settings.hpp>
-#include <medlarrack/settings/document.hpp>
-#include <medlarrack/settings/object_reader.hpp>
+#include <medlarrack/settings/typed_settings.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -15,32 +14,24 @@
 
 constexpr std::int64_t maxBytes = std::int64_t{1} << 30;
 
-template<typename Integer>
-void readInteger(object_reader &reader, std::string_view key, Integer &value, std::int64_t lowest, std::int64_t highest)
-{
-    auto number = static_cast<std::int64_t>(value);
-    reader.integer(key, number, lowest, highest);
-    value = static_cast<Integer>(number);
-}
-
 void readListen(object_reader &reader, listen_settings &value)
 {
     reader.text("address", value.address);
-    readInteger(reader, "port", value.port, 0, std::numeric_limits<std::uint16_t>::max());
-    readInteger(reader, "max_body_bytes", value.maxBodyBytes, 1, maxBytes);
-    readInteger(reader, "max_header_bytes", value.maxHeaderBytes, 256, 1 << 20);
-    readInteger(reader, "max_connections", value.maxConnections, 1, 1'000'000);
+    reader.integer("port", value.port, 0, std::numeric_limits<std::uint16_t>::max());
+    reader.integer("max_body_bytes", value.maxBodyBytes, 1, maxBytes);
+    reader.integer("max_header_bytes", value.maxHeaderBytes, 256, 1 << 20);
+    reader.integer("max_connections", value.maxConnections, 1, 1'000'000);
     reader.duration("read_timeout_ms", value.readTimeout, 1ms, 1h);
     reader.duration("write_timeout_ms", value.writeTimeout, 1ms, 1h);
-    readInteger(reader, "max_buffered_bytes", value.maxBufferedBytes, 1, maxBytes);
+    reader.integer("max_buffered_bytes", value.maxBufferedBytes, 1, maxBytes);
 }
 
 void readRequests(object_reader &reader, request_settings &value)
 {
     reader.duration("default_deadline_ms", value.defaultDeadline, 1ms, 24h);
     reader.duration("max_deadline_ms", value.maxDeadline, 1ms, 24h);
-    readInteger(reader, "max_answer_bytes", value.maxAnswerBytes, 1, maxBytes);
-    readInteger(reader, "max_in_flight", value.maxInFlight, 1, 1'000'000);
+    reader.integer("max_answer_bytes", value.maxAnswerBytes, 1, maxBytes);
+    reader.integer("max_in_flight", value.maxInFlight, 1, 1'000'000);
     if (value.defaultDeadline > value.maxDeadline) {
         reader.addFault("default_deadline_ms", "is longer than max_deadline_ms");
     }
@@ -48,7 +39,7 @@
 
 void readRetries(object_reader &reader, retry_settings &value)
 {
-    readInteger(reader, "max_attempts", value.maxAttempts, 1, 100);
+    reader.integer("max_attempts", value.maxAttempts, 1, 100);
     reader.duration("accept_timeout_ms", value.acceptTimeout, 1ms, 1h);
     reader.duration("keyed_accept_timeout_ms", value.keyedAcceptTimeout, 1ms, 1h);
     reader.duration("backoff_ms", value.backoff, 0ms, 1min);
@@ -68,8 +59,8 @@
     reader.duration("failure_backoff_ms", value.failureBackoff, 1ms, 1h);
     reader.duration("max_failure_backoff_ms", value.maxFailureBackoff, 1ms, 1h);
     reader.duration("slow_start_ms", value.slowStart, 0ms, 1h);
-    readInteger(reader, "max_load_watches", value.maxLoadWatches, 0, 100'000);
-    readInteger(reader, "max_peer_connections", value.maxPeerConnections, 1, 100'000);
+    reader.integer("max_load_watches", value.maxLoadWatches, 0, 100'000);
+    reader.integer("max_peer_connections", value.maxPeerConnections, 1, 100'000);
     if (value.failureBackoff > value.maxFailureBackoff) {
         reader.addFault("failure_backoff_ms", "is longer than max_failure_backoff_ms");
     }
@@ -80,27 +71,21 @@
 
 void readSuspects(object_reader &reader, suspect_settings &value)
 {
-    readInteger(reader, "crashes_to_refuse", value.crashesToRefuse, 1, 100);
+    reader.integer("crashes_to_refuse", value.crashesToRefuse, 1, 100);
     reader.duration("fade_after_ms", value.fadeAfter, 1ms, 24h);
-    readInteger(reader, "max_fingerprints", value.maxFingerprints, 1, 1'000'000);
+    reader.integer("max_fingerprints", value.maxFingerprints, 1, 1'000'000);
 }
 
 void readPlatform(object_reader &reader, platform_settings &value)
 {
-    constexpr std::string_view scheme = "http://";
-    reader.text("url", value.url);
-    reader.require("url");
-    const bool rooted = value.url.starts_with(scheme) && value.url.size() > scheme.size();
-    if (!value.url.empty() && (!rooted || value.url.find('/', scheme.size()) != std::string::npos)) {
-        reader.addFault("url", "expected a URL of the form \"http://ADDRESS:PORT\" without a path");
-    }
+    reader.rootUrl("url", value.url);
     reader.objects("seeds", [&](object_reader &part) {
         seed_settings &seed = value.seeds.emplace_back();
         part.text("id", seed.id);
         part.require("id");
         part.text("address", seed.address);
         part.require("address");
-        readInteger(part, "port", seed.port, 1, std::numeric_limits<std::uint16_t>::max());
+        part.integer("port", seed.port, 1, std::numeric_limits<std::uint16_t>::max());
         part.require("port");
     });
 }
@@ -117,9 +102,9 @@
     reader.object("log", [&](object_reader &part) {
         part.word("level", value.logLevel, {"debug", "info", "warning", "error"});
     });
-    readInteger(reader, "workers", value.workers, 1, 256);
+    reader.integer("workers", value.workers, 1, 256);
     reader.object("metrics", [&](object_reader &part) {
-        readInteger(part, "max_operators", value.maxMetricOperators, 0, 100'000);
+        part.integer("max_operators", value.maxMetricOperators, 0, 100'000);
     });
     reader.object("platform", [&](object_reader &part) {
         readPlatform(part, value.platform);
@@ -148,8 +133,8 @@
         part.duration("max_wait_ms", value.drain.maxWait, 0ms, 24h);
     });
     reader.object("trace", [&](object_reader &part) {
-        readInteger(part, "max_requests", value.trace.maxRequests, 1, 1'000'000);
-        readInteger(part, "max_changes", value.trace.maxChanges, 1, 1'000'000);
+        part.integer("max_requests", value.trace.maxRequests, 1, 1'000'000);
+        part.integer("max_changes", value.trace.maxChanges, 1, 1'000'000);
     });
 }
 
@@ -157,24 +142,12 @@
 
 std::optional<entry_settings> parseSettings(const nlohmann::json &root, settings::fault_list &faults)
 {
-    const std::size_t before = faults.size();
-    entry_settings value;
-    object_reader reader(root, "", faults);
-    readRoot(reader, value);
-    reader.finish();
-    if (faults.size() != before) {
-        return std::nullopt;
-    }
-    return value;
+    return settings::readSettings<entry_settings>(root, faults, readRoot);
 }
 
 std::optional<entry_settings> loadSettings(const std::string &path, settings::fault_list &faults)
 {
-    const auto document = settings::document::load(path, faults);
-    if (!document) {
-        return std::nullopt;
-    }
-    return parseSettings(document->root(), faults);
+    return settings::loadSettings<entry_settings>(path, faults, readRoot);
 }
 
 } // namespace medlarrack::entry
--- a/libs/settings/include/medlarrack/settings/object_reader.hpp
+++ b/libs/settings/include/medlarrack/settings/object_reader.hpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <chrono>
+#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -29,10 +30,20 @@
     void text(std::string_view key, std::string &value);
     void flag(std::string_view key, bool &value);
     void integer(std::string_view key, std::int64_t &value, std::int64_t lowest, std::int64_t highest);
+    /// The same for another integer type, which must hold the whole range.
+    template<std::integral Integer>
+    void integer(std::string_view key, Integer &value, std::int64_t lowest, std::int64_t highest)
+    {
+        auto whole = static_cast<std::int64_t>(value);
+        integer(key, whole, lowest, highest);
+        value = static_cast<Integer>(whole);
+    }
     void number(std::string_view key, double &value, double lowest, double highest);
     /// A duration written as a number in the unit of the key's suffix "_ms" or "_s".
     void duration(std::string_view key, std::chrono::milliseconds &value, std::chrono::milliseconds lowest,
                   std::chrono::milliseconds highest);
+    /// The root of an HTTP server, "http://ADDRESS:PORT" without a path. Its absence is a fault.
+    void rootUrl(std::string_view key, std::string &value);
     /// One of the given words.
     void word(std::string_view key, std::string &value, const std::set<std::string> &allowed);
     /// A nested object, read by the callback; absent is no fault.
--- a/libs/settings/src/object_reader.cpp
+++ b/libs/settings/src/object_reader.cpp
@@ -138,6 +138,20 @@
     }
 }
 
+void object_reader::rootUrl(std::string_view key, std::string &value)
+{
+    constexpr std::string_view scheme = "http://";
+    text(key, value);
+    require(key);
+    if (!has(key) || value.empty()) {
+        return;
+    }
+    const bool rooted = value.starts_with(scheme) && value.size() > scheme.size();
+    if (!rooted || value.find('/', scheme.size()) != std::string::npos) {
+        addFault(key, "expected a URL of the form \"http://ADDRESS:PORT\" without a path");
+    }
+}
+
 void object_reader::word(std::string_view key, std::string &value, const std::set<std::string> &allowed)
 {
     std::string given = value;
--- a/libs/sidecar/src/sidecar_settings.cpp
+++ b/libs/sidecar/src/sidecar_settings.cpp
@@ -1,5 +1,4 @@
-#include <medlarrack/settings/document.hpp>
-#include <medlarrack/settings/object_reader.hpp>
+#include <medlarrack/settings/typed_settings.hpp>
 #include <medlarrack/sidecar/sidecar_settings.hpp>
 
 #include <nlohmann/json.hpp>
@@ -16,34 +15,11 @@
 constexpr std::int64_t maxBytes = std::int64_t{1} << 30U;
 constexpr std::int64_t maxCount = 1'000'000;
 
-template<typename Integer>
-void readInteger(object_reader &reader, std::string_view key, Integer &value, std::int64_t lowest, std::int64_t highest)
-{
-    auto number = static_cast<std::int64_t>(value);
-    reader.integer(key, number, lowest, highest);
-    value = static_cast<Integer>(number);
-}
-
-/// A root such as "http://127.0.0.1:8000", without a path.
-void readUrl(object_reader &reader, std::string_view key, std::string &value)
-{
-    constexpr std::string_view scheme = "http://";
-    reader.text(key, value);
-    reader.require(key);
-    if (!reader.has(key) || value.empty()) {
-        return;
-    }
-    const bool rooted = value.starts_with(scheme) && value.size() > scheme.size();
-    if (!rooted || value.find('/', scheme.size()) != std::string::npos) {
-        reader.addFault(key, "expected a URL of the form \"http://ADDRESS:PORT\" without a path");
-    }
-}
-
 void readListen(object_reader &reader, listen_settings &value)
 {
     reader.text("address", value.address);
-    readInteger(reader, "port", value.port, 0, std::numeric_limits<std::uint16_t>::max());
-    readInteger(reader, "max_connections", value.maxConnections, 1, maxCount);
+    reader.integer("port", value.port, 0, std::numeric_limits<std::uint16_t>::max());
+    reader.integer("max_connections", value.maxConnections, 1, maxCount);
 }
 
 void readInstance(object_reader &reader, sidecar_settings &value)
@@ -60,11 +36,11 @@
 {
     reader.word("kind", value.kind, {"engine", "service"});
     reader.require("kind");
-    readUrl(reader, "url", value.url);
+    reader.rootUrl("url", value.url);
     reader.duration("poll_interval_ms", value.pollInterval, 10ms, 1min);
     reader.duration("crash_check_ms", value.crashCheck, 10ms, 1min);
-    readInteger(reader, "concurrency", value.concurrency, 0, 10'000);
-    readInteger(reader, "slots", value.slots, 0, 10'000);
+    reader.integer("concurrency", value.concurrency, 0, 10'000);
+    reader.integer("slots", value.slots, 0, 10'000);
     if (value.kind == "service" && value.slots != 0) {
         reader.addFault("slots", "a service has no adapter slots");
     }
@@ -72,11 +48,11 @@
 
 void readRequests(object_reader &reader, request_limits &value)
 {
-    readInteger(reader, "max_queued", value.maxQueued, 1, maxCount);
-    readInteger(reader, "max_queued_per_operator", value.maxQueuedPerOperator, 1, maxCount);
-    readInteger(reader, "max_queued_bytes", value.maxQueuedBytes, 1, maxBytes);
-    readInteger(reader, "max_body_bytes", value.maxBodyBytes, 1, maxBytes);
-    readInteger(reader, "max_buffered_bytes", value.maxBufferedBytes, 1, maxBytes);
+    reader.integer("max_queued", value.maxQueued, 1, maxCount);
+    reader.integer("max_queued_per_operator", value.maxQueuedPerOperator, 1, maxCount);
+    reader.integer("max_queued_bytes", value.maxQueuedBytes, 1, maxBytes);
+    reader.integer("max_body_bytes", value.maxBodyBytes, 1, maxBytes);
+    reader.integer("max_buffered_bytes", value.maxBufferedBytes, 1, maxBytes);
     if (value.maxBodyBytes > value.maxQueuedBytes) {
         reader.addFault("max_body_bytes", "is larger than max_queued_bytes");
     }
@@ -89,7 +65,7 @@
     reader.duration("longest_backoff_ms", value.longestBackoff, 1ms, 1h);
     reader.duration("longest_backoff_wait_ms", value.longestBackoffWait, 0ms, 1h);
     reader.number("loads_per_s", value.loadsPerSecond, 0.001, 10'000);
-    readInteger(reader, "loads_at_once", value.loadsAtOnce, 1, 1'000);
+    reader.integer("loads_at_once", value.loadsAtOnce, 1, 1'000);
     if (value.firstBackoff > value.longestBackoff) {
         reader.addFault("first_backoff_ms", "is longer than longest_backoff_ms");
     }
@@ -104,9 +80,9 @@
     reader.object("log", [&](object_reader &part) {
         part.word("level", value.logLevel, {"debug", "info", "warning", "error"});
     });
-    readInteger(reader, "workers", value.workers, 1, 256);
+    reader.integer("workers", value.workers, 1, 256);
     reader.object("metrics", [&](object_reader &part) {
-        readInteger(part, "max_operators", value.maxMetricOperators, 0, 100'000);
+        part.integer("max_operators", value.maxMetricOperators, 0, 100'000);
     });
     reader.object("peers", [&](object_reader &part) {
         readListen(part, value.peers);
@@ -119,7 +95,7 @@
     });
     reader.require("target");
     reader.object("platform", [&](object_reader &part) {
-        readUrl(part, "url", value.platformUrl);
+        part.rootUrl("url", value.platformUrl);
     });
     reader.require("platform");
     reader.object("requests", [&](object_reader &part) {
@@ -136,7 +112,7 @@
         part.duration("shortest_ms", value.shortestPause, 200ms, 1min);
     });
     reader.object("trace", [&](object_reader &part) {
-        readInteger(part, "max_requests", value.traceRequests, 1, maxCount);
+        part.integer("max_requests", value.traceRequests, 1, maxCount);
     });
 }
 
@@ -144,24 +120,12 @@
 
 std::optional<sidecar_settings> parseSettings(const nlohmann::json &root, settings::fault_list &faults)
 {
-    const std::size_t before = faults.size();
-    sidecar_settings value;
-    object_reader reader(root, "", faults);
-    readRoot(reader, value);
-    reader.finish();
-    if (faults.size() != before) {
-        return std::nullopt;
-    }
-    return value;
+    return settings::readSettings<sidecar_settings>(root, faults, readRoot);
 }
 
 std::optional<sidecar_settings> loadSettings(const std::string &path, settings::fault_list &faults)
 {
-    const auto document = settings::document::load(path, faults);
-    if (!document) {
-        return std::nullopt;
-    }
-    return parseSettings(document->root(), faults);
+    return settings::loadSettings<sidecar_settings>(path, faults, readRoot);
 }
 
 } // namespace medlarrack::sidecar
