--- a/libs/engine/src/http_engine_driver.cpp
+++ b/libs/engine/src/http_engine_driver.cpp
@@ -292,7 +292,7 @@
 
 void http_engine_driver::run(call_id id, target_call call, call_callbacks callbacks)
 {
-    m_impl->run(id, std::move(call), std::move(callbacks));
+    m_impl->run(id, call, std::move(callbacks));
 }
 
 void http_engine_driver::cancel(call_id id)
--- a/libs/entry/tests/test_entry_service.cpp
+++ b/libs/entry/tests/test_entry_service.cpp
@@ -155,7 +155,7 @@
         [] {
             return peer::hello{{"assistant-1", 1}, "osijek"};
         },
-        [this](const peer::hello & /*from*/, peer::message message, std::shared_ptr<peer::reply_stream> reply) {
+        [this](const peer::hello & /*from*/, peer::message message, const std::shared_ptr<peer::reply_stream> &reply) {
             onPeer(std::move(message), reply);
         }};
     peer::client peers{context, {}, [] {
