Keep the idempotency keys of operators apart

Cause: sidecars recorded answers under the caller's key alone; since keys may be any text, two operators that both use 'order-7' would get one run, and the second the other's answer. Found in a read-through. Change: the registry's key starts with the operator; parseKey reads both forms. Left: a key sent again with another body gets the first one's answer.

--- a/cmake/medlarrack_targets.cmake
+++ b/cmake/medlarrack_targets.cmake
@@ -34,5 +34,5 @@
     target_link_libraries(${target} PRIVATE medlarrack_warnings ${ARG_DEPENDS} ${ARG_LINKS}
         boost_unit_test_framework Threads::Threads)
     add_test(NAME ${ARG_NAME} COMMAND ${target} --log_level=test_suite --report_level=short)
-    set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 300 LABELS "${ARG_LABELS}")
+    set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 900 LABELS "${ARG_LABELS}")
 endfunction()
--- a/libs/once/include/medlarrack/once/request_key.hpp
+++ b/libs/once/include/medlarrack/once/request_key.hpp
@@ -9,7 +9,7 @@
 
 namespace medlarrack::once {
 
-/// Longest idempotency key taken, in bytes.
+/// Longest idempotency key taken, in bytes, without its scope.
 inline constexpr std::size_t maxKeyBytes = 256;
 
 /// What an idempotency key says of itself. Three forms are known: a key bound to one incarnation of one sidecar
@@ -23,6 +23,9 @@
     std::optional<core::instance_ref> home;
 };
 
+/// Puts an operator before its key, so that equal keys of two operators are two keys. parseKey() reads both forms.
+[[nodiscard]] std::string scopedKey(std::string_view operatorName, std::string_view key);
+
 /// Parses a key. Nothing when it is empty, too long or has characters outside printable ASCII, or when it has the
 /// bound form with a broken part.
 [[nodiscard]] std::optional<request_key> parseKey(std::string_view text);
--- a/libs/once/src/request_key.cpp
+++ b/libs/once/src/request_key.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr char homeSeparator = '~';
+/// Operators' names don't contain it.
+constexpr char scopeSeparator = '|';
 
 bool isPrintable(char character)
 {
@@ -34,13 +36,23 @@
 
 } // namespace
 
-std::optional<request_key> parseKey(std::string_view text)
+std::string scopedKey(std::string_view operatorName, std::string_view key)
 {
+    std::string scoped(operatorName);
+    scoped += scopeSeparator;
+    scoped += key;
+    return scoped;
+}
+
+std::optional<request_key> parseKey(std::string_view whole)
+{
+    const auto scopeEnd = whole.find(scopeSeparator);
+    const std::string_view text = scopeEnd == std::string_view::npos ? whole : whole.substr(scopeEnd + 1);
     if (text.empty() || text.size() > maxKeyBytes || !std::all_of(text.begin(), text.end(), isPrintable)) {
         return std::nullopt;
     }
     request_key key;
-    key.text = text;
+    key.text = whole;
     const auto separator = text.find(homeSeparator);
     key.birth = core::uuid7Time(text.substr(0, separator));
     if (separator == std::string_view::npos || !key.birth) {
--- /dev/null
+++ b/libs/once/tests/test_request_key.cpp
@@ -0,0 +1,52 @@
+#include <medlarrack/core/uuid.hpp>
+#include <medlarrack/once/request_key.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace medlarrack;
+using namespace medlarrack::once;
+
+namespace {
+
+const core::wall_time birth(std::chrono::milliseconds(1'764'800'000'000));
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(request_keys, *boost::unit_test::label("once"))
+
+BOOST_AUTO_TEST_CASE(a_bound_key_names_its_home_with_and_without_an_operator)
+{
+    const core::instance_ref home{"pivot.1", 42};
+    const std::string text = makeBoundKey(birth, home);
+    for (const std::string &form : {text, scopedKey("slavonska", text)}) {
+        const auto key = parseKey(form);
+        BOOST_TEST_REQUIRE((key && key->home));
+        BOOST_TEST((*key->home == home));
+        BOOST_TEST((key->birth == birth));
+        BOOST_TEST(key->text == form);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(other_texts_have_no_home_and_only_a_uuid_of_version_7_has_a_birth)
+{
+    const auto made = parseKey(core::makeUuid7(birth));
+    BOOST_TEST_REQUIRE(made.has_value());
+    BOOST_TEST((made->birth == birth));
+    BOOST_TEST(!made->home);
+    const auto opaque = parseKey("order-7~a.1");
+    BOOST_TEST_REQUIRE(opaque.has_value());
+    BOOST_TEST(!opaque->birth);
+    BOOST_TEST(!opaque->home);
+}
+
+BOOST_AUTO_TEST_CASE(broken_keys_are_refused)
+{
+    BOOST_TEST(!parseKey(""));
+    BOOST_TEST(!parseKey("slavonska|"));
+    BOOST_TEST(!parseKey("order 7"));
+    BOOST_TEST(!parseKey(std::string(maxKeyBytes + 1, 'x')));
+    BOOST_TEST(!parseKey(core::makeUuid7(birth) + "~pivot-1"));
+    BOOST_TEST(!parseKey(core::makeUuid7(birth) + "~pivot-1.x"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/sidecar/src/active_request.hpp
+++ b/libs/sidecar/src/active_request.hpp
@@ -4,6 +4,7 @@
 
 #include <medlarrack/core/clock.hpp>
 #include <medlarrack/engine/target_driver.hpp>
+#include <medlarrack/once/request_key.hpp>
 #include <medlarrack/peer/messages.hpp>
 
 #include <cstdint>
@@ -28,6 +29,7 @@
         , enqueued(now)
         , deadline(now + message.deadlineLeft)
         , relay(message, std::move(reply), now, metrics)
+        , key(once::scopedKey(message.operatorName, message.idempotencyKey))
         , request(std::move(message))
     {
     }
@@ -36,6 +38,8 @@
     const core::monotonic_time enqueued;
     const core::monotonic_time deadline;
     run_relay relay;
+    /// The idempotency key as the key registry knows it.
+    const std::string key;
     peer::run_request request;
 
     request_phase phase = request_phase::queued;
--- a/libs/sidecar/src/dispatcher_keys.cpp
+++ b/libs/sidecar/src/dispatcher_keys.cpp
@@ -120,7 +120,7 @@
 {
     process([&](core::monotonic_time /*now*/) {
         if (m_requests.contains(request->id)) {
-            const std::string &key = request->request.idempotencyKey;
+            const std::string &key = request->key;
             request->keyed = true;
             m_runners.try_emplace(key, request->id);
             addKeyActions(m_keys.submit(key, request->id, m_parts.clock.wallNow()));
@@ -180,7 +180,7 @@
         request = found->second;
         remove(request);
         (void)m_scheduler.forget(request->id, now);
-        const auto runner = m_runners.find(request->request.idempotencyKey);
+        const auto runner = m_runners.find(request->key);
         if (runner != m_runners.end() && runner->second == waiter) {
             m_runners.erase(runner);
         }
@@ -209,7 +209,7 @@
     if (!request.keyed) {
         return;
     }
-    const std::string &key = request.request.idempotencyKey;
+    const std::string &key = request.key;
     m_runners.erase(key);
     // This request is answered by its own run.
     m_keys.forget(key, request.id);
@@ -221,7 +221,7 @@
     if (!request.keyed) {
         return true;
     }
-    const std::string &key = request.request.idempotencyKey;
+    const std::string &key = request.key;
     m_keys.forget(key, request.id);
     const auto runner = m_runners.find(key);
     if (runner == m_runners.end() || runner->second != request.id) {
