--- /dev/null
+++ b/apps/medlarrack-agent/main.cpp
@@ -0,0 +1,55 @@
+#include <medlarrack/agent/agent_service.hpp>
+#include <medlarrack/core/system_clock.hpp>
+#include <medlarrack/daemon/reload_signal.hpp>
+#include <medlarrack/daemon/run_program.hpp>
+#include <medlarrack/daemon/signals.hpp>
+#include <medlarrack/log/log.hpp>
+#include <medlarrack/platform/engine_codec.hpp>
+
+#include <asio/io_context.hpp>
+
+namespace {
+
+using namespace medlarrack;
+
+/// Log lines that wait for a reader.
+constexpr std::size_t maxLogBytes = 128 * 1024;
+
+int serve(const daemon::command_line &options, const agent::agent_settings &settings)
+{
+    log::startBuffered("medlarrack-agent", log::levelFromString(settings.logLevel), maxLogBytes);
+    asio::io_context context(1);
+    const core::system_clock clock;
+    const platform::engine_codec format;
+    agent::agent_service service(context, settings, format, clock);
+    core::reason why;
+    if (!service.start(why)) {
+        log::write(log::level::error, why.message, {{"code", why.code}});
+        log::flush();
+        return daemon::exitFailure;
+    }
+    log::write(log::level::info, "started",
+               {{"name", settings.name}, {"version", MEDLARRACK_VERSION}, {"engine", settings.engine}});
+    const daemon::signals signals(context, [&] {
+        service.stop();
+        log::write(log::level::info, "stopped");
+        log::flush();
+        context.stop();
+    });
+    const daemon::reload_signal reloads(context, [&] {
+        // Nothing of the agent's settings can change while it runs; the file is checked all the same.
+        settings::fault_list faults;
+        const bool good = agent::loadSettings(options.settingsPath, faults).has_value();
+        log::write(good ? log::level::info : log::level::error, good ? "settings reloaded" : "settings not reloaded",
+                   {{"why", settings::toText(faults, options.settingsPath)}});
+    });
+    context.run();
+    return daemon::exitOk;
+}
+
+} // namespace
+
+int main(int argumentCount, const char **arguments)
+{
+    return daemon::runProgram(argumentCount, arguments, "medlarrack-agent", agent::loadSettings, serve);
+}
--- /dev/null
+++ b/apps/medlarrack-gateway/main.cpp
@@ -0,0 +1,68 @@
+#include <medlarrack/core/system_clock.hpp>
+#include <medlarrack/daemon/reload_signal.hpp>
+#include <medlarrack/daemon/run_program.hpp>
+#include <medlarrack/daemon/signals.hpp>
+#include <medlarrack/gateway/gateway_service.hpp>
+#include <medlarrack/log/log.hpp>
+#include <medlarrack/platform/caller_codec.hpp>
+#include <medlarrack/platform/store_codec.hpp>
+
+#include <asio/io_context.hpp>
+
+#include <iostream>
+
+namespace {
+
+using namespace medlarrack;
+
+/// Log lines that wait for a reader; about half a second of full load.
+constexpr std::size_t maxLogBytes = 256 * 1024;
+
+void reload(const std::string &path, gateway::gateway_service &service)
+{
+    settings::fault_list faults;
+    if (const auto loaded = gateway::loadSettings(path, faults)) {
+        service.reload(*loaded);
+        log::write(log::level::info, "settings reloaded");
+    } else {
+        log::write(log::level::error, "settings not reloaded", {{"why", settings::toText(faults, path)}});
+    }
+}
+
+int serve(const daemon::command_line &options, const gateway::gateway_settings &settings)
+{
+    log::startBuffered("medlarrack-gateway", log::levelFromString(settings.logLevel), maxLogBytes);
+    asio::io_context context(1);
+    const core::system_clock clock;
+    const platform::caller_codec callers;
+    const platform::store_codec store;
+    gateway::gateway_service service(context, settings, callers, store, clock);
+    core::reason why;
+    if (!service.start(why)) {
+        log::write(log::level::error, why.message, {{"code", why.code}});
+        log::flush();
+        return daemon::exitFailure;
+    }
+    log::write(log::level::info, "started", {{"name", settings.name}, {"version", MEDLARRACK_VERSION}});
+    if (options.printPort) {
+        std::cout << "listening callers " << service.callersPort() << "\nlistening admin " << service.adminPort()
+                  << std::endl;
+    }
+    const daemon::signals signals(context, [&] {
+        service.drain([&context] {
+            context.stop();
+        });
+    });
+    const daemon::reload_signal reloads(context, [&] {
+        reload(options.settingsPath, service);
+    });
+    context.run();
+    return daemon::exitOk;
+}
+
+} // namespace
+
+int main(int argumentCount, const char **arguments)
+{
+    return daemon::runProgram(argumentCount, arguments, "medlarrack-gateway", gateway::loadSettings, serve);
+}
--- /dev/null
+++ b/libs/agent/include/medlarrack/agent/slot_keeper.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <medlarrack/agent/engine_format.hpp>
+#include <medlarrack/core/clock.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace medlarrack::agent {
+
+/// What the engine may hold, as the published state says.
+struct engine_limits
+{
+    std::vector<std::string> models;
+    std::uint32_t adapterSlots = 0;
+};
+
+/// Decides on orders to one engine: loads the base model after a restart, loads wanted adapters in the order in which
+/// they were asked for, replaces old versions, and makes room by unloading the adapter that nobody has used for the
+/// longest time. Answers the pattern of many adapters by a Zipf law before few slots. No network, no clock; not
+/// thread-safe.
+class slot_keeper
+{
+public:
+    void setLimits(engine_limits limits);
+    /// The newest version of an adapter; older ones are ignored.
+    void setRelease(std::string_view adapter, std::uint64_t version);
+    /// A gateway's requests wait for an adapter.
+    void want(std::string_view adapter, core::monotonic_time now);
+    /// Adapters that a gateway's requests use or wait for; replaces what it said before. An empty list forgets it.
+    void setInUse(std::string_view gateway, std::set<std::string, std::less<>> adapters, core::monotonic_time now);
+
+    /// What the engine says now.
+    void reported(engine_report report, core::monotonic_time now);
+    /// The engine doesn't answer.
+    void unreachable();
+
+    /// The next order, if there is one to give. It counts as given until its end is told.
+    [[nodiscard]] std::optional<engine_order> nextOrder(core::monotonic_time now);
+    void ordered(const engine_order &order, order_result result, core::monotonic_time now);
+
+    /// Whether something is on its way or waited for, so that the engine is to be asked often.
+    [[nodiscard]] bool isActive() const;
+    [[nodiscard]] bool isUp() const;
+    [[nodiscard]] const engine_report &report() const;
+
+private:
+    [[nodiscard]] std::optional<engine_order> nextModelOrder(core::monotonic_time now) const;
+    [[nodiscard]] std::optional<engine_order> nextReplacement(core::monotonic_time now) const;
+    [[nodiscard]] std::optional<engine_order> nextLoad(core::monotonic_time now);
+    [[nodiscard]] std::optional<std::string> leastRecentlyUsed(core::monotonic_time now) const;
+    [[nodiscard]] bool isInUse(std::string_view adapter) const;
+    [[nodiscard]] bool isOnItsWay(std::string_view adapter) const;
+    [[nodiscard]] std::size_t occupied() const;
+    [[nodiscard]] bool holdsNewest(std::string_view adapter) const;
+    [[nodiscard]] std::uint64_t releaseOf(std::string_view adapter) const;
+    [[nodiscard]] bool mayOrder(std::string_view key, core::monotonic_time now) const;
+
+    engine_limits m_limits;
+    engine_report m_report;
+    bool m_up = false;
+    catalog::adapter_versions m_releases;
+    std::deque<std::string> m_wanted;
+    std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_inUse;
+    std::map<std::string, core::monotonic_time, std::less<>> m_lastUsed;
+    /// Loads accepted that no report shows yet, with the time of the order.
+    std::map<std::string, core::monotonic_time, std::less<>> m_accepted;
+    /// Adapters and models that aren't ordered again before a time.
+    std::map<std::string, core::monotonic_time, std::less<>> m_notBefore;
+};
+
+} // namespace medlarrack::agent
--- /dev/null
+++ b/libs/agent/src/agent_service.cpp
@@ -0,0 +1,385 @@
+#include <medlarrack/agent/agent_service.hpp>
+
+#include <medlarrack/agent/fencing.hpp>
+#include <medlarrack/agent/slot_keeper.hpp>
+#include <medlarrack/http1/call_client.hpp>
+#include <medlarrack/http1/listen.hpp>
+#include <medlarrack/link/link_connection.hpp>
+#include <medlarrack/log/log.hpp>
+
+#include <asio/ip/address_v4.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <list>
+#include <set>
+
+namespace medlarrack::agent {
+
+namespace {
+
+/// Between reports while something is on its way: a load from the replica's own memory takes 25 ms.
+constexpr std::chrono::milliseconds activeInterval{20};
+/// Between reports while nothing is.
+constexpr std::chrono::milliseconds idleInterval{150};
+/// A replica on the same machine answers in a few milliseconds.
+constexpr std::chrono::milliseconds callTimeout{500};
+/// Gateways take an agent as lost after three of these without a status.
+constexpr std::chrono::milliseconds heartbeat{500};
+/// Change of the number of requests that is told before the heartbeat.
+constexpr std::uint32_t notableLoadChange = 4;
+
+/// A gateway's link with what it said of itself.
+struct gateway_link
+{
+    std::string name;
+    std::unique_ptr<link::link_connection> connection;
+    bool lost = false;
+};
+
+link::engine_status statusOf(const slot_keeper &keeper)
+{
+    const engine_report &report = keeper.report();
+    link::engine_status status;
+    status.engineUp = keeper.isUp();
+    status.startedAtMs = report.startedAtMs;
+    status.models = report.models;
+    status.adapters = report.adapters;
+    status.loading = report.loading;
+    status.running = report.running;
+    status.queued = report.queued;
+    return status;
+}
+
+bool differsNotably(const link::engine_status &left, const link::engine_status &right)
+{
+    const std::uint32_t before = left.running + left.queued;
+    const std::uint32_t now = right.running + right.queued;
+    return left.engineUp != right.engineUp || left.startedAtMs != right.startedAtMs || left.models != right.models
+        || left.adapters != right.adapters || std::max(before, now) - std::min(before, now) >= notableLoadChange;
+}
+
+std::string_view toString(order_result result)
+{
+    switch (result) {
+    case order_result::accepted:
+        return "accepted";
+    case order_result::done:
+        return "done";
+    case order_result::busy:
+        return "busy";
+    case order_result::fenced:
+        return "fenced";
+    case order_result::misdirected:
+        return "misdirected";
+    case order_result::refused:
+        return "refused";
+    case order_result::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+class agent_service::impl
+{
+public:
+    impl(asio::io_context &owner, const agent_settings &given, const engine_format &engineFormat,
+         const core::clock &time)
+        : context(owner)
+        , settings(given)
+        , format(engineFormat)
+        , clock(time)
+        , acceptor(owner)
+        , timer(owner)
+        , fence(time.wallNow())
+    {
+    }
+
+    bool start(core::reason &why)
+    {
+        const auto engine = http1::parseEndpoint(settings.engine);
+        if (!engine) {
+            why = {"bad_engine_address", "'" + settings.engine + "' is no address with a port"};
+            return false;
+        }
+        client = std::make_unique<http1::call_client>(context, *engine);
+        std::error_code error;
+        const asio::ip::tcp::endpoint at(asio::ip::make_address_v4(settings.address, error), settings.port);
+        if (error) {
+            why = {"bad_listen_address", "'" + settings.address + "' is no IPv4 address"};
+            return false;
+        }
+        if (!http1::listen(acceptor, at, why)) {
+            return false;
+        }
+        accept();
+        scheduleTick(std::chrono::milliseconds(0));
+        return true;
+    }
+
+    void stop()
+    {
+        std::error_code ignored;
+        stopped = true;
+        acceptor.close(ignored);
+        timer.cancel();
+        links.clear();
+        client.reset();
+    }
+
+    void accept()
+    {
+        acceptor.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+            if (stopped || error == asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                addLink(std::move(socket));
+            }
+            accept();
+        });
+    }
+
+    void addLink(asio::ip::tcp::socket socket)
+    {
+        const auto added = links.emplace(links.end());
+        added->connection = std::make_unique<link::link_connection>(
+            std::make_shared<http1::byte_stream>(context, std::move(socket)),
+            [this, added](const link::message &message) {
+                std::visit(
+                    [&](const auto &body) {
+                        take(*added, body);
+                    },
+                    message);
+            },
+            [this, added](std::string_view why) {
+                loseLink(*added, why);
+            });
+        added->connection->start();
+        added->connection->send(statusOf(keeper));
+    }
+
+    void loseLink(gateway_link &lost, std::string_view why)
+    {
+        lost.lost = true;
+        keeper.setInUse(lost.name, {}, clock.now());
+        log::write(log::level::info, "gateway link lost", {{"gateway", lost.name}, {"why", why}});
+        asio::post(context, [this] {
+            links.remove_if([](const gateway_link &one) {
+                return one.lost;
+            });
+        });
+    }
+
+    void take(gateway_link &from, const link::greeting &greeting)
+    {
+        from.name = greeting.name;
+        log::write(log::level::info, "gateway link made", {{"gateway", from.name}});
+    }
+
+    void take(gateway_link &, const link::load_request &asked)
+    {
+        for (const std::string &adapter : asked.adapters) {
+            keeper.want(adapter, clock.now());
+        }
+        work();
+    }
+
+    void take(gateway_link &from, const link::adapters_in_use &used)
+    {
+        keeper.setInUse(from.name, {used.adapters.begin(), used.adapters.end()}, clock.now());
+    }
+
+    void take(gateway_link &, const link::service_facts &facts)
+    {
+        if (facts.stateVersion < stateVersion) {
+            return;
+        }
+        stateVersion = facts.stateVersion;
+        engine_limits limits;
+        double room = facts.weightsMb;
+        for (const link::model_facts &model : facts.models) {
+            // A model that doesn't fit beside those before it stays away: an engine crashes on an overload.
+            if (model.weightsMb <= room) {
+                room -= model.weightsMb;
+                limits.models.push_back(model.name);
+            }
+        }
+        limits.adapterSlots = facts.adapterSlots;
+        for (const link::model_facts &model : facts.models) {
+            if (model.adapterMb > 0) {
+                limits.adapterSlots = std::min(limits.adapterSlots, static_cast<std::uint32_t>(room / model.adapterMb));
+            }
+        }
+        keeper.setLimits(std::move(limits));
+        work();
+    }
+
+    void take(gateway_link &, const link::adapter_releases &releases)
+    {
+        for (const auto &[adapter, version] : releases.versions) {
+            keeper.setRelease(adapter, version);
+        }
+        work();
+    }
+
+    void take(gateway_link &, const link::engine_status &)
+    {
+        // Only agents send it; a gateway that does is of another version and harmless.
+    }
+
+    void scheduleTick(std::chrono::milliseconds delay)
+    {
+        timer.expires_after(delay);
+        timer.async_wait([this](const std::error_code &error) {
+            if (!error && !stopped) {
+                tick();
+            }
+        });
+    }
+
+    void tick()
+    {
+        reportDue = true;
+        work();
+        publishIfDue();
+        log::flush();
+        scheduleTick(keeper.isActive() ? activeInterval : idleInterval);
+    }
+
+    /// Gives the next order, or asks for a report if one is due.
+    void work()
+    {
+        if (stopped || client->isBusy()) {
+            return;
+        }
+        // A frozen process acts on what it believed before: it looks again first.
+        const core::monotonic_time now = clock.now();
+        if (!reportDue && now - reportedAt < idleInterval * 2) {
+            if (const auto order = keeper.nextOrder(now)) {
+                give(*order);
+                return;
+            }
+        }
+        if (reportDue || now - reportedAt >= idleInterval * 2) {
+            askForReport();
+        }
+    }
+
+    void askForReport()
+    {
+        reportDue = false;
+        client->call("GET", format.reportTarget(), "", callTimeout,
+                     [this](const std::optional<http1::call_answer> &answer, const core::reason &why) {
+                         takeReport(answer, why);
+                     });
+    }
+
+    void takeReport(const std::optional<http1::call_answer> &answer, core::reason why)
+    {
+        const bool wasUp = keeper.isUp();
+        auto report = answer && answer->status == 200 ? format.readReport(answer->body, why) : std::nullopt;
+        if (!report) {
+            keeper.unreachable();
+            if (wasUp) {
+                log::write(log::level::warning, "engine lost", {{"why", why.message}});
+            }
+            publishIfDue();
+            return;
+        }
+        reportedAt = clock.now();
+        keeper.reported(*std::move(report), reportedAt);
+        if (!wasUp) {
+            log::write(log::level::info, "engine answers",
+                       {{"started_at_ms", keeper.report().startedAtMs},
+                        {"adapters", static_cast<std::uint64_t>(keeper.report().adapters.size())}});
+        }
+        publishIfDue();
+        work();
+    }
+
+    void give(const engine_order &order)
+    {
+        const std::uint64_t token = fence.token();
+        client->call("POST", format.orderTarget(), format.orderBody(order, settings.name, token), callTimeout,
+                     [this, order, token](const std::optional<http1::call_answer> &answer, const core::reason &why) {
+                         takeOrderEnd(order, token, answer, why);
+                     });
+    }
+
+    void takeOrderEnd(const engine_order &order, std::uint64_t token, const std::optional<http1::call_answer> &answer,
+                      const core::reason &why)
+    {
+        const order_result result = answer ? format.readOrderStatus(answer->status) : order_result::unknown;
+        if (result == order_result::fenced) {
+            fence.refused();
+        }
+        keeper.ordered(order, result, clock.now());
+        log::write(log::level::info, order.what == engine_order::kind::load ? "load ordered" : "unload ordered",
+                   {{"model", order.model},
+                    {"adapter", order.adapter},
+                    {"version", order.version},
+                    {"fencing_token", token},
+                    {"result", toString(result)},
+                    {"why", why.message}});
+        work();
+    }
+
+    void publishIfDue()
+    {
+        const core::monotonic_time now = clock.now();
+        link::engine_status status = statusOf(keeper);
+        if (!differsNotably(published, status) && now - publishedAt < heartbeat) {
+            return;
+        }
+        for (gateway_link &one : links) {
+            if (!one.lost) {
+                one.connection->send(status);
+            }
+        }
+        published = std::move(status);
+        publishedAt = now;
+    }
+
+    asio::io_context &context;
+    agent_settings settings;
+    const engine_format &format;
+    const core::clock &clock;
+    asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer timer;
+    std::unique_ptr<http1::call_client> client;
+    slot_keeper keeper;
+    fencing fence;
+    std::list<gateway_link> links;
+    link::engine_status published;
+    core::monotonic_time publishedAt{};
+    core::monotonic_time reportedAt{};
+    std::uint64_t stateVersion = 0;
+    bool reportDue = false;
+    bool stopped = false;
+};
+
+agent_service::agent_service(asio::io_context &context, const agent_settings &settings, const engine_format &format,
+                             const core::clock &clock)
+    : m_impl(std::make_unique<impl>(context, settings, format, clock))
+{
+}
+
+agent_service::~agent_service()
+{
+    m_impl->stop();
+}
+
+bool agent_service::start(core::reason &why)
+{
+    return m_impl->start(why);
+}
+
+void agent_service::stop()
+{
+    m_impl->stop();
+}
+
+} // namespace medlarrack::agent
--- /dev/null
+++ b/libs/agent/src/agent_settings.cpp
@@ -0,0 +1,36 @@
+#include <medlarrack/agent/agent_settings.hpp>
+
+#include <medlarrack/settings/typed_settings.hpp>
+
+namespace medlarrack::agent {
+
+namespace {
+
+constexpr std::int64_t highestPort = 65'535;
+
+void read(settings::object_reader &reader, agent_settings &value)
+{
+    reader.require("name");
+    reader.text("name", value.name);
+    reader.text("data_centre", value.dataCentre);
+    reader.require("listen");
+    reader.object("listen", [&](settings::object_reader &listen) {
+        listen.require("address");
+        listen.text("address", value.address);
+        listen.require("port");
+        listen.integer("port", value.port, 0, highestPort);
+        listen.finish();
+    });
+    reader.require("engine");
+    reader.text("engine", value.engine);
+    reader.word("log_level", value.logLevel, {"debug", "info", "warning", "error"});
+}
+
+} // namespace
+
+std::optional<agent_settings> loadSettings(const std::string &path, settings::fault_list &faults)
+{
+    return settings::loadSettings<agent_settings>(path, faults, read);
+}
+
+} // namespace medlarrack::agent
--- /dev/null
+++ b/libs/agent/src/slot_keeper.cpp
@@ -0,0 +1,269 @@
+#include <medlarrack/agent/slot_keeper.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarrack::agent {
+
+namespace {
+
+/// Adapters that an engine takes on their way at once.
+constexpr std::size_t maxOnTheirWay = 4;
+/// An adapter stays for this long after its last use: a request sent to it may still be on the way.
+constexpr std::chrono::milliseconds keepAfterUse{300};
+/// How long an accepted load is believed without a report that shows it; reports are some 100 ms old.
+constexpr std::chrono::milliseconds acceptedBelieved{500};
+/// Pause after an order that was not accepted.
+constexpr std::chrono::milliseconds retryPause{100};
+/// Pause between orders to load a base model: the engine works on one for seconds.
+constexpr std::chrono::milliseconds modelPause{1'000};
+/// Adapters waited for at most; beyond it the oldest are forgotten, since their requests have been given up.
+constexpr std::size_t maxWanted = 200;
+
+std::string modelOf(std::string_view adapter)
+{
+    return std::string(adapter.substr(0, adapter.find('/')));
+}
+
+} // namespace
+
+void slot_keeper::setLimits(engine_limits limits)
+{
+    m_limits = std::move(limits);
+}
+
+void slot_keeper::setRelease(std::string_view adapter, std::uint64_t version)
+{
+    std::uint64_t &known = m_releases[std::string(adapter)];
+    known = std::max(known, version);
+}
+
+void slot_keeper::want(std::string_view adapter, core::monotonic_time now)
+{
+    m_lastUsed[std::string(adapter)] = now;
+    if (holdsNewest(adapter) || std::find(m_wanted.begin(), m_wanted.end(), adapter) != m_wanted.end()) {
+        return;
+    }
+    m_wanted.emplace_back(adapter);
+    if (m_wanted.size() > maxWanted) {
+        m_wanted.pop_front();
+    }
+}
+
+void slot_keeper::setInUse(std::string_view gateway, std::set<std::string, std::less<>> adapters,
+                           core::monotonic_time now)
+{
+    const auto known = m_inUse.find(gateway);
+    if (known != m_inUse.end()) {
+        // What has just ended was used until now.
+        for (const std::string &adapter : known->second) {
+            m_lastUsed[adapter] = now;
+        }
+    }
+    for (const std::string &adapter : adapters) {
+        m_lastUsed[adapter] = now;
+    }
+    if (adapters.empty()) {
+        if (known != m_inUse.end()) {
+            m_inUse.erase(known);
+        }
+        return;
+    }
+    m_inUse[std::string(gateway)] = std::move(adapters);
+}
+
+void slot_keeper::reported(engine_report report, core::monotonic_time now)
+{
+    if (report.startedAtMs != m_report.startedAtMs) {
+        m_accepted.clear();
+        m_notBefore.clear();
+    }
+    for (const auto &[adapter, version] : report.adapters) {
+        if (!m_report.adapters.contains(adapter)) {
+            m_lastUsed[adapter] = now;
+        }
+    }
+    m_report = std::move(report);
+    m_up = true;
+    std::erase_if(m_accepted, [&](const auto &entry) {
+        return m_report.adapters.contains(entry.first) || m_report.loading.contains(entry.first)
+            || now - entry.second > acceptedBelieved;
+    });
+    std::erase_if(m_notBefore, [now](const auto &entry) {
+        return entry.second <= now;
+    });
+    std::erase_if(m_wanted, [this](const std::string &adapter) {
+        return holdsNewest(adapter);
+    });
+    std::erase_if(m_lastUsed, [&](const auto &entry) {
+        return !m_report.adapters.contains(entry.first) && !isOnItsWay(entry.first) && !isInUse(entry.first);
+    });
+}
+
+void slot_keeper::unreachable()
+{
+    m_up = false;
+}
+
+std::optional<engine_order> slot_keeper::nextOrder(core::monotonic_time now)
+{
+    if (!m_up || m_limits.models.empty()) {
+        return std::nullopt;
+    }
+    if (auto order = nextModelOrder(now)) {
+        return order;
+    }
+    if (auto order = nextReplacement(now)) {
+        return order;
+    }
+    return nextLoad(now);
+}
+
+std::optional<engine_order> slot_keeper::nextModelOrder(core::monotonic_time now) const
+{
+    if (m_report.busy) {
+        return std::nullopt;
+    }
+    for (const std::string &model : m_limits.models) {
+        const bool held = std::find(m_report.models.begin(), m_report.models.end(), model) != m_report.models.end();
+        if (!held && mayOrder(model, now)) {
+            return engine_order{engine_order::kind::load, model, "", 0};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<engine_order> slot_keeper::nextReplacement(core::monotonic_time now) const
+{
+    for (const auto &[adapter, version] : m_report.adapters) {
+        const std::uint64_t newest = releaseOf(adapter);
+        if (version < newest && !isOnItsWay(adapter) && mayOrder(adapter, now)) {
+            return engine_order{engine_order::kind::load, modelOf(adapter), adapter, newest};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<engine_order> slot_keeper::nextLoad(core::monotonic_time now)
+{
+    const std::size_t onTheirWay = m_report.loading.size() + m_accepted.size();
+    if (onTheirWay >= maxOnTheirWay) {
+        return std::nullopt;
+    }
+    for (const std::string &adapter : m_wanted) {
+        const std::string model = modelOf(adapter);
+        const bool modelHeld =
+            std::find(m_report.models.begin(), m_report.models.end(), model) != m_report.models.end();
+        if (!modelHeld || isOnItsWay(adapter) || m_report.adapters.contains(adapter) || !mayOrder(adapter, now)) {
+            continue;
+        }
+        if (occupied() < m_limits.adapterSlots) {
+            return engine_order{engine_order::kind::load, model, adapter, releaseOf(adapter)};
+        }
+        if (const auto victim = leastRecentlyUsed(now)) {
+            return engine_order{engine_order::kind::unload, modelOf(*victim), *victim, 0};
+        }
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+void slot_keeper::ordered(const engine_order &order, order_result result, core::monotonic_time now)
+{
+    const std::string &key = order.adapter.empty() ? order.model : order.adapter;
+    const bool taken = result == order_result::accepted || result == order_result::done;
+    if (order.adapter.empty()) {
+        m_notBefore[key] = now + (taken ? modelPause : retryPause);
+        return;
+    }
+    if (!taken && result != order_result::unknown) {
+        m_notBefore[key] = now + retryPause;
+        return;
+    }
+    if (order.what == engine_order::kind::load) {
+        // Without an answer the load may have been accepted: its slot counts until a report tells.
+        m_accepted[key] = now;
+        return;
+    }
+    if (result == order_result::done) {
+        m_report.adapters.erase(key);
+        m_lastUsed.erase(key);
+    } else {
+        m_notBefore[key] = now + retryPause;
+    }
+}
+
+bool slot_keeper::isActive() const
+{
+    return !m_wanted.empty() || !m_accepted.empty() || !m_report.loading.empty() || m_report.busy
+        || (m_up && m_report.models.empty());
+}
+
+bool slot_keeper::isUp() const
+{
+    return m_up;
+}
+
+const engine_report &slot_keeper::report() const
+{
+    return m_report;
+}
+
+std::optional<std::string> slot_keeper::leastRecentlyUsed(core::monotonic_time now) const
+{
+    std::optional<std::string> oldest;
+    core::monotonic_time oldestUse = now - keepAfterUse;
+    for (const auto &[adapter, version] : m_report.adapters) {
+        const auto used = m_lastUsed.find(adapter);
+        const core::monotonic_time at = used == m_lastUsed.end() ? core::monotonic_time() : used->second;
+        if (at <= oldestUse && !isInUse(adapter) && !isOnItsWay(adapter) && mayOrder(adapter, now)) {
+            oldest = adapter;
+            oldestUse = at;
+        }
+    }
+    return oldest;
+}
+
+bool slot_keeper::isInUse(std::string_view adapter) const
+{
+    return std::any_of(m_inUse.begin(), m_inUse.end(), [adapter](const auto &entry) {
+        return entry.second.contains(adapter);
+    });
+}
+
+bool slot_keeper::isOnItsWay(std::string_view adapter) const
+{
+    return m_report.loading.contains(adapter) || m_accepted.contains(adapter);
+}
+
+std::size_t slot_keeper::occupied() const
+{
+    std::size_t count = m_report.adapters.size();
+    for (const auto &[adapter, version] : m_report.loading) {
+        count += m_report.adapters.contains(adapter) ? 0 : 1;
+    }
+    for (const auto &[adapter, at] : m_accepted) {
+        count += m_report.adapters.contains(adapter) || m_report.loading.contains(adapter) ? 0 : 1;
+    }
+    return count;
+}
+
+bool slot_keeper::holdsNewest(std::string_view adapter) const
+{
+    const auto held = m_report.adapters.find(adapter);
+    return held != m_report.adapters.end() && held->second >= releaseOf(adapter);
+}
+
+std::uint64_t slot_keeper::releaseOf(std::string_view adapter) const
+{
+    const auto found = m_releases.find(adapter);
+    return found == m_releases.end() ? 0 : found->second;
+}
+
+bool slot_keeper::mayOrder(std::string_view key, core::monotonic_time now) const
+{
+    const auto found = m_notBefore.find(key);
+    return found == m_notBefore.end() || now >= found->second;
+}
+
+} // namespace medlarrack::agent
--- /dev/null
+++ b/libs/catalog/include/medlarrack/catalog/published_state.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <medlarrack/catalog/route.hpp>
+#include <medlarrack/catalog/service.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace medlarrack::catalog {
+
+/// Bounds on what callers may send.
+struct request_limits
+{
+    std::size_t maxHeadBytes = 16'384;
+    std::size_t maxBodyBytes = 4'194'304;
+    std::chrono::milliseconds headTimeout{3'000};
+    std::chrono::milliseconds idleTimeout{15'000};
+};
+
+/// One version of the whole configuration.
+struct published_state
+{
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    std::vector<service> services;
+    request_limits limits;
+};
+
+} // namespace medlarrack::catalog
--- /dev/null
+++ b/libs/catalog/src/route_table.cpp
@@ -0,0 +1,103 @@
+#include <medlarrack/catalog/route_table.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarrack::catalog {
+
+namespace {
+
+std::string normalized(std::string_view host)
+{
+    std::string text(host.substr(0, host.find(':')));
+    std::transform(text.begin(), text.end(), text.begin(), [](char character) {
+        return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+    });
+    return text;
+}
+
+} // namespace
+
+bool route_table::take(published_state state)
+{
+    if (!isEmpty() && state.version <= m_state.version) {
+        return false;
+    }
+    m_state = std::move(state);
+    m_hosts.clear();
+    for (const route &one : m_state.routes) {
+        m_hosts[normalized(one.host)][one.prefix] = std::make_shared<const route>(one);
+    }
+    m_state.routes.clear();
+    m_services.clear();
+    for (std::size_t index = 0; index < m_state.services.size(); ++index) {
+        m_services[m_state.services[index].name] = index;
+    }
+    return true;
+}
+
+bool route_table::isEmpty() const
+{
+    return m_state.version == 0;
+}
+
+std::uint64_t route_table::version() const
+{
+    return m_state.version;
+}
+
+const request_limits &route_table::limits() const
+{
+    return m_state.limits;
+}
+
+std::shared_ptr<const route> route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto prefixes = m_hosts.find(normalized(host));
+    if (prefixes == m_hosts.end()) {
+        return nullptr;
+    }
+    path = path.substr(0, path.find('?'));
+    // Each prefix ends with a slash, so that only the path's own parts can be one.
+    for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/', slash - 1)) {
+        if (const auto found = prefixes->second.find(path.substr(0, slash + 1)); found != prefixes->second.end()) {
+            return found->second;
+        }
+        if (slash == 0) {
+            break;
+        }
+    }
+    return nullptr;
+}
+
+const service *route_table::findService(std::string_view name) const
+{
+    const auto found = m_services.find(std::string(name));
+    return found == m_services.end() ? nullptr : &m_state.services[found->second];
+}
+
+const std::vector<service> &route_table::services() const
+{
+    return m_state.services;
+}
+
+std::string_view serviceFor(const route &of, std::uint64_t requestHash)
+{
+    std::uint64_t total = 0;
+    for (const weighted_service &one : of.services) {
+        total += one.weight;
+    }
+    if (total == 0) {
+        return of.services.empty() ? std::string_view() : std::string_view(of.services.front().service);
+    }
+    std::uint64_t point = requestHash % total;
+    for (const weighted_service &one : of.services) {
+        if (point < one.weight) {
+            return one.service;
+        }
+        point -= one.weight;
+    }
+    return of.services.back().service;
+}
+
+} // namespace medlarrack::catalog
--- /dev/null
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <medlarrack/settings/fault.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace medlarrack::gateway {
+
+/// Settings of the gateway.
+struct gateway_settings
+{
+    /// Name of the instance.
+    std::string name;
+    std::string dataCentre;
+    /// Where callers connect, "ADDRESS:PORT".
+    std::string callers;
+    /// Where readiness is asked for and metrics are read.
+    std::string admin;
+    /// The store of the published state.
+    std::string store;
+    /// Port of the agents; each listens at its engine's address.
+    std::uint16_t agentPort = 0;
+    /// Pause between calls to the store: with the time of a call it bounds how late a change is seen.
+    std::chrono::milliseconds storeInterval{700};
+    /// Time for running requests after a request to stop.
+    std::chrono::milliseconds drainTime{7'000};
+    /// Share of the requests of a service that may be sent once more, and those allowed besides each second.
+    double retryShare = 0.15;
+    double retriesPerSecond = 0.5;
+    std::string logLevel = "info";
+};
+
+/// Reads the settings file; every fault found is added.
+[[nodiscard]] std::optional<gateway_settings> loadSettings(const std::string &path, settings::fault_list &faults);
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <medlarrack/catalog/replica_record.hpp>
+#include <medlarrack/core/clock.hpp>
+#include <medlarrack/gateway/replica_health.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace medlarrack::gateway {
+
+/// What the agent beside an engine last said of it.
+struct agent_status
+{
+    /// The engine answers its agent.
+    bool engineUp = false;
+    std::uint64_t startedAtMs = 0;
+    std::vector<std::string> models;
+    catalog::adapter_versions adapters;
+    catalog::adapter_versions loading;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    core::monotonic_time at{};
+};
+
+/// What is known of one replica.
+struct replica
+{
+    catalog::replica_record record;
+    std::uint64_t idHash = 0;
+    /// In this process's data centre.
+    bool local = false;
+    /// Not in the instance list any more, or soon if the store was away when it vanished.
+    bool removed = false;
+    std::optional<core::monotonic_time> removalDue;
+
+    /// Nothing without a connection to the agent.
+    std::optional<agent_status> agent;
+    replica_health health;
+
+    /// Requests of this process in progress there.
+    std::uint32_t outstanding = 0;
+    /// Of those, by adapter; with those that wait for the adapter.
+    std::map<std::string, std::uint32_t, std::less<>> byAdapter;
+    /// Requests of others there, as far as told.
+    std::uint32_t othersLoad = 0;
+    core::monotonic_time loadToldAt{};
+
+    /// Requests that run or wait there.
+    [[nodiscard]] std::uint32_t load() const
+    {
+        return outstanding + othersLoad;
+    }
+
+    /// Takes a count of all requests running and waiting there.
+    void tellLoad(std::uint32_t all, core::monotonic_time now)
+    {
+        othersLoad = all > outstanding ? all - outstanding : 0;
+        loadToldAt = now;
+    }
+};
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <medlarrack/gateway/replica_table.hpp>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace medlarrack::gateway {
+
+/// What a choice is made for.
+struct choice_query
+{
+    std::string_view service;
+    /// Base model, empty for plain services.
+    std::string_view model;
+    /// "model/adapter"; empty if none is named.
+    std::string_view adapter;
+    /// Requests that a replica runs at once.
+    std::uint32_t batchSize = 1;
+    /// Replicas that have had this request.
+    std::span<const std::string> tried;
+};
+
+/// Where a request goes.
+struct replica_choice
+{
+    /// Null if no replica can take it.
+    replica_ptr target;
+    /// The adapter isn't loaded there yet; it is to be asked for.
+    bool needsLoad = false;
+    /// Another replica that is to load the adapter because demand fills this one; usually null.
+    replica_ptr alsoLoadAt;
+    /// Why there, for the log.
+    std::string_view why;
+};
+
+/// Chooses a replica of a plain service: the one expected to answer first. Answers the pattern of few replicas with few
+/// slots each, of which one may be slow, failing or gone.
+[[nodiscard]] replica_choice choosePlain(const replica_table &table, const choice_query &asked,
+                                         core::monotonic_time now);
+
+/// Chooses a replica of a model service. Answers the pattern of many adapters by a Zipf law before few slots: an
+/// adapter has homes by rendezvous hashing in each data centre, goes where it is loaded, and gets a further home while
+/// its demand fills the ones it has.
+[[nodiscard]] replica_choice chooseEngine(const replica_table &table, const choice_query &asked,
+                                          core::monotonic_time now);
+
+/// Whether the adapter is loaded at a replica in its newest published version.
+[[nodiscard]] bool holdsAdapter(const replica_table &table, const replica &at, std::string_view adapter);
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/include/medlarrack/gateway/replica_table.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <medlarrack/gateway/replica.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace medlarrack::gateway {
+
+using replica_ptr = std::shared_ptr<replica>;
+
+/// All replicas in the instance list, and the newest versions of adapters. Not thread-safe.
+class replica_table
+{
+public:
+    explicit replica_table(std::string dataCentre);
+
+    /// Takes a record unless it is older than the one held; says whether it was taken.
+    bool take(catalog::replica_record record, core::monotonic_time now);
+    /// A replica has left the list. With a grace, because the store was away meanwhile, it serves on for that long
+    /// unless it is listed again.
+    void remove(std::string_view id, std::chrono::milliseconds grace, core::monotonic_time now);
+    /// Removes all replicas that a whole list doesn't name.
+    void keepOnly(std::span<const std::string> ids, std::chrono::milliseconds grace, core::monotonic_time now);
+    /// Carries out removals that are due.
+    void expire(core::monotonic_time now);
+
+    [[nodiscard]] replica_ptr find(std::string_view id) const;
+    [[nodiscard]] std::span<const replica_ptr> ofService(std::string_view service) const;
+    [[nodiscard]] const std::map<std::string, replica_ptr, std::less<>> &all() const;
+
+    /// A new version of an adapter was published; older ones are ignored. Says whether it was taken.
+    bool takeRelease(std::string_view adapter, std::uint64_t version);
+    /// 0 if none was published.
+    [[nodiscard]] std::uint64_t newestVersion(std::string_view adapter) const;
+    [[nodiscard]] const catalog::adapter_versions &releases() const;
+
+private:
+    void drop(std::string_view id);
+    void addToService(const replica_ptr &added);
+
+    std::string m_dataCentre;
+    std::map<std::string, replica_ptr, std::less<>> m_replicas;
+    std::map<std::string, std::vector<replica_ptr>, std::less<>> m_services;
+    catalog::adapter_versions m_releases;
+};
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/adapter_waiters.cpp
@@ -0,0 +1,53 @@
+#include "adapter_waiters.hpp"
+
+#include <medlarrack/gateway/replica_choice.hpp>
+
+namespace medlarrack::gateway {
+
+void adapter_waiters::add(const replica &at, std::string_view adapter, std::weak_ptr<adapter_waiter> waiter)
+{
+    m_waiters[{at.record.id, std::string(adapter)}].push_back(std::move(waiter));
+}
+
+void adapter_waiters::engineChanged(const replica_table &table, const replica &at)
+{
+    const bool lost = !at.agent || !at.agent->engineUp || at.removed || at.record.leaving;
+    std::vector<key> ready;
+    for (auto entry = m_waiters.lower_bound({at.record.id, ""});
+         entry != m_waiters.end() && entry->first.first == at.record.id; ++entry) {
+        if (lost || holdsAdapter(table, at, entry->first.second)) {
+            ready.push_back(entry->first);
+        }
+    }
+    for (const key &one : ready) {
+        wake(one, lost ? &adapter_waiter::engineLost : &adapter_waiter::adapterLoaded);
+    }
+}
+
+void adapter_waiters::dropRemoved(const replica_table &table)
+{
+    std::vector<key> gone;
+    for (const auto &[waitsFor, waiters] : m_waiters) {
+        const replica_ptr at = table.find(waitsFor.first);
+        if (at == nullptr || at->record.leaving) {
+            gone.push_back(waitsFor);
+        }
+    }
+    for (const key &one : gone) {
+        wake(one, &adapter_waiter::engineLost);
+    }
+}
+
+void adapter_waiters::wake(const key &waitsFor, void (adapter_waiter::*how)())
+{
+    const auto found = m_waiters.find(waitsFor);
+    const auto waiters = std::move(found->second);
+    m_waiters.erase(found);
+    for (const auto &weak : waiters) {
+        if (const auto waiter = weak.lock()) {
+            ((*waiter).*how)();
+        }
+    }
+}
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/agent_links.cpp
@@ -0,0 +1,168 @@
+#include "agent_links.hpp"
+
+#include <medlarrack/log/log.hpp>
+
+#include <asio/ip/address_v4.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace medlarrack::gateway {
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout{400};
+constexpr std::chrono::milliseconds reconnectPause{250};
+/// Three heartbeats of an agent.
+constexpr std::chrono::milliseconds silenceLimit{1'500};
+
+} // namespace
+
+agent_links::agent_links(asio::io_context &context, const core::clock &clock, std::string name,
+                         std::uint16_t agentPort, replica_table &replicas, const catalog::route_table &routes,
+                         std::function<void(const replica_ptr &)> onStatus)
+    : m_context(context)
+    , m_clock(clock)
+    , m_name(std::move(name))
+    , m_agentPort(agentPort)
+    , m_replicas(replicas)
+    , m_routes(routes)
+    , m_onStatus(std::move(onStatus))
+{
+}
+
+agent_links::~agent_links() = default;
+
+bool agent_links::want(const replica_ptr &at, std::string_view adapter)
+{
+    m_asked.insert(at->record.id);
+    const auto found = m_links.find(at->record.id);
+    if (found == m_links.end() || found->second.connection == nullptr) {
+        return false;
+    }
+    found->second.connection->send(link::load_request{{std::string(adapter)}});
+    return true;
+}
+
+void agent_links::tick()
+{
+    const core::monotonic_time now = m_clock.now();
+    std::erase_if(m_links, [this](const auto &entry) {
+        return m_replicas.find(entry.first) == nullptr;
+    });
+    std::erase_if(m_asked, [this](const std::string &id) {
+        return m_replicas.find(id) == nullptr;
+    });
+    std::vector<std::string> silent;
+    for (const auto &[id, known] : m_replicas.all()) {
+        const catalog::service *service = m_routes.findService(known->record.service);
+        if (service == nullptr || !service->engine || (!known->local && !m_asked.contains(id))) {
+            continue;
+        }
+        agent_link &one = m_links[id];
+        if (one.connection == nullptr) {
+            if (now >= one.nextTry) {
+                open(known, one);
+            }
+        } else if (now - one.heardAt > silenceLimit) {
+            silent.push_back(id);
+        } else if (one.connected) {
+            feed(*known, one);
+        }
+    }
+    for (const std::string &id : silent) {
+        lose(id, "silent");
+    }
+}
+
+void agent_links::open(const replica_ptr &to, agent_link &one)
+{
+    const std::string id = to->record.id;
+    one = {};
+    one.heardAt = m_clock.now();
+    one.connection = std::make_unique<link::link_connection>(
+        std::make_shared<http1::byte_stream>(m_context),
+        [this, id](const link::message &message) {
+            take(id, message);
+        },
+        [this, id](std::string_view why) {
+            lose(id, why);
+        });
+    std::error_code ignored;
+    one.connection->connect({asio::ip::make_address_v4(to->record.address, ignored), m_agentPort}, connectTimeout);
+    one.connection->send(link::greeting{.name = m_name});
+}
+
+void agent_links::take(const std::string &id, const link::message &message)
+{
+    const auto found = m_links.find(id);
+    const replica_ptr known = m_replicas.find(id);
+    const auto *status = std::get_if<link::engine_status>(&message);
+    if (found == m_links.end() || known == nullptr || status == nullptr) {
+        return;
+    }
+    const core::monotonic_time now = m_clock.now();
+    if (!found->second.connected) {
+        found->second.connected = true;
+        log::write(log::level::info, "agent link made", {{"replica", id}});
+        feed(*known, found->second);
+    }
+    found->second.heardAt = now;
+    known->agent = agent_status{status->engineUp, status->startedAtMs, status->models,  status->adapters,
+                                status->loading,  status->running,     status->queued, now};
+    known->tellLoad(status->running + status->queued, now);
+    m_onStatus(known);
+}
+
+void agent_links::lose(const std::string &id, std::string_view why)
+{
+    const auto found = m_links.find(id);
+    if (found == m_links.end() || found->second.connection == nullptr) {
+        return;
+    }
+    if (found->second.connected) {
+        log::write(log::level::warning, "agent link lost", {{"replica", id}, {"why", why}});
+    }
+    // The connection may be what calls: it is destroyed after its call has returned.
+    asio::post(m_context, [old = std::shared_ptr<link::link_connection>(std::move(found->second.connection))] {});
+    found->second = {};
+    found->second.nextTry = m_clock.now() + reconnectPause;
+    if (const replica_ptr known = m_replicas.find(id); known != nullptr && known->agent) {
+        // The instance list goes on telling what the engine holds, if late.
+        known->record.models = known->agent->models;
+        known->record.adapters = known->agent->adapters;
+        known->agent.reset();
+        m_onStatus(known);
+    }
+}
+
+void agent_links::feed(const replica &of, agent_link &one)
+{
+    const catalog::service *service = m_routes.findService(of.record.service);
+    if (service != nullptr && service->engine && one.toldStateVersion != m_routes.version()) {
+        one.toldStateVersion = m_routes.version();
+        link::service_facts facts;
+        facts.stateVersion = m_routes.version();
+        facts.service = service->name;
+        for (const catalog::base_model &model : service->engine->models) {
+            facts.models.push_back({model.name, model.weightsMb, model.adapterMb});
+        }
+        facts.weightsMb = service->engine->weightsMb;
+        facts.adapterSlots = service->engine->adapterSlots;
+        one.connection->send(facts);
+    }
+    if (one.toldReleases != m_replicas.releases()) {
+        one.toldReleases = m_replicas.releases();
+        one.connection->send(link::adapter_releases{one.toldReleases});
+    }
+    std::set<std::string, std::less<>> inUse;
+    for (const auto &[adapter, count] : of.byAdapter) {
+        inUse.insert(adapter);
+    }
+    if (inUse != one.toldInUse) {
+        one.connection->send(link::adapters_in_use{{inUse.begin(), inUse.end()}});
+        one.toldInUse = std::move(inUse);
+    }
+}
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/agent_links.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <medlarrack/catalog/route_table.hpp>
+#include <medlarrack/core/clock.hpp>
+#include <medlarrack/gateway/replica_table.hpp>
+#include <medlarrack/link/link_connection.hpp>
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace medlarrack::gateway {
+
+/// Links to the agents beside engines: to those of this data centre always, to others once one of their engines is
+/// asked for an adapter.
+class agent_links
+{
+public:
+    /// All references must outlive the links. The handler is called after each change of what is known of an engine.
+    agent_links(asio::io_context &context, const core::clock &clock, std::string name, std::uint16_t agentPort,
+                replica_table &replicas, const catalog::route_table &routes,
+                std::function<void(const replica_ptr &)> onStatus);
+    ~agent_links();
+
+    /// Asks for an adapter at an engine. False if its agent isn't reached.
+    bool want(const replica_ptr &at, std::string_view adapter);
+    /// Makes, drops and feeds links; called at a steady pace.
+    void tick();
+
+private:
+    struct agent_link
+    {
+        std::unique_ptr<link::link_connection> connection;
+        bool connected = false;
+        core::monotonic_time heardAt{};
+        core::monotonic_time nextTry{};
+        std::uint64_t toldStateVersion = 0;
+        std::set<std::string, std::less<>> toldInUse;
+        catalog::adapter_versions toldReleases;
+    };
+
+    void open(const replica_ptr &to, agent_link &one);
+    void take(const std::string &id, const link::message &message);
+    void lose(const std::string &id, std::string_view why);
+    void feed(const replica &of, agent_link &one);
+
+    asio::io_context &m_context;
+    const core::clock &m_clock;
+    std::string m_name;
+    std::uint16_t m_agentPort;
+    replica_table &m_replicas;
+    const catalog::route_table &m_routes;
+    std::function<void(const replica_ptr &)> m_onStatus;
+    std::map<std::string, agent_link, std::less<>> m_links;
+    std::set<std::string, std::less<>> m_asked;
+};
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/event_cutter.cpp
@@ -0,0 +1,71 @@
+#include <medlarrack/gateway/event_cutter.hpp>
+
+#include <algorithm>
+
+namespace medlarrack::gateway {
+
+namespace {
+
+constexpr std::string_view idField = "id:";
+
+/// Position behind the next empty line; npos without one.
+std::size_t eventEnd(std::string_view bytes, std::size_t from)
+{
+    const std::size_t plain = bytes.find("\n\n", from);
+    const std::size_t carriage = bytes.find("\r\n\r\n", from);
+    if (plain == std::string_view::npos && carriage == std::string_view::npos) {
+        return std::string_view::npos;
+    }
+    return plain < carriage ? plain + 2 : carriage + 4;
+}
+
+/// The value of an event's id field; empty without one.
+std::string_view idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t lineEnd = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, lineEnd);
+        event.remove_prefix(std::min(lineEnd + 1, event.size()));
+        if (!line.starts_with(idField)) {
+            continue;
+        }
+        line.remove_prefix(idField.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        while (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        return line;
+    }
+    return {};
+}
+
+} // namespace
+
+std::string event_cutter::take(std::string &bytes)
+{
+    std::size_t whole = 0;
+    for (std::size_t end = eventEnd(bytes, 0); end != std::string::npos; end = eventEnd(bytes, whole)) {
+        if (const std::string_view id = idOf(std::string_view(bytes).substr(whole, end - whole)); !id.empty()) {
+            m_lastId = id;
+        }
+        ++m_count;
+        whole = end;
+    }
+    std::string events = bytes.substr(0, whole);
+    bytes.erase(0, whole);
+    return events;
+}
+
+const std::string &event_cutter::lastId() const
+{
+    return m_lastId;
+}
+
+std::size_t event_cutter::count() const
+{
+    return m_count;
+}
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/exchange.cpp
@@ -0,0 +1,561 @@
+#include "exchange.hpp"
+
+#include <medlarrack/core/hash.hpp>
+#include <medlarrack/log/log.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace medlarrack::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Deadline of callers that don't say one.
+constexpr milliseconds defaultTimeLeft{60'000};
+/// How long an adapter is waited for at one engine: a load takes 250 ms, and longer while many are on their way.
+constexpr milliseconds longestLoadWait{1'200};
+/// Engines at which an adapter is waited for.
+constexpr std::uint32_t maxLoadWaits = 3;
+/// A replica gives its own answer at its deadline; it is waited for this much longer.
+constexpr milliseconds deadlineGrace{200};
+/// Time kept back from a replica's deadline for the way of its answer.
+constexpr milliseconds wayBack{5};
+/// Idle time up to which a kept connection carries a request that may not run again: one that closes meanwhile gives no
+/// proof either way.
+constexpr milliseconds idleForOnce{400};
+constexpr milliseconds idleForAny{60'000};
+/// Unread bytes of a caller at which its replica is slowed down, and of a plain answer from which it is passed on
+/// before it is whole.
+constexpr std::size_t relayBuffer = 256 * 1024;
+/// Refused callers return after this and up to as much again, spread: long enough for a load or a replica's return.
+constexpr milliseconds returnAfter{250};
+
+void appendChunk(std::string &out, std::string_view bytes)
+{
+    std::array<char, 20> size{};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    out.append(size.data(), static_cast<std::size_t>(length));
+    out += bytes;
+    out += "\r\n";
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+std::int64_t inMilliseconds(std::chrono::nanoseconds time)
+{
+    return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
+} // namespace
+
+exchange::exchange(exchange_services &services, caller_channel &caller, http1::message_head head, std::string body)
+    : m_services(services)
+    , m_caller(&caller)
+    , m_request(std::move(head))
+    , m_requestBody(std::move(body))
+    , m_facts(services.format.readRequest(m_request))
+    , m_startedAt(services.clock.now())
+{
+}
+
+exchange::~exchange()
+{
+    dropConnection();
+    release();
+}
+
+void exchange::start()
+{
+    if (!findRoute()) {
+        return;
+    }
+    const auto wanted = std::min(m_facts.timeLeft.value_or(defaultTimeLeft), m_route->timeout);
+    m_deadline = m_startedAt + wanted;
+    m_service = serviceFor(*m_route, core::hash64(m_facts.id));
+    m_services.budgetOf(m_service).onFirstAttempt();
+    next();
+}
+
+bool exchange::findRoute()
+{
+    if (m_services.routes.isEmpty()) {
+        refuse("no_state", "no published state is known yet");
+        return false;
+    }
+    m_route = m_services.routes.find(m_request.value("Host"), m_request.target);
+    if (m_route == nullptr) {
+        constexpr int notFound = 404;
+        answerOwn(notFound, "no_route", "no route has this host and path");
+        return false;
+    }
+    return true;
+}
+
+void exchange::next()
+{
+    const core::monotonic_time now = m_services.clock.now();
+    if (now >= m_deadline) {
+        if (m_history.runs > 0) {
+            constexpr int gatewayTimeout = 504;
+            answerOwn(gatewayTimeout, "timeout", "the time for the request is over");
+        } else {
+            refuse("timeout", "the time for the request is over");
+        }
+        return;
+    }
+    const catalog::service *service = m_services.routes.findService(m_service);
+    const bool hasEngine = service != nullptr && service->engine && !m_facts.model.empty();
+    choice_query asked;
+    asked.service = m_service;
+    asked.model = m_facts.model;
+    asked.adapter = m_facts.adapter;
+    asked.batchSize = hasEngine ? service->engine->batchSize : 1;
+    asked.tried = m_tried;
+    const replica_choice choice = hasEngine ? chooseEngine(m_services.replicas, asked, now)
+                                            : choosePlain(m_services.replicas, asked, now);
+    m_choiceWhy = choice.why;
+    if (choice.target == nullptr) {
+        if (m_history.runs > 0) {
+            constexpr int badGateway = 502;
+            answerOwn(badGateway, "no_replica", "the request may have run and no other replica is left");
+        } else {
+            refuse("no_replica", "no replica can take the request now");
+        }
+        return;
+    }
+    if (choice.alsoLoadAt != nullptr) {
+        m_services.agents.want(choice.alsoLoadAt, m_facts.adapter);
+    }
+    if (choice.needsLoad) {
+        waitForAdapter(choice);
+    } else {
+        send(choice.target);
+    }
+}
+
+void exchange::waitForAdapter(const replica_choice &choice)
+{
+    if (m_loadWaits >= maxLoadWaits) {
+        refuse("adapter_not_loaded", "the adapter was not loaded in time");
+        return;
+    }
+    ++m_loadWaits;
+    if (!m_services.agents.want(choice.target, m_facts.adapter)) {
+        // Nobody can load it there; another engine may do.
+        m_tried.push_back(choice.target->record.id);
+        const auto self = shared_from_this();
+        next();
+        return;
+    }
+    assign(choice.target);
+    m_waiting = true;
+    m_waitUntil = std::min(m_deadline, m_services.clock.now() + longestLoadWait);
+    m_services.waiters.add(*choice.target, m_facts.adapter, weak_from_this());
+}
+
+void exchange::adapterLoaded()
+{
+    if (!m_waiting || m_done) {
+        return;
+    }
+    m_waiting = false;
+    const replica_ptr target = m_target;
+    release();
+    send(target);
+}
+
+void exchange::engineLost()
+{
+    if (!m_waiting || m_done) {
+        return;
+    }
+    m_waiting = false;
+    m_tried.push_back(m_target->record.id);
+    release();
+    next();
+}
+
+void exchange::send(const replica_ptr &to)
+{
+    const core::monotonic_time now = m_services.clock.now();
+    assign(to);
+    ++m_history.runs;
+    m_tried.push_back(to->record.id);
+    m_connection = m_services.connections.take(*to, catalog::mayRunAgain(*m_route) ? idleForAny : idleForOnce);
+    m_sentAt = now;
+    m_lastBytesAt = now;
+    m_answerBody.clear();
+    m_unfinishedEvent = 0;
+    m_firstByte = {};
+    send_options options;
+    options.replicaId = to->record.id;
+    options.timeLeft = std::max(milliseconds(1), timeLeft(now) - wayBack);
+    options.urgency = m_route->priority;
+    options.lastEventId = m_cutter.lastId();
+    std::string request;
+    request.reserve(1'024 + m_requestBody.size());
+    m_services.format.appendRequest(request, m_request, m_requestBody, options);
+    m_connection->send(request, *this, m_request.method == "HEAD");
+}
+
+http1::head_verdict exchange::onHead(const http1::message_head &head)
+{
+    answer_facts facts = m_services.format.readAnswer(head);
+    if (!facts.id.empty() && facts.id != m_facts.id) {
+        log::write(log::level::info, "answer to another request dropped",
+                   {{"request_id", m_facts.id}, {"answer_to", facts.id}, {"replica", m_target->record.id}});
+        return http1::head_verdict::skip;
+    }
+    const core::monotonic_time now = m_services.clock.now();
+    m_firstByte = now - m_sentAt;
+    m_lastBytesAt = now;
+    if (facts.load) {
+        m_target->tellLoad(facts.load->running + facts.load->waiting, now);
+    }
+    m_answerFacts = std::move(facts);
+    if (!m_headSent) {
+        m_answer = head;
+    } else {
+        m_answer.status = head.status;
+    }
+    return http1::head_verdict::take;
+}
+
+void exchange::onBody(std::string &body)
+{
+    m_lastBytesAt = m_services.clock.now();
+    if (m_answerFacts.notRun) {
+        body.clear();
+        return;
+    }
+    const bool trusted = m_answerFacts.isSigned && !m_answerFacts.isEncoded;
+    if (trusted && m_answerFacts.isEventStream && isSuccess(m_answer.status)) {
+        relayEvents(body);
+        return;
+    }
+    m_answerBody += body;
+    body.clear();
+}
+
+void exchange::relayEvents(std::string &body)
+{
+    const std::string events = m_cutter.take(body);
+    m_unfinishedEvent = body.size();
+    if (events.empty()) {
+        return;
+    }
+    std::string out;
+    if (!m_headSent) {
+        m_headSent = true;
+        m_target->health.succeeded(m_lastBytesAt - m_sentAt);
+        const body_framing framing = m_caller->takesChunks() ? body_framing::chunked : body_framing::none;
+        m_services.format.appendAnswerHead(out, m_answer, framing, 0, m_caller->closesAfterAnswer());
+    }
+    if (m_caller->takesChunks()) {
+        appendChunk(out, events);
+    } else {
+        out += events;
+    }
+    m_caller->write(out);
+    if (m_caller->queued() > relayBuffer && !m_paused) {
+        m_paused = true;
+        m_connection->pause();
+    }
+}
+
+void exchange::callerDrained()
+{
+    if (m_paused && m_connection != nullptr) {
+        m_paused = false;
+        m_connection->resume();
+    }
+}
+
+void exchange::onComplete()
+{
+    const auto self = shared_from_this();
+    connection_ptr connection = std::exchange(m_connection, nullptr);
+    m_services.connections.give(*m_target, std::move(connection));
+    if (m_answerFacts.notRun) {
+        rejected();
+        return;
+    }
+    const bool success = isSuccess(m_answer.status);
+    if (success && (!m_answerFacts.isSigned || m_answerFacts.isEncoded)) {
+        attemptFailed(attempt_end::unknown, "the answer lacks a replica's signature");
+        return;
+    }
+    if (m_headSent || (success && m_answerFacts.isEventStream)) {
+        completeStream();
+        return;
+    }
+    if (success) {
+        m_target->health.succeeded(m_services.clock.now() - m_sentAt);
+        deliver();
+        return;
+    }
+    constexpr int firstServerError = 500;
+    if (m_answer.status >= firstServerError) {
+        m_target->health.failed(false, m_services.clock.now());
+        if (mayTryAgain(*m_route, attempt_end::unknown, m_history)
+            && m_services.budgetOf(m_service).tryRetry(m_services.clock.now())) {
+            tryAgain("the replica answered " + std::to_string(m_answer.status));
+            return;
+        }
+    }
+    deliver();
+}
+
+void exchange::completeStream()
+{
+    if (m_unfinishedEvent > 0 || !m_headSent || !isSuccess(m_answer.status)) {
+        attemptFailed(attempt_end::unknown, "the stream ended without its last event");
+        return;
+    }
+    if (m_caller->takesChunks()) {
+        m_caller->write("0\r\n\r\n");
+    }
+    finish("ran", m_answer.status, m_choiceWhy);
+}
+
+/// The replica states that it did not run the request.
+void exchange::rejected()
+{
+    --m_history.runs;
+    ++m_history.rejections;
+    const core::monotonic_time now = m_services.clock.now();
+    if (m_answerFacts.misdirected && !m_facts.adapter.empty() && m_target->agent) {
+        // The adapter has left since the last status; the agent will be asked again.
+        m_target->agent->adapters.erase(m_facts.adapter);
+        m_tried.pop_back();
+    } else if (m_answerFacts.misdirected) {
+        m_target->health.failed(true, now);
+    }
+    if (mayTryAgain(*m_route, attempt_end::not_run, m_history) && m_services.budgetOf(m_service).tryRetry(now)) {
+        tryAgain("the replica did not run it");
+        return;
+    }
+    release();
+    refuse("rejected", "the replicas did not run the request");
+}
+
+void exchange::onFailed(http1::call_progress progress, std::string_view why)
+{
+    const auto self = shared_from_this();
+    m_connection = nullptr;
+    const bool notSent = progress == http1::call_progress::not_sent;
+    if (notSent) {
+        --m_history.runs;
+        ++m_history.rejections;
+    }
+    m_target->health.failed(notSent, m_services.clock.now());
+    attemptFailed(notSent ? attempt_end::not_run : attempt_end::unknown, why);
+}
+
+void exchange::attemptFailed(attempt_end end, std::string_view why)
+{
+    if (mayTryAgain(*m_route, end, m_history)
+        && m_services.budgetOf(m_service).tryRetry(m_services.clock.now())) {
+        tryAgain(why);
+        return;
+    }
+    release();
+    if (m_headSent) {
+        breakOff(why);
+    } else if (end == attempt_end::not_run && m_history.runs == 0) {
+        refuse("not_reached", why);
+    } else {
+        constexpr int badGateway = 502;
+        answerOwn(badGateway, "attempt_failed", why);
+    }
+}
+
+void exchange::tryAgain(std::string_view why)
+{
+    log::write(log::level::info, "request sent on",
+               {{"request_id", m_facts.id},
+                {"replica", m_target->record.id},
+                {"why", why},
+                {"runs", m_history.runs},
+                {"rejections", m_history.rejections},
+                {"last_event", m_cutter.lastId()}});
+    m_services.metrics.count("medlarrack_gateway_retries_total", "Requests sent to another replica", {});
+    release();
+    next();
+}
+
+void exchange::deliver()
+{
+    std::string out;
+    const bool bodiless = m_request.method == "HEAD" || m_answer.status == 204 || m_answer.status == 304;
+    m_services.format.appendAnswerHead(out, m_answer, bodiless ? body_framing::none : body_framing::length,
+                                       m_answerBody.size(), m_caller->closesAfterAnswer());
+    if (!bodiless) {
+        out += m_answerBody;
+    }
+    m_headSent = true;
+    m_caller->write(out);
+    finish("ran", m_answer.status, m_choiceWhy);
+}
+
+void exchange::refuse(std::string_view code, std::string_view why)
+{
+    constexpr int unavailable = 503;
+    if (m_headSent) {
+        breakOff(why);
+        return;
+    }
+    own_answer answer;
+    answer.status = unavailable;
+    answer.code = code;
+    answer.message = why;
+    answer.retryAfter = returnAfter + milliseconds(m_services.random() % returnAfter.count());
+    answer.closes = m_caller->closesAfterAnswer();
+    std::string out;
+    m_services.format.appendOwnAnswer(out, answer, m_facts.id);
+    m_caller->write(out);
+    finish("not_run", unavailable, why);
+}
+
+void exchange::answerOwn(int status, std::string_view code, std::string_view why)
+{
+    if (m_headSent) {
+        breakOff(why);
+        return;
+    }
+    own_answer answer;
+    answer.status = status;
+    answer.code = code;
+    answer.message = why;
+    answer.closes = m_caller->closesAfterAnswer();
+    std::string out;
+    m_services.format.appendOwnAnswer(out, answer, m_facts.id);
+    m_caller->write(out);
+    finish(status == 404 ? "not_run" : "unknown", status, why);
+}
+
+void exchange::breakOff(std::string_view why)
+{
+    caller_channel *caller = m_caller;
+    m_caller = nullptr;
+    finish("broken_off", m_answer.status, why);
+    caller->brokeOff();
+}
+
+void exchange::callerGone()
+{
+    m_caller = nullptr;
+    if (!m_done) {
+        finish("caller_gone", 0, m_waiting ? "while waiting for the adapter" : "while it ran");
+    }
+}
+
+void exchange::tick(core::monotonic_time now)
+{
+    if (m_done) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (m_waiting) {
+        if (now >= m_waitUntil) {
+            engineLost();
+        }
+        return;
+    }
+    if (m_connection == nullptr) {
+        return;
+    }
+    if (now >= m_deadline + deadlineGrace) {
+        dropConnection();
+        release();
+        constexpr int gatewayTimeout = 504;
+        answerOwn(gatewayTimeout, "timeout", "the replica gave no whole answer in the time for the request");
+        return;
+    }
+    const auto patience = m_headSent ? gapPatience(*m_route) : answerPatience(*m_route);
+    if (now - m_lastBytesAt >= patience && !m_paused && now < m_deadline
+        && mayTryAgain(*m_route, attempt_end::unknown, m_history)
+        && m_services.budgetOf(m_service).tryRetry(now)) {
+        m_target->health.failed(false, now);
+        dropConnection();
+        tryAgain("no answer for longer than is usual");
+    }
+}
+
+void exchange::dropConnection()
+{
+    if (m_connection != nullptr) {
+        m_connection->cancel();
+        m_connection = nullptr;
+    }
+}
+
+void exchange::assign(const replica_ptr &to)
+{
+    m_target = to;
+    ++to->outstanding;
+    if (!m_facts.adapter.empty()) {
+        ++to->byAdapter[m_facts.adapter];
+    }
+}
+
+void exchange::release()
+{
+    if (m_target == nullptr) {
+        return;
+    }
+    --m_target->outstanding;
+    if (const auto found = m_target->byAdapter.find(m_facts.adapter); found != m_target->byAdapter.end()) {
+        if (--found->second == 0) {
+            m_target->byAdapter.erase(found);
+        }
+    }
+    m_target = nullptr;
+}
+
+void exchange::finish(std::string_view outcome, int status, std::string_view why)
+{
+    m_done = true;
+    dropConnection();
+    const core::monotonic_time now = m_services.clock.now();
+    log::write(log::level::info, "request ended",
+               {{"request_id", m_facts.id},
+                {"route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view()},
+                {"adapter", m_facts.adapter},
+                {"replica", m_tried.empty() ? std::string_view() : std::string_view(m_tried.back())},
+                {"outcome", outcome},
+                {"status", status},
+                {"why", why},
+                {"runs", m_history.runs},
+                {"rejections", m_history.rejections},
+                {"load_waits", m_loadWaits},
+                {"first_byte_ms", inMilliseconds(m_firstByte)},
+                {"ms", inMilliseconds(now - m_startedAt)},
+                {"state_version", m_services.routes.version()}});
+    m_services.metrics.observeSeconds("medlarrack_gateway_request_seconds", "Time from request to end of answer",
+                                      {.code = std::string(outcome)},
+                                      std::chrono::duration<double>(now - m_startedAt).count());
+    release();
+    if (m_caller != nullptr) {
+        std::exchange(m_caller, nullptr)->answered();
+    }
+}
+
+std::chrono::milliseconds exchange::timeLeft(core::monotonic_time now) const
+{
+    return std::chrono::duration_cast<milliseconds>(m_deadline - now);
+}
+
+bool exchange::isDone() const
+{
+    return m_done;
+}
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/exchange.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "adapter_waiters.hpp"
+#include "caller_channel.hpp"
+#include "exchange_services.hpp"
+
+#include <medlarrack/gateway/attempt_policy.hpp>
+#include <medlarrack/gateway/event_cutter.hpp>
+#include <medlarrack/gateway/replica_choice.hpp>
+#include <medlarrack/http1/client_connection.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace medlarrack::gateway {
+
+/// One request of a caller, from its last byte to the last byte of its answer. It lives in one process from start to
+/// end, so that at most once needs no agreement: it is sent on again only after proof that it has not run, or where the
+/// route allows it.
+class exchange final : public std::enable_shared_from_this<exchange>,
+                       public adapter_waiter,
+                       private http1::call_observer
+{
+public:
+    /// Services and caller must outlive the exchange, the caller until callerGone().
+    exchange(exchange_services &services, caller_channel &caller, http1::message_head head, std::string body);
+    ~exchange() override;
+
+    void start();
+    /// The caller has closed its connection: what runs for it is cancelled.
+    void callerGone();
+    /// The caller has taken all bytes written.
+    void callerDrained();
+    /// Checks deadlines and patience; called at a steady pace.
+    void tick(core::monotonic_time now);
+    [[nodiscard]] bool isDone() const;
+
+    void adapterLoaded() override;
+    void engineLost() override;
+
+private:
+    http1::head_verdict onHead(const http1::message_head &head) override;
+    void onBody(std::string &body) override;
+    void onComplete() override;
+    void onFailed(http1::call_progress progress, std::string_view why) override;
+
+    bool findRoute();
+    void next();
+    void waitForAdapter(const replica_choice &choice);
+    void send(const replica_ptr &to);
+    void relayEvents(std::string &body);
+    void relayPlain();
+    void completeStream();
+    void rejected();
+    void attemptFailed(attempt_end end, std::string_view why);
+    void tryAgain(std::string_view why);
+    void deliver();
+    void refuse(std::string_view code, std::string_view why);
+    void answerOwn(int status, std::string_view code, std::string_view why);
+    void breakOff(std::string_view why);
+    void dropConnection();
+    void assign(const replica_ptr &to);
+    void release();
+    void finish(std::string_view outcome, int status, std::string_view why);
+    [[nodiscard]] std::chrono::milliseconds timeLeft(core::monotonic_time now) const;
+
+    exchange_services &m_services;
+    caller_channel *m_caller;
+    http1::message_head m_request;
+    std::string m_requestBody;
+    request_facts m_facts;
+    std::shared_ptr<const catalog::route> m_route;
+    std::string m_service;
+    const core::monotonic_time m_startedAt;
+    core::monotonic_time m_deadline{};
+
+    /// The replica that the request waits for or runs at.
+    replica_ptr m_target;
+    connection_ptr m_connection;
+    core::monotonic_time m_sentAt{};
+    core::monotonic_time m_waitUntil{};
+    core::monotonic_time m_lastBytesAt{};
+    std::string_view m_choiceWhy;
+    attempt_history m_history;
+    std::vector<std::string> m_tried;
+    std::uint32_t m_loadWaits = 0;
+
+    http1::message_head m_answer;
+    answer_facts m_answerFacts;
+    std::string m_answerBody;
+    event_cutter m_cutter;
+    std::size_t m_unfinishedEvent = 0;
+    bool m_headSent = false;
+    bool m_paused = false;
+    bool m_waiting = false;
+    bool m_done = false;
+    /// A run was waited for beyond patience, or a replica said nothing: what it says later doesn't count.
+    std::chrono::nanoseconds m_firstByte{0};
+};
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/exchange_services.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "adapter_waiters.hpp"
+#include "agent_links.hpp"
+#include "connection_pool.hpp"
+
+#include <medlarrack/catalog/route_table.hpp>
+#include <medlarrack/core/clock.hpp>
+#include <medlarrack/gateway/caller_format.hpp>
+#include <medlarrack/gateway/replica_table.hpp>
+#include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/overload/retry_budget.hpp>
+
+#include <functional>
+#include <random>
+#include <string_view>
+
+namespace medlarrack::gateway {
+
+/// What all exchanges share.
+struct exchange_services
+{
+    const core::clock &clock;
+    const caller_format &format;
+    const catalog::route_table &routes;
+    replica_table &replicas;
+    connection_pool &connections;
+    agent_links &agents;
+    adapter_waiters &waiters;
+    metrics::registry &metrics;
+    /// The retry budget of a service.
+    std::function<overload::retry_budget &(std::string_view service)> budgetOf;
+    /// Spreads the times at which refused callers return.
+    std::minstd_rand &random;
+};
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/front.cpp
@@ -0,0 +1,106 @@
+#include "front.hpp"
+
+#include <medlarrack/http1/listen.hpp>
+#include <medlarrack/log/log.hpp>
+
+#include <algorithm>
+
+namespace medlarrack::gateway {
+
+namespace {
+
+/// Pause after a connection couldn't be taken, as when descriptors run out.
+constexpr std::chrono::milliseconds acceptPause{50};
+
+} // namespace
+
+front::front(asio::io_context &context, exchange_services &services)
+    : m_context(context)
+    , m_services(services)
+    , m_acceptor(context)
+    , m_retry(context)
+{
+}
+
+front::~front() = default;
+
+bool front::listen(const asio::ip::tcp::endpoint &at, core::reason &why)
+{
+    if (!http1::listen(m_acceptor, at, why)) {
+        return false;
+    }
+    accept();
+    return true;
+}
+
+std::uint16_t front::port() const
+{
+    std::error_code ignored;
+    return m_acceptor.local_endpoint(ignored).port();
+}
+
+void front::accept()
+{
+    m_acceptor.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted || m_closing) {
+            return;
+        }
+        if (error) {
+            log::write(log::level::warning, "connection not taken", {{"why", error.message()}});
+            m_retry.expires_after(acceptPause);
+            m_retry.async_wait([this](const std::error_code &waited) {
+                if (!waited) {
+                    accept();
+                }
+            });
+            return;
+        }
+        auto stream = std::make_shared<http1::byte_stream>(m_context, std::move(socket));
+        auto taken = std::make_shared<front_connection>(m_services, std::move(stream));
+        if (m_draining) {
+            taken->drain();
+        }
+        m_connections.push_back(taken);
+        taken->start();
+        accept();
+    });
+}
+
+void front::tick(core::monotonic_time now)
+{
+    for (std::size_t index = 0; index < m_connections.size(); ++index) {
+        const auto connection = m_connections[index];
+        connection->tick(now);
+        if (m_closing) {
+            connection->closeIfIdle();
+        }
+    }
+    std::erase_if(m_connections, [](const auto &connection) {
+        return connection->isClosed();
+    });
+}
+
+void front::drain()
+{
+    m_draining = true;
+    for (const auto &connection : m_connections) {
+        connection->drain();
+    }
+}
+
+void front::close()
+{
+    std::error_code ignored;
+    m_closing = true;
+    m_acceptor.close(ignored);
+    m_retry.cancel();
+}
+
+std::size_t front::busy() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &one) {
+        return !one->isClosed() && !one->isIdle();
+    }));
+}
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/front.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "exchange_services.hpp"
+#include "front_connection.hpp"
+
+#include <medlarrack/core/reason.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace medlarrack::gateway {
+
+/// Takes callers' connections.
+class front
+{
+public:
+    front(asio::io_context &context, exchange_services &services);
+    ~front();
+
+    [[nodiscard]] bool listen(const asio::ip::tcp::endpoint &at, core::reason &why);
+    [[nodiscard]] std::uint16_t port() const;
+    void tick(core::monotonic_time now);
+    /// Each connection closes after its next answer; new ones are still taken.
+    void drain();
+    /// Takes no new connections and closes those without a request.
+    void close();
+    /// Connections with a request in progress.
+    [[nodiscard]] std::size_t busy() const;
+
+private:
+    void accept();
+
+    asio::io_context &m_context;
+    exchange_services &m_services;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_retry;
+    std::vector<std::shared_ptr<front_connection>> m_connections;
+    bool m_draining = false;
+    bool m_closing = false;
+};
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -0,0 +1,52 @@
+#include <medlarrack/gateway/gateway_settings.hpp>
+
+#include <medlarrack/http1/call_client.hpp>
+#include <medlarrack/settings/typed_settings.hpp>
+
+namespace medlarrack::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t highestPort = 65'535;
+constexpr milliseconds shortestStoreInterval{50};
+constexpr milliseconds longestStoreInterval{10'000};
+constexpr milliseconds longestDrainTime{600'000};
+constexpr double mostRetriesPerSecond = 1'000;
+
+void readEndpoint(settings::object_reader &reader, std::string_view key, std::string &value)
+{
+    reader.require(key);
+    reader.text(key, value);
+    if (!value.empty() && !http1::parseEndpoint(value)) {
+        reader.addFault(key, "'" + value + "' is no IPv4 address with a port");
+    }
+}
+
+void read(settings::object_reader &reader, gateway_settings &value)
+{
+    reader.require("name");
+    reader.text("name", value.name);
+    reader.require("data_centre");
+    reader.text("data_centre", value.dataCentre);
+    readEndpoint(reader, "callers", value.callers);
+    readEndpoint(reader, "admin", value.admin);
+    readEndpoint(reader, "store", value.store);
+    reader.require("agent_port");
+    reader.integer("agent_port", value.agentPort, 1, highestPort);
+    reader.duration("store_interval_ms", value.storeInterval, shortestStoreInterval, longestStoreInterval);
+    reader.duration("drain_time_ms", value.drainTime, milliseconds(0), longestDrainTime);
+    reader.number("retry_share", value.retryShare, 0, 1);
+    reader.number("retries_per_second", value.retriesPerSecond, 0, mostRetriesPerSecond);
+    reader.word("log_level", value.logLevel, {"debug", "info", "warning", "error"});
+}
+
+} // namespace
+
+std::optional<gateway_settings> loadSettings(const std::string &path, settings::fault_list &faults)
+{
+    return settings::loadSettings<gateway_settings>(path, faults, read);
+}
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/replica_choice.cpp
@@ -0,0 +1,205 @@
+#include <medlarrack/gateway/replica_choice.hpp>
+
+#include <medlarrack/core/hash.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace medlarrack::gateway {
+
+namespace {
+
+/// Time that a request may gain elsewhere before it leaves its data centre: bytes between data centres are dear.
+constexpr std::chrono::milliseconds remotePenalty{60};
+/// Assumed time to an answer before the first one is known.
+constexpr std::chrono::milliseconds assumedLatency{60};
+/// Time for which a told load of others counts; a plain service's requests take about 60 ms.
+constexpr std::chrono::milliseconds loadMemory{300};
+/// An engine counts as crowded above this share of its batch: it prefills in turn, so that first events come late.
+constexpr double crowdedShare = 0.75;
+/// An engine is no home for a further adapter above this multiple of the mean load and this many requests.
+constexpr double homeLoadFactor = 1.5;
+constexpr double homeLoadFloor = 6;
+/// Requests of one adapter at one engine above which the adapter gets a further home.
+constexpr std::uint32_t copyDemand = 8;
+/// An engine whose first events take this many times as long as those of its peers gets requests last.
+constexpr int slowFactor = 3;
+
+bool wasTried(const choice_query &asked, const replica &one)
+{
+    return std::find(asked.tried.begin(), asked.tried.end(), one.record.id) != asked.tried.end();
+}
+
+bool isUsable(const replica &one, core::monotonic_time now)
+{
+    if (one.removed || one.record.leaving || !one.health.mayServe(one.outstanding, now)) {
+        return false;
+    }
+    return !one.agent || one.agent->engineUp;
+}
+
+std::uint32_t currentLoad(const replica &one, core::monotonic_time now)
+{
+    return now - one.loadToldAt <= loadMemory ? one.load() : one.outstanding;
+}
+
+bool holdsModel(const replica &one, std::string_view model)
+{
+    const auto &models = one.agent ? one.agent->models : one.record.models;
+    return model.empty() || std::find(models.begin(), models.end(), model) != models.end();
+}
+
+std::uint32_t demandAt(const replica &one, std::string_view adapter)
+{
+    const auto found = one.byAdapter.find(adapter);
+    return found == one.byAdapter.end() ? 0 : found->second;
+}
+
+std::chrono::nanoseconds expectedTime(const replica &one, core::monotonic_time now)
+{
+    const auto latency = one.health.latency().count() == 0 ? std::chrono::nanoseconds(assumedLatency)
+                                                           : one.health.latency();
+    const std::uint32_t slots = std::max(1U, one.record.slots);
+    const std::uint32_t load = currentLoad(one, now);
+    // A slot that is free serves at once; the fuller the replica, the sooner an unseen request takes the last one.
+    const double waiting = load >= slots ? 1.0 + static_cast<double>(load - slots + 1) / slots
+                                         : 1.0 + 0.3 * static_cast<double>(load) / slots;
+    const auto time = std::chrono::nanoseconds(
+        static_cast<std::chrono::nanoseconds::rep>(static_cast<double>(latency.count()) * waiting));
+    return one.local ? time : time + remotePenalty;
+}
+
+/// Usable engines that hold the base model, local ones only unless there are none.
+std::vector<replica_ptr> usableEngines(const replica_table &table, const choice_query &asked,
+                                       core::monotonic_time now)
+{
+    std::vector<replica_ptr> local;
+    std::vector<replica_ptr> remote;
+    for (const replica_ptr &one : table.ofService(asked.service)) {
+        if (isUsable(*one, now) && !wasTried(asked, *one) && holdsModel(*one, asked.model)) {
+            (one->local ? local : remote).push_back(one);
+        }
+    }
+    return local.empty() ? remote : local;
+}
+
+/// Leaves out engines that are much slower than the median, as long as others are left.
+void dropSlow(std::vector<replica_ptr> &engines)
+{
+    if (engines.size() < 3) {
+        return;
+    }
+    std::vector<std::chrono::nanoseconds> latencies;
+    for (const replica_ptr &one : engines) {
+        latencies.push_back(one->health.latency());
+    }
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    const auto bound = *middle * slowFactor;
+    if (bound.count() == 0) {
+        return;
+    }
+    // One request at a time still goes to a slow engine, so that its recovery shows.
+    std::erase_if(engines, [bound](const replica_ptr &one) {
+        return one->health.latency() > bound && one->outstanding > 0;
+    });
+}
+
+replica_ptr leastLoaded(const std::vector<replica_ptr> &engines)
+{
+    const auto least = std::min_element(engines.begin(), engines.end(), [](const auto &left, const auto &right) {
+        return left->load() < right->load();
+    });
+    return least == engines.end() ? nullptr : *least;
+}
+
+/// The home of highest rank that isn't overloaded and doesn't hold or load the adapter.
+replica_ptr nextHome(const replica_table &table, const std::vector<replica_ptr> &engines, std::string_view adapter)
+{
+    double total = 0;
+    for (const replica_ptr &one : engines) {
+        total += one->load();
+    }
+    const double bound = std::max(homeLoadFloor, homeLoadFactor * total / static_cast<double>(engines.size()));
+    const std::uint64_t key = core::hash64(adapter);
+    replica_ptr best;
+    std::uint64_t bestWeight = 0;
+    for (const replica_ptr &one : engines) {
+        const std::uint64_t weight = core::rendezvousWeight(key, one->idHash);
+        if (one->load() <= bound && demandAt(*one, adapter) == 0 && !holdsAdapter(table, *one, adapter)
+            && (best == nullptr || weight > bestWeight)) {
+            best = one;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+bool holdsAdapter(const replica_table &table, const replica &at, std::string_view adapter)
+{
+    const auto &held = at.agent ? at.agent->adapters : at.record.adapters;
+    const auto found = held.find(adapter);
+    return found != held.end() && found->second >= table.newestVersion(adapter);
+}
+
+replica_choice choosePlain(const replica_table &table, const choice_query &asked, core::monotonic_time now)
+{
+    replica_choice chosen;
+    std::chrono::nanoseconds best{0};
+    for (const replica_ptr &one : table.ofService(asked.service)) {
+        if (!isUsable(*one, now) || wasTried(asked, *one)) {
+            continue;
+        }
+        const auto time = expectedTime(*one, now);
+        if (chosen.target == nullptr || time < best) {
+            chosen.target = one;
+            best = time;
+        }
+    }
+    chosen.why = chosen.target == nullptr ? "no usable replica" : "expected first";
+    return chosen;
+}
+
+replica_choice chooseEngine(const replica_table &table, const choice_query &asked, core::monotonic_time now)
+{
+    std::vector<replica_ptr> engines = usableEngines(table, asked, now);
+    if (engines.empty()) {
+        return {.why = "no usable replica"};
+    }
+    dropSlow(engines);
+    if (asked.adapter.empty()) {
+        return {.target = leastLoaded(engines), .why = "least loaded"};
+    }
+    std::vector<replica_ptr> holders;
+    std::vector<replica_ptr> expecting;
+    for (const replica_ptr &one : engines) {
+        if (holdsAdapter(table, *one, asked.adapter)) {
+            holders.push_back(one);
+        } else if (demandAt(*one, asked.adapter) > 0 || (one->agent && one->agent->loading.contains(asked.adapter))) {
+            expecting.push_back(one);
+        }
+    }
+    const double crowded = crowdedShare * asked.batchSize;
+    if (const replica_ptr holder = leastLoaded(holders); holder != nullptr && holder->load() < crowded) {
+        replica_choice chosen{.target = holder, .why = "adapter loaded"};
+        if (expecting.empty() && demandAt(*holder, asked.adapter) >= copyDemand) {
+            chosen.alsoLoadAt = nextHome(table, engines, asked.adapter);
+        }
+        return chosen;
+    }
+    if (const replica_ptr next = leastLoaded(expecting); next != nullptr && next->load() < crowded) {
+        return {.target = next, .needsLoad = true, .why = "adapter on its way"};
+    }
+    if (const replica_ptr home = nextHome(table, engines, asked.adapter); home != nullptr) {
+        return {.target = home, .needsLoad = true, .why = "home of the adapter"};
+    }
+    if (const replica_ptr holder = leastLoaded(holders); holder != nullptr) {
+        return {.target = holder, .why = "adapter loaded, all crowded"};
+    }
+    return {.target = leastLoaded(engines), .needsLoad = true, .why = "least loaded, all crowded"};
+}
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/replica_table.cpp
@@ -0,0 +1,155 @@
+#include <medlarrack/gateway/replica_table.hpp>
+
+#include <medlarrack/core/hash.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarrack::gateway {
+
+replica_table::replica_table(std::string dataCentre)
+    : m_dataCentre(std::move(dataCentre))
+{
+}
+
+bool replica_table::take(catalog::replica_record record, core::monotonic_time now)
+{
+    const auto found = m_replicas.find(record.id);
+    if (found == m_replicas.end()) {
+        auto added = std::make_shared<replica>();
+        added->idHash = core::hash64(record.id);
+        added->local = record.dataCentre == m_dataCentre;
+        added->record = std::move(record);
+        m_replicas[added->record.id] = added;
+        addToService(added);
+        return true;
+    }
+    replica &known = *found->second;
+    const bool restarted = record.startedAtMs > known.record.startedAtMs;
+    const bool sameStart = record.startedAtMs == known.record.startedAtMs;
+    // A record of an earlier start, or an earlier one of the same start, may come late.
+    if ((!restarted && !sameStart) || (sameStart && record.sequence < known.record.sequence)) {
+        return false;
+    }
+    known.removalDue.reset();
+    if (restarted) {
+        known.health.reset();
+        known.othersLoad = 0;
+        if (known.agent && known.agent->startedAtMs < record.startedAtMs) {
+            known.agent->models = record.models;
+            known.agent->adapters = record.adapters;
+            known.agent->loading.clear();
+        }
+    }
+    // A replica that leaves doesn't come back without a new start.
+    record.leaving = record.leaving || (sameStart && known.record.leaving);
+    const bool moved = record.service != known.record.service || record.address != known.record.address
+        || record.port != known.record.port;
+    if (moved) {
+        const std::string id = record.id;
+        drop(id);
+        return take(std::move(record), now);
+    }
+    known.record = std::move(record);
+    return true;
+}
+
+void replica_table::remove(std::string_view id, std::chrono::milliseconds grace, core::monotonic_time now)
+{
+    const auto found = m_replicas.find(id);
+    if (found == m_replicas.end()) {
+        return;
+    }
+    if (grace.count() > 0) {
+        if (!found->second->removalDue) {
+            found->second->removalDue = now + grace;
+        }
+        return;
+    }
+    drop(id);
+}
+
+void replica_table::keepOnly(std::span<const std::string> ids, std::chrono::milliseconds grace,
+                             core::monotonic_time now)
+{
+    std::vector<std::string> missing;
+    for (const auto &[id, known] : m_replicas) {
+        if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string &id : missing) {
+        remove(id, grace, now);
+    }
+}
+
+void replica_table::expire(core::monotonic_time now)
+{
+    std::vector<std::string> due;
+    for (const auto &[id, known] : m_replicas) {
+        if (known->removalDue && now >= *known->removalDue) {
+            due.push_back(id);
+        }
+    }
+    for (const std::string &id : due) {
+        drop(id);
+    }
+}
+
+replica_ptr replica_table::find(std::string_view id) const
+{
+    const auto found = m_replicas.find(id);
+    return found == m_replicas.end() ? nullptr : found->second;
+}
+
+std::span<const replica_ptr> replica_table::ofService(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? std::span<const replica_ptr>() : std::span<const replica_ptr>(found->second);
+}
+
+const std::map<std::string, replica_ptr, std::less<>> &replica_table::all() const
+{
+    return m_replicas;
+}
+
+bool replica_table::takeRelease(std::string_view adapter, std::uint64_t version)
+{
+    std::uint64_t &known = m_releases[std::string(adapter)];
+    if (version <= known) {
+        return false;
+    }
+    known = version;
+    return true;
+}
+
+std::uint64_t replica_table::newestVersion(std::string_view adapter) const
+{
+    const auto found = m_releases.find(adapter);
+    return found == m_releases.end() ? 0 : found->second;
+}
+
+const catalog::adapter_versions &replica_table::releases() const
+{
+    return m_releases;
+}
+
+void replica_table::drop(std::string_view id)
+{
+    const auto found = m_replicas.find(id);
+    if (found == m_replicas.end()) {
+        return;
+    }
+    const replica_ptr gone = found->second;
+    gone->removed = true;
+    const auto service = m_services.find(gone->record.service);
+    std::erase(service->second, gone);
+    m_replicas.erase(found);
+}
+
+void replica_table::addToService(const replica_ptr &added)
+{
+    m_services[added->record.service].push_back(added);
+}
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/gateway/src/store_reader.cpp
@@ -0,0 +1,221 @@
+#include "store_reader.hpp"
+
+#include <medlarrack/log/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarrack::gateway {
+
+namespace {
+
+/// How long the store may hold a question for changes. Replicas write more often than this.
+constexpr std::chrono::milliseconds changesWait{1'000};
+/// Beyond the wait; the store answers in some milliseconds, and in some hundred on bad days.
+constexpr std::chrono::milliseconds answerTime{1'500};
+/// Pause after a call that failed.
+constexpr std::chrono::milliseconds retryPause{300};
+/// Without a good answer for this long the store counts as having been away.
+constexpr std::chrono::milliseconds outageAfter{1'600};
+/// Replicas that the store dropped while it was away are listed again within about two seconds of its return.
+constexpr std::chrono::milliseconds returnTime{2'200};
+
+} // namespace
+
+class store_reader::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(asio::io_context &context, const asio::ip::tcp::endpoint &store, const catalog::store_format &storeFormat,
+         const core::clock &time, std::chrono::milliseconds pause, std::function<void(const store_news &)> handler)
+        : client(context, store)
+        , timer(context)
+        , format(storeFormat)
+        , clock(time)
+        , interval(pause)
+        , onNews(std::move(handler))
+        , lastGood(time.now())
+        , outageEnd(core::monotonic_time::min())
+    {
+    }
+
+    void readPage()
+    {
+        calledAt = clock.now();
+        const bool first = page.empty();
+        client.call("GET", format.pageTarget(page), "", answerTime,
+                    [this, first](const std::optional<http1::call_answer> &answer, core::reason why) {
+                        takePage(first, answer, std::move(why));
+                    });
+    }
+
+    void takePage(bool first, const std::optional<http1::call_answer> &answer, core::reason why)
+    {
+        auto read = readBody(answer, why, &catalog::store_format::readPage);
+        if (!read) {
+            page.clear();
+            failed(why);
+            return;
+        }
+        if (first) {
+            // Later pages are newer than the first; what changed meanwhile is asked for again.
+            revision = read->revision;
+            listed.clear();
+        }
+        for (const catalog::store_change &change : read->changes) {
+            if (const auto *record = std::get_if<catalog::replica_record>(&change)) {
+                listed.push_back(record->id);
+            } else if (const auto *bad = std::get_if<catalog::unreadable_record>(&change)) {
+                // Its replica, if it is one, holds on as it was.
+                listed.push_back(bad->key.substr(bad->key.find('/') + 1));
+            }
+        }
+        succeeded();
+        store_news news{read->changes, std::nullopt, revision, isAfterOutage()};
+        if (read->nextPage) {
+            page = *read->nextPage;
+            onNews(news);
+            readPage();
+            return;
+        }
+        page.clear();
+        news.allReplicas = listed;
+        whole = true;
+        onNews(news);
+        schedule(interval);
+    }
+
+    void readChanges()
+    {
+        calledAt = clock.now();
+        client.call("GET", format.changesTarget(revision, changesWait), "", changesWait + answerTime,
+                    [this](const std::optional<http1::call_answer> &answer, const core::reason &why) {
+                        takeChanges(answer, why);
+                    });
+    }
+
+    void takeChanges(const std::optional<http1::call_answer> &answer, core::reason why)
+    {
+        constexpr int historyGone = 410;
+        if (answer && answer->status == historyGone) {
+            log::write(log::level::info, "store forgot its history", {{"revision", revision}});
+            whole = false;
+            readPage();
+            return;
+        }
+        auto read = readBody(answer, why, &catalog::store_format::readChanges);
+        if (!read) {
+            failed(why);
+            return;
+        }
+        succeeded();
+        revision = std::max(revision, read->revision);
+        onNews({read->changes, std::nullopt, revision, isAfterOutage()});
+        schedule(interval);
+    }
+
+    using body_reader = std::optional<catalog::store_answer> (catalog::store_format::*)(std::string_view,
+                                                                                        core::reason &) const;
+
+    std::optional<catalog::store_answer> readBody(const std::optional<http1::call_answer> &answer, core::reason &why,
+                                                  body_reader read) const
+    {
+        constexpr int ok = 200;
+        if (!answer) {
+            return std::nullopt;
+        }
+        if (answer->status != ok) {
+            why = {"store_status", "the store answered " + std::to_string(answer->status)};
+            return std::nullopt;
+        }
+        return (format.*read)(answer->body, why);
+    }
+
+    void succeeded()
+    {
+        const core::monotonic_time now = clock.now();
+        if (now - lastGood >= outageAfter) {
+            outageEnd = now;
+        }
+        if (!reachable) {
+            reachable = true;
+            log::write(log::level::info, "store regained", {{"revision", revision}});
+        }
+        lastGood = now;
+    }
+
+    void failed(const core::reason &why)
+    {
+        if (reachable) {
+            reachable = false;
+            log::write(log::level::warning, "store lost",
+                       {{"code", why.code}, {"why", why.message}, {"revision", revision}});
+        }
+        schedule(retryPause);
+    }
+
+    [[nodiscard]] bool isAfterOutage() const
+    {
+        return outageEnd != core::monotonic_time::min() && clock.now() - outageEnd < returnTime;
+    }
+
+    void schedule(std::chrono::milliseconds pause)
+    {
+        const auto spent = clock.now() - calledAt;
+        timer.expires_after(std::max<std::chrono::nanoseconds>(std::chrono::nanoseconds(0), pause - spent));
+        timer.async_wait([weak = weak_from_this()](const std::error_code &error) {
+            const auto self = weak.lock();
+            if (error || self == nullptr) {
+                return;
+            }
+            if (self->whole) {
+                self->readChanges();
+            } else {
+                self->readPage();
+            }
+        });
+    }
+
+    http1::call_client client;
+    asio::steady_timer timer;
+    const catalog::store_format &format;
+    const core::clock &clock;
+    std::chrono::milliseconds interval;
+    std::function<void(const store_news &)> onNews;
+    std::string page;
+    std::vector<std::string> listed;
+    std::uint64_t revision = 0;
+    core::monotonic_time calledAt{};
+    core::monotonic_time lastGood;
+    core::monotonic_time outageEnd;
+    bool whole = false;
+    bool reachable = false;
+};
+
+store_reader::store_reader(asio::io_context &context, const asio::ip::tcp::endpoint &store,
+                           const catalog::store_format &format, const core::clock &clock,
+                           std::chrono::milliseconds interval, std::function<void(const store_news &)> onNews)
+    : m_impl(std::make_shared<impl>(context, store, format, clock, interval, std::move(onNews)))
+{
+}
+
+store_reader::~store_reader()
+{
+    m_impl->timer.cancel();
+}
+
+void store_reader::start()
+{
+    m_impl->readPage();
+}
+
+std::chrono::nanoseconds store_reader::age() const
+{
+    return m_impl->clock.now() - m_impl->lastGood;
+}
+
+std::uint64_t store_reader::revision() const
+{
+    return m_impl->revision;
+}
+
+} // namespace medlarrack::gateway
--- /dev/null
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string_view>
+
+namespace medlarrack::http1 {
+
+/// Gets the events of a byte stream. A stream has at most one listener, which may be replaced at any time.
+class byte_stream_listener
+{
+public:
+    byte_stream_listener() = default;
+    byte_stream_listener(const byte_stream_listener &) = delete;
+    byte_stream_listener &operator=(const byte_stream_listener &) = delete;
+    virtual ~byte_stream_listener() = default;
+
+    /// The connection attempt succeeded.
+    virtual void onConnected() {}
+    /// The bytes are valid during the call only.
+    virtual void onBytes(std::string_view bytes) = 0;
+    /// All bytes queued have been handed to the system.
+    virtual void onWritten() {}
+    /// The peer ended its stream in order; writing may go on.
+    virtual void onPeerEnd() = 0;
+    /// The connection failed or was reset. Last event of a stream.
+    virtual void onLost(std::string_view why) = 0;
+};
+
+/// A TCP connection that reads into one buffer shared by all connections of the process and writes without waiting as
+/// long as the system takes the bytes. Not thread-safe; all streams belong to one thread.
+class byte_stream : public std::enable_shared_from_this<byte_stream>
+{
+public:
+    explicit byte_stream(asio::io_context &context);
+    byte_stream(asio::io_context &context, asio::ip::tcp::socket socket);
+    byte_stream(const byte_stream &) = delete;
+    byte_stream &operator=(const byte_stream &) = delete;
+    ~byte_stream();
+
+    void setListener(byte_stream_listener *listener);
+    /// Connects; onConnected or onLost follows. Bytes may be written before, they are sent once connected.
+    void connect(const asio::ip::tcp::endpoint &to, std::chrono::milliseconds limit);
+    /// Starts reading; without it nothing is read and the peer is slowed down.
+    void startReading();
+    void stopReading();
+    void write(std::string_view bytes);
+    /// Bytes not yet taken by the system.
+    [[nodiscard]] std::size_t queued() const;
+    /// Bytes taken by the system since the start.
+    [[nodiscard]] std::size_t sent() const;
+    [[nodiscard]] bool isOpen() const;
+    /// Ends our side once all is written; the listener gets no more events, and what the peer still sends is dropped.
+    void finish();
+    /// Closes at once; the listener gets no more events.
+    void close();
+    /// Closes with a reset; the peer sees that what it got isn't whole.
+    void abort();
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace medlarrack::http1
--- /dev/null
+++ b/libs/http1/include/medlarrack/http1/call_client.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <medlarrack/core/reason.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace medlarrack::http1 {
+
+/// A whole answer.
+struct call_answer
+{
+    int status = 0;
+    std::string body;
+};
+
+/// Parses "ADDRESS:PORT" with an IPv4 address.
+[[nodiscard]] std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
+
+/// Makes calls to one server, one at a time over one kept connection. A call that isn't answered in time costs the
+/// connection: nothing that comes on it afterwards would be trusted.
+class call_client
+{
+public:
+    /// The answer, or nothing with a reason.
+    using done_handler = std::function<void(std::optional<call_answer> answer, const core::reason &why)>;
+
+    call_client(asio::io_context &context, const asio::ip::tcp::endpoint &server);
+    ~call_client();
+    call_client(const call_client &) = delete;
+    call_client &operator=(const call_client &) = delete;
+
+    [[nodiscard]] bool isBusy() const;
+    /// Starts a call; must not be busy. No handler is called after destruction.
+    void call(std::string_view method, std::string_view target, std::string_view body,
+              std::chrono::milliseconds timeout, done_handler done);
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace medlarrack::http1
--- /dev/null
+++ b/libs/http1/src/byte_stream.cpp
@@ -0,0 +1,347 @@
+#include <medlarrack/http1/byte_stream.hpp>
+
+#include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <netinet/tcp.h>
+#include <string>
+
+namespace medlarrack::http1 {
+
+namespace {
+
+/// Bytes taken from a connection at once. Most answers fit.
+constexpr std::size_t readBytes = 32 * 1024;
+/// Written bytes that stay unacknowledged this long end the connection: a peer without power or behind a partition
+/// answers nothing. Below the time after which callers abandon a stream (2 s).
+constexpr unsigned unacknowledgedLimitMs = 1'500;
+/// How long a finished connection is read and dropped, so that a late byte of the peer doesn't reset it before the
+/// peer has read our last bytes.
+constexpr std::chrono::milliseconds lingerTime{1'000};
+
+std::array<char, readBytes> &scratch()
+{
+    static std::array<char, readBytes> buffer;
+    return buffer;
+}
+
+} // namespace
+
+class byte_stream::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(asio::io_context &context, asio::ip::tcp::socket opened)
+        : socket(std::move(opened))
+        , timer(context)
+    {
+        if (socket.is_open()) {
+            connected = true;
+            prepare();
+        }
+    }
+
+    void prepare()
+    {
+        std::error_code ignored;
+        socket.non_blocking(true, ignored);
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+        socket.set_option(user_timeout(static_cast<int>(unacknowledgedLimitMs)), ignored);
+    }
+
+    void connect(const asio::ip::tcp::endpoint &to, std::chrono::milliseconds limit)
+    {
+        std::error_code error;
+        socket.open(to.protocol(), error);
+        if (error) {
+            asio::post(socket.get_executor(), [self = shared_from_this(), text = error.message()] {
+                self->lose("no socket: " + text);
+            });
+            return;
+        }
+        prepare();
+        timer.expires_after(limit);
+        timer.async_wait([self = shared_from_this()](const std::error_code &waited) {
+            if (!waited && !self->connected) {
+                self->lose("not connected in time");
+            }
+        });
+        socket.async_connect(to, [self = shared_from_this()](const std::error_code &failed) {
+            if (!self->socket.is_open()) {
+                return;
+            }
+            self->timer.cancel();
+            if (failed) {
+                self->lose("not connected: " + failed.message());
+                return;
+            }
+            self->connected = true;
+            if (self->listener != nullptr) {
+                self->listener->onConnected();
+            }
+            self->flush();
+            self->awaitBytes();
+        });
+    }
+
+    void awaitBytes()
+    {
+        if (!wantsBytes || awaiting || !connected || ended || !socket.is_open()) {
+            return;
+        }
+        awaiting = true;
+        socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const std::error_code &error) {
+            self->awaiting = false;
+            if (!error && self->socket.is_open() && self->wantsBytes) {
+                self->readSome();
+            }
+        });
+    }
+
+    void readSome()
+    {
+        std::error_code error;
+        const std::size_t size = socket.read_some(asio::buffer(scratch()), error);
+        if (error == asio::error::would_block) {
+            awaitBytes();
+            return;
+        }
+        if (error == asio::error::eof) {
+            ended = true;
+            if (lingering) {
+                close();
+            } else if (listener != nullptr) {
+                listener->onPeerEnd();
+            }
+            return;
+        }
+        if (error) {
+            lose("reset by the peer: " + error.message());
+            return;
+        }
+        if (listener != nullptr) {
+            listener->onBytes({scratch().data(), size});
+        }
+        awaitBytes();
+    }
+
+    void write(std::string_view bytes)
+    {
+        if (!socket.is_open() || lingering) {
+            return;
+        }
+        if (connected && pending.empty()) {
+            std::error_code error;
+            const std::size_t size = socket.write_some(asio::buffer(bytes), error);
+            if (error && error != asio::error::would_block) {
+                fail("not written: " + error.message());
+                return;
+            }
+            sentBytes += error ? 0 : size;
+            bytes.remove_prefix(error ? 0 : size);
+            if (bytes.empty()) {
+                return;
+            }
+        }
+        pending.append(bytes);
+        awaitRoom();
+    }
+
+    void awaitRoom()
+    {
+        if (!connected || awaitingRoom || pending.empty()) {
+            return;
+        }
+        awaitingRoom = true;
+        socket.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const std::error_code &error) {
+            self->awaitingRoom = false;
+            if (!error && self->socket.is_open()) {
+                self->flush();
+            }
+        });
+    }
+
+    void flush()
+    {
+        if (!connected || !socket.is_open()) {
+            return;
+        }
+        if (!pending.empty()) {
+            std::error_code error;
+            const std::size_t size = socket.write_some(asio::buffer(pending), error);
+            if (error && error != asio::error::would_block) {
+                lose("not written: " + error.message());
+                return;
+            }
+            if (!error) {
+                sentBytes += size;
+                pending.erase(0, size);
+            }
+            if (!pending.empty()) {
+                awaitRoom();
+                return;
+            }
+        }
+        if (lingering) {
+            shutdownOurSide();
+        } else if (listener != nullptr) {
+            listener->onWritten();
+        }
+    }
+
+    /// Reports the loss after the caller has returned: write() is called from within listeners.
+    void fail(std::string why)
+    {
+        asio::post(socket.get_executor(), [self = shared_from_this(), why = std::move(why)] {
+            self->lose(why);
+        });
+    }
+
+    void lose(const std::string &why)
+    {
+        if (!socket.is_open() && !connected && listener == nullptr) {
+            return;
+        }
+        byte_stream_listener *last = listener;
+        close();
+        if (last != nullptr) {
+            last->onLost(why);
+        }
+    }
+
+    void finish()
+    {
+        listener = nullptr;
+        if (!socket.is_open()) {
+            return;
+        }
+        lingering = true;
+        timer.expires_after(lingerTime);
+        timer.async_wait([self = shared_from_this()](const std::error_code &waited) {
+            if (!waited) {
+                self->close();
+            }
+        });
+        if (pending.empty()) {
+            shutdownOurSide();
+        }
+    }
+
+    void shutdownOurSide()
+    {
+        std::error_code ignored;
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        if (ended) {
+            close();
+            return;
+        }
+        wantsBytes = true;
+        awaitBytes();
+    }
+
+    void close()
+    {
+        listener = nullptr;
+        std::error_code ignored;
+        timer.cancel();
+        socket.close(ignored);
+    }
+
+    void abort()
+    {
+        std::error_code ignored;
+        if (socket.is_open()) {
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        close();
+    }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    byte_stream_listener *listener = nullptr;
+    std::string pending;
+    std::size_t sentBytes = 0;
+    bool connected = false;
+    bool wantsBytes = false;
+    bool awaiting = false;
+    bool awaitingRoom = false;
+    bool ended = false;
+    bool lingering = false;
+};
+
+byte_stream::byte_stream(asio::io_context &context)
+    : byte_stream(context, asio::ip::tcp::socket(context))
+{
+}
+
+byte_stream::byte_stream(asio::io_context &context, asio::ip::tcp::socket socket)
+    : m_impl(std::make_shared<impl>(context, std::move(socket)))
+{
+}
+
+byte_stream::~byte_stream()
+{
+    // A finished stream lives on until the peer has read its last bytes.
+    if (!m_impl->lingering) {
+        m_impl->close();
+    }
+}
+
+void byte_stream::setListener(byte_stream_listener *listener)
+{
+    m_impl->listener = listener;
+}
+
+void byte_stream::connect(const asio::ip::tcp::endpoint &to, std::chrono::milliseconds limit)
+{
+    m_impl->connect(to, limit);
+}
+
+void byte_stream::startReading()
+{
+    m_impl->wantsBytes = true;
+    m_impl->awaitBytes();
+}
+
+void byte_stream::stopReading()
+{
+    m_impl->wantsBytes = false;
+}
+
+void byte_stream::write(std::string_view bytes)
+{
+    m_impl->write(bytes);
+}
+
+std::size_t byte_stream::queued() const
+{
+    return m_impl->pending.size();
+}
+
+std::size_t byte_stream::sent() const
+{
+    return m_impl->sentBytes;
+}
+
+bool byte_stream::isOpen() const
+{
+    return m_impl->socket.is_open();
+}
+
+void byte_stream::finish()
+{
+    m_impl->finish();
+}
+
+void byte_stream::close()
+{
+    m_impl->close();
+}
+
+void byte_stream::abort()
+{
+    m_impl->abort();
+}
+
+} // namespace medlarrack::http1
--- /dev/null
+++ b/libs/link/include/medlarrack/link/messages.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The connection between a gateway and the agent beside an engine.
+namespace medlarrack::link {
+
+/// First message of a gateway.
+struct greeting
+{
+    /// Version of these messages; a peer of another one is refused.
+    std::uint32_t protocol = 1;
+    std::string name;
+};
+
+/// Adapters that requests wait for, by "model/adapter".
+struct load_request
+{
+    std::vector<std::string> adapters;
+};
+
+/// Adapters that requests of the gateway use or wait for now; replaces the last such message.
+struct adapters_in_use
+{
+    std::vector<std::string> adapters;
+};
+
+/// A base model that engines of a service hold.
+struct model_facts
+{
+    std::string name;
+    double weightsMb = 0;
+    double adapterMb = 0;
+};
+
+/// What the published state says of the engine's service.
+struct service_facts
+{
+    std::uint64_t stateVersion = 0;
+    std::string service;
+    std::vector<model_facts> models;
+    double weightsMb = 0;
+    std::uint32_t adapterSlots = 0;
+};
+
+/// Newest versions of adapters, by "model/adapter".
+struct adapter_releases
+{
+    std::map<std::string, std::uint64_t, std::less<>> versions;
+};
+
+/// What an agent knows of its engine.
+struct engine_status
+{
+    bool engineUp = false;
+    std::uint64_t startedAtMs = 0;
+    std::vector<std::string> models;
+    std::map<std::string, std::uint64_t, std::less<>> adapters;
+    std::map<std::string, std::uint64_t, std::less<>> loading;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+};
+
+/// Any message of a link.
+using message =
+    std::variant<greeting, load_request, adapters_in_use, service_facts, adapter_releases, engine_status>;
+
+} // namespace medlarrack::link
--- /dev/null
+++ b/libs/link/src/link_connection.cpp
@@ -0,0 +1,78 @@
+#include <medlarrack/link/link_connection.hpp>
+
+#include <utility>
+
+namespace medlarrack::link {
+
+namespace {
+
+/// Unsent bytes at which a peer counts as stuck; a status takes about 1 KB.
+constexpr std::size_t maxQueuedBytes = 1024 * 1024;
+
+} // namespace
+
+link_connection::link_connection(std::shared_ptr<http1::byte_stream> stream,
+                                 std::function<void(const message &)> onMessage,
+                                 std::function<void(std::string_view)> onLost)
+    : m_stream(std::move(stream))
+    , m_onMessage(std::move(onMessage))
+    , m_onLost(std::move(onLost))
+{
+    m_stream->setListener(this);
+}
+
+link_connection::~link_connection()
+{
+    m_stream->close();
+}
+
+void link_connection::connect(const asio::ip::tcp::endpoint &to, std::chrono::milliseconds limit)
+{
+    m_stream->startReading();
+    m_stream->connect(to, limit);
+}
+
+void link_connection::start()
+{
+    m_stream->startReading();
+}
+
+void link_connection::send(const message &value)
+{
+    if (m_stream->queued() <= maxQueuedBytes) {
+        m_stream->write(encode(value));
+        return;
+    }
+    m_stream->close();
+    const auto lost = m_onLost;
+    lost("the peer doesn't read");
+}
+
+void link_connection::onBytes(std::string_view bytes)
+{
+    m_decoder.feed(bytes);
+    core::reason why;
+    while (const auto read = m_decoder.next(why)) {
+        m_onMessage(*read);
+    }
+    if (m_decoder.failed()) {
+        m_stream->close();
+        const auto lost = m_onLost;
+        lost(why.message);
+    }
+}
+
+void link_connection::onPeerEnd()
+{
+    m_stream->close();
+    const auto lost = m_onLost;
+    lost("the peer closed the link");
+}
+
+void link_connection::onLost(std::string_view why)
+{
+    const auto lost = m_onLost;
+    lost(why);
+}
+
+} // namespace medlarrack::link
--- /dev/null
+++ b/libs/link/src/message_codec.cpp
@@ -0,0 +1,196 @@
+#include <medlarrack/link/message_codec.hpp>
+
+#include <msgpack.hpp>
+
+#include <cstring>
+#include <tuple>
+
+namespace medlarrack::link {
+
+namespace {
+
+/// Longest buffered message. A status with all adapters of an engine takes about 1 KB, releases of 70,000 adapters 1 MB.
+constexpr std::size_t maxMessageBytes = 8 * 1024 * 1024;
+
+// Each message as a tuple of its fields: the form in which it is written and read.
+
+auto fields(auto &value)
+    requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, greeting>
+{
+    return std::tie(value.protocol, value.name);
+}
+
+auto fields(auto &value)
+    requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, load_request>
+{
+    return std::tie(value.adapters);
+}
+
+auto fields(auto &value)
+    requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, adapters_in_use>
+{
+    return std::tie(value.adapters);
+}
+
+auto fields(auto &value)
+    requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, model_facts>
+{
+    return std::tie(value.name, value.weightsMb, value.adapterMb);
+}
+
+auto fields(auto &value)
+    requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, service_facts>
+{
+    return std::tie(value.stateVersion, value.service, value.models, value.weightsMb, value.adapterSlots);
+}
+
+auto fields(auto &value)
+    requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, adapter_releases>
+{
+    return std::tie(value.versions);
+}
+
+auto fields(auto &value)
+    requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, engine_status>
+{
+    return std::tie(value.engineUp, value.startedAtMs, value.models, value.adapters, value.loading, value.running,
+                    value.queued);
+}
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+void packField(packer &out, const auto &value)
+{
+    out.pack(value);
+}
+
+void packField(packer &out, const std::vector<model_facts> &models)
+{
+    out.pack_array(static_cast<std::uint32_t>(models.size()));
+    for (const model_facts &one : models) {
+        out.pack(fields(one));
+    }
+}
+
+void readField(const msgpack::object &from, auto &value)
+{
+    from.convert(value);
+}
+
+void readField(const msgpack::object &from, std::vector<model_facts> &models)
+{
+    const auto items = from.as<std::vector<msgpack::object>>();
+    models.resize(items.size());
+    for (std::size_t index = 0; index < items.size(); ++index) {
+        auto target = fields(models[index]);
+        items[index].convert(target);
+    }
+}
+
+template<std::size_t Index = 0>
+std::optional<message> readBody(std::size_t index, std::span<const msgpack::object> items)
+{
+    if constexpr (Index < std::variant_size_v<message>) {
+        if (index != Index) {
+            return readBody<Index + 1>(index, items);
+        }
+        std::variant_alternative_t<Index, message> value;
+        auto targets = fields(value);
+        if (items.size() != std::tuple_size_v<decltype(targets)>) {
+            return std::nullopt;
+        }
+        std::size_t position = 0;
+        std::apply(
+            [&](auto &...each) {
+                (readField(items[position++], each), ...);
+            },
+            targets);
+        return message(std::move(value));
+    } else {
+        return std::nullopt;
+    }
+}
+
+std::optional<message> readMessage(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size == 0) {
+        return std::nullopt;
+    }
+    const std::span<const msgpack::object> items(object.via.array.ptr, object.via.array.size);
+    return readBody(items.front().as<std::size_t>(), items.subspan(1));
+}
+
+} // namespace
+
+std::string encode(const message &value)
+{
+    msgpack::sbuffer buffer;
+    packer out(buffer);
+    std::visit(
+        [&](const auto &body) {
+            const auto all = fields(body);
+            out.pack_array(static_cast<std::uint32_t>(std::tuple_size_v<std::remove_const_t<decltype(all)>> + 1));
+            out.pack(value.index());
+            std::apply(
+                [&](const auto &...each) {
+                    (packField(out, each), ...);
+                },
+                all);
+        },
+        value);
+    return {buffer.data(), buffer.size()};
+}
+
+class message_decoder::impl
+{
+public:
+    msgpack::unpacker unpacker;
+    bool failed = false;
+};
+
+message_decoder::message_decoder()
+    : m_impl(std::make_unique<impl>())
+{
+}
+
+message_decoder::~message_decoder() = default;
+
+void message_decoder::feed(std::string_view bytes)
+{
+    m_impl->unpacker.reserve_buffer(bytes.size());
+    std::memcpy(m_impl->unpacker.buffer(), bytes.data(), bytes.size());
+    m_impl->unpacker.buffer_consumed(bytes.size());
+}
+
+std::optional<message> message_decoder::next(core::reason &why)
+{
+    if (m_impl->failed) {
+        return std::nullopt;
+    }
+    // The library reports malformed bytes by exceptions.
+    try {
+        msgpack::object_handle handle;
+        if (!m_impl->unpacker.next(handle)) {
+            m_impl->failed = m_impl->unpacker.message_size() > maxMessageBytes;
+            if (m_impl->failed) {
+                why = {"message_too_long", "a message of the link exceeds 8 MiB"};
+            }
+            return std::nullopt;
+        }
+        if (auto read = readMessage(handle.get())) {
+            return read;
+        }
+        why = {"malformed_message", "a message of the link has an unknown number or another count of fields"};
+    } catch (const std::exception &error) {
+        why = {"malformed_message", std::string("a message of the link: ") + error.what()};
+    }
+    m_impl->failed = true;
+    return std::nullopt;
+}
+
+bool message_decoder::failed() const
+{
+    return m_impl->failed;
+}
+
+} // namespace medlarrack::link
--- a/libs/log/src/log.cpp
+++ b/libs/log/src/log.cpp
@@ -1,5 +1,7 @@
 #include <medlarrack/log/log.hpp>
 
+#include "bounded_output.hpp"
+
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
@@ -15,6 +17,9 @@
 #include <cstdio>
 #include <ctime>
 #include <iostream>
+#include <memory>
+#include <streambuf>
+#include <unistd.h>
 
 namespace medlarrack::log {
 
@@ -28,8 +33,62 @@
     return name;
 }
 
+std::unique_ptr<detail::bounded_output> &buffer()
+{
+    static std::unique_ptr<detail::bounded_output> output;
+    return output;
+}
+
+/// A stream buffer that hands each line to the bounded output.
+class line_buffer final : public std::streambuf
+{
+protected:
+    int_type overflow(int_type character) override
+    {
+        if (character != traits_type::eof()) {
+            const char byte = traits_type::to_char_type(character);
+            xsputn(&byte, 1);
+        }
+        return traits_type::not_eof(character);
+    }
+
+    std::streamsize xsputn(const char *bytes, std::streamsize size) override
+    {
+        m_line.append(bytes, static_cast<std::size_t>(size));
+        if (!m_line.empty() && m_line.back() == '\n') {
+            m_line.pop_back();
+            buffer()->add(m_line);
+            m_line.clear();
+        }
+        return size;
+    }
+
+private:
+    std::string m_line;
+};
+
+/// Whether a text stands in JSON as it is, which nearly all do.
+bool isPlain(std::string_view text)
+{
+    for (const char character : text) {
+        const auto code = static_cast<unsigned char>(character);
+        if (code < 0x20 || code >= 0x7f || character == '"' || character == '\\') {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::string jsonText(std::string_view text)
 {
+    if (isPlain(text)) {
+        std::string quoted;
+        quoted.reserve(text.size() + 2);
+        quoted += '"';
+        quoted += text;
+        quoted += '"';
+        return quoted;
+    }
     return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -62,6 +121,19 @@
     return text.data();
 }
 
+void startSink(std::string_view program, level lowest, const boost::shared_ptr<std::ostream> &stream)
+{
+    programName() = program;
+    lowestLevel = lowest;
+    using backend_type = boost::log::sinks::text_ostream_backend;
+    using sink_type = boost::log::sinks::synchronous_sink<backend_type>;
+    auto backend = boost::make_shared<backend_type>();
+    backend->add_stream(stream);
+    backend->auto_flush(true);
+    boost::log::core::get()->remove_all_sinks();
+    boost::log::core::get()->add_sink(boost::make_shared<sink_type>(backend));
+}
+
 } // namespace
 
 field::field(std::string_view fieldName, std::string_view text)
@@ -97,17 +169,38 @@
 {
 }
 
+field::field(std::string_view fieldName, std::uint32_t number)
+    : field(fieldName, static_cast<std::uint64_t>(number))
+{
+}
+
+field::field(std::string_view fieldName, bool truth)
+    : name(fieldName)
+    , json(truth ? "true" : "false")
+{
+}
+
 void start(std::string_view program, level lowest)
 {
-    programName() = program;
-    lowestLevel = lowest;
-    using backend_type = boost::log::sinks::text_ostream_backend;
-    using sink_type = boost::log::sinks::synchronous_sink<backend_type>;
-    auto backend = boost::make_shared<backend_type>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, [](std::ostream *) {}));
-    backend->auto_flush(true);
-    boost::log::core::get()->remove_all_sinks();
-    boost::log::core::get()->add_sink(boost::make_shared<sink_type>(backend));
+    startSink(program, lowest, boost::shared_ptr<std::ostream>(&std::cerr, [](std::ostream *) {}));
+}
+
+void startBuffered(std::string_view program, level lowest, std::size_t maxBytes)
+{
+    buffer() = std::make_unique<detail::bounded_output>(STDOUT_FILENO, maxBytes);
+    static line_buffer lines;
+    startSink(program, lowest, boost::make_shared<std::ostream>(&lines));
+}
+
+void flush()
+{
+    if (buffer() == nullptr) {
+        return;
+    }
+    buffer()->flush();
+    if (const std::size_t dropped = buffer()->takeDropped(); dropped > 0) {
+        write(level::warning, "log lines dropped", {{"count", static_cast<std::uint64_t>(dropped)}});
+    }
 }
 
 level levelFromString(std::string_view name)
