--- a/libs/agent/include/medlarrack/agent/slot_keeper.hpp
+++ b/libs/agent/include/medlarrack/agent/slot_keeper.hpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace medlarrack::agent {
@@ -48,6 +49,8 @@
     /// Whether something is on its way or waited for, so that the engine is to be asked often.
     [[nodiscard]] bool isActive() const;
     [[nodiscard]] bool isUp() const;
+    /// Adapters waited for.
+    [[nodiscard]] std::size_t waiting() const;
     [[nodiscard]] const engine_report &report() const;
 
 private:
@@ -66,7 +69,8 @@
     engine_report m_report;
     bool m_up = false;
     catalog::adapter_versions m_releases;
-    std::deque<std::string> m_wanted;
+    /// Adapters waited for, with the time at which they were last asked for.
+    std::deque<std::pair<std::string, core::monotonic_time>> m_wanted;
     std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_inUse;
     std::map<std::string, core::monotonic_time, std::less<>> m_lastUsed;
     /// Loads accepted that no report shows yet, with the time of the order.
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -27,7 +27,7 @@
 /// Gateways take an agent as lost after three of these without a status.
 constexpr std::chrono::milliseconds heartbeat{500};
 /// Change of the number of requests that is told before the heartbeat.
-constexpr std::uint32_t notableLoadChange = 4;
+constexpr std::uint32_t notableLoadChange = 6;
 
 /// A gateway's link with what it said of itself.
 struct gateway_link
@@ -45,18 +45,42 @@
     status.startedAtMs = report.startedAtMs;
     status.models = report.models;
     status.adapters = report.adapters;
-    status.loading = report.loading;
     status.running = report.running;
     status.queued = report.queued;
+    status.wanted = static_cast<std::uint32_t>(keeper.waiting());
     return status;
 }
 
-bool differsNotably(const link::engine_status &left, const link::engine_status &right)
+link::engine_change changeBetween(const link::engine_status &before, const link::engine_status &now)
 {
-    const std::uint32_t before = left.running + left.queued;
-    const std::uint32_t now = right.running + right.queued;
-    return left.engineUp != right.engineUp || left.startedAtMs != right.startedAtMs || left.models != right.models
-        || left.adapters != right.adapters || std::max(before, now) - std::min(before, now) >= notableLoadChange;
+    link::engine_change change;
+    change.running = now.running;
+    change.queued = now.queued;
+    change.wanted = now.wanted;
+    for (const auto &[adapter, version] : now.adapters) {
+        const auto known = before.adapters.find(adapter);
+        if (known == before.adapters.end() || known->second != version) {
+            change.loaded[adapter] = version;
+        }
+    }
+    for (const auto &[adapter, version] : before.adapters) {
+        if (!now.adapters.contains(adapter)) {
+            change.unloaded.push_back(adapter);
+        }
+    }
+    return change;
+}
+
+bool isOtherEngine(const link::engine_status &left, const link::engine_status &right)
+{
+    return left.engineUp != right.engineUp || left.startedAtMs != right.startedAtMs || left.models != right.models;
+}
+
+bool hasNotableLoadChange(const link::engine_status &left, const link::engine_status &right)
+{
+    const std::uint32_t before = left.running + left.queued + left.wanted;
+    const std::uint32_t now = right.running + right.queued + right.wanted;
+    return std::max(before, now) - std::min(before, now) >= notableLoadChange;
 }
 
 std::string_view toString(order_result result)
@@ -158,7 +182,8 @@
                 loseLink(*added, why);
             });
         added->connection->start();
-        added->connection->send(statusOf(keeper));
+        // Changes build on what was published last.
+        added->connection->send(published);
     }
 
     void loseLink(gateway_link &lost, std::string_view why)
@@ -225,9 +250,13 @@
         work();
     }
 
+    // Only agents send these two; a gateway that does is harmless.
     void take(gateway_link &, const link::engine_status &)
     {
-        // Only agents send it; a gateway that does is of another version and harmless.
+    }
+
+    void take(gateway_link &, const link::engine_change &)
+    {
     }
 
     void scheduleTick(std::chrono::milliseconds delay)
@@ -331,12 +360,16 @@
     {
         const core::monotonic_time now = clock.now();
         link::engine_status status = statusOf(keeper);
-        if (!differsNotably(published, status) && now - publishedAt < heartbeat) {
+        const link::engine_change change = changeBetween(published, status);
+        const bool other = isOtherEngine(published, status);
+        const bool same = change.loaded.empty() && change.unloaded.empty() && !hasNotableLoadChange(published, status);
+        if (!other && same && now - publishedAt < heartbeat) {
             return;
         }
+        const std::string text = other ? link::encode(status) : link::encode(change);
         for (gateway_link &one : links) {
             if (!one.lost) {
-                one.connection->send(status);
+                one.connection->sendEncoded(text);
             }
         }
         published = std::move(status);
--- a/libs/agent/src/slot_keeper.cpp
+++ b/libs/agent/src/slot_keeper.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds keepAfterUse{300};
 /// How long an accepted load is believed without a report that shows it; reports are some 100 ms old.
 constexpr std::chrono::milliseconds acceptedBelieved{500};
+/// Gateways tell the adapters in use within this time.
+constexpr std::chrono::milliseconds useKnownAfter{250};
 /// Pause after an order that was not accepted.
 constexpr std::chrono::milliseconds retryPause{100};
 /// Pause between orders to load a base model: the engine works on one for seconds.
@@ -41,10 +43,17 @@
 void slot_keeper::want(std::string_view adapter, core::monotonic_time now)
 {
     m_lastUsed[std::string(adapter)] = now;
-    if (holdsNewest(adapter) || std::find(m_wanted.begin(), m_wanted.end(), adapter) != m_wanted.end()) {
+    if (holdsNewest(adapter)) {
         return;
     }
-    m_wanted.emplace_back(adapter);
+    const auto known = std::find_if(m_wanted.begin(), m_wanted.end(), [adapter](const auto &entry) {
+        return entry.first == adapter;
+    });
+    if (known != m_wanted.end()) {
+        known->second = now;
+        return;
+    }
+    m_wanted.emplace_back(adapter, now);
     if (m_wanted.size() > maxWanted) {
         m_wanted.pop_front();
     }
@@ -92,8 +101,9 @@
     std::erase_if(m_notBefore, [now](const auto &entry) {
         return entry.second <= now;
     });
-    std::erase_if(m_wanted, [this](const std::string &adapter) {
-        return holdsNewest(adapter);
+    // Nobody waits any more for what is in no gateway's use some time after it was asked for.
+    std::erase_if(m_wanted, [&](const auto &entry) {
+        return holdsNewest(entry.first) || (now - entry.second > useKnownAfter && !isInUse(entry.first));
     });
     std::erase_if(m_lastUsed, [&](const auto &entry) {
         return !m_report.adapters.contains(entry.first) && !isOnItsWay(entry.first) && !isInUse(entry.first);
@@ -150,7 +160,7 @@
     if (onTheirWay >= maxOnTheirWay) {
         return std::nullopt;
     }
-    for (const std::string &adapter : m_wanted) {
+    for (const auto &[adapter, askedAt] : m_wanted) {
         const std::string model = modelOf(adapter);
         const bool modelHeld =
             std::find(m_report.models.begin(), m_report.models.end(), model) != m_report.models.end();
@@ -183,6 +193,7 @@
     if (order.what == engine_order::kind::load) {
         // Without an answer the load may have been accepted: its slot counts until a report tells.
         m_accepted[key] = now;
+        m_notBefore[key] = now + acceptedBelieved;
         return;
     }
     if (result == order_result::done) {
@@ -199,6 +210,11 @@
         || (m_up && m_report.models.empty());
 }
 
+std::size_t slot_keeper::waiting() const
+{
+    return m_wanted.size();
+}
+
 bool slot_keeper::isUp() const
 {
     return m_up;
--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -20,9 +20,10 @@
     std::uint64_t startedAtMs = 0;
     std::vector<std::string> models;
     catalog::adapter_versions adapters;
-    catalog::adapter_versions loading;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
+    /// Adapters asked for and not on their way yet.
+    std::uint32_t wanted = 0;
     core::monotonic_time at{};
 };
 
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -19,6 +19,8 @@
     std::string_view adapter;
     /// Requests that a replica runs at once.
     std::uint32_t batchSize = 1;
+    /// Recent requests of this process for the adapter.
+    double demand = 0;
     /// Replicas that have had this request.
     std::span<const std::string> tried;
 };
@@ -42,8 +44,8 @@
                                          core::monotonic_time now);
 
 /// Chooses a replica of a model service. Answers the pattern of many adapters by a Zipf law before few slots: an
-/// adapter has homes by rendezvous hashing in each data centre, goes where it is loaded, and gets a further home while
-/// its demand fills the ones it has.
+/// adapter has one home by rendezvous hashing over all data centres, is used where it is loaded, and gets a further home
+/// while its demand fills the ones it has or costs more between data centres than a load.
 [[nodiscard]] replica_choice chooseEngine(const replica_table &table, const choice_query &asked,
                                           core::monotonic_time now);
 
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -35,7 +35,6 @@
 
 bool agent_links::want(const replica_ptr &at, std::string_view adapter)
 {
-    m_asked.insert(at->record.id);
     const auto found = m_links.find(at->record.id);
     if (found == m_links.end() || found->second.connection == nullptr) {
         return false;
@@ -50,13 +49,10 @@
     std::erase_if(m_links, [this](const auto &entry) {
         return m_replicas.find(entry.first) == nullptr;
     });
-    std::erase_if(m_asked, [this](const std::string &id) {
-        return m_replicas.find(id) == nullptr;
-    });
     std::vector<std::string> silent;
     for (const auto &[id, known] : m_replicas.all()) {
         const catalog::service *service = m_routes.findService(known->record.service);
-        if (service == nullptr || !service->engine || (!known->local && !m_asked.contains(id))) {
+        if (service == nullptr || !service->engine) {
             continue;
         }
         agent_link &one = m_links[id];
@@ -97,20 +93,34 @@
 {
     const auto found = m_links.find(id);
     const replica_ptr known = m_replicas.find(id);
-    const auto *status = std::get_if<link::engine_status>(&message);
-    if (found == m_links.end() || known == nullptr || status == nullptr) {
+    if (found == m_links.end() || known == nullptr) {
         return;
     }
     const core::monotonic_time now = m_clock.now();
-    if (!found->second.connected) {
-        found->second.connected = true;
-        log::write(log::level::info, "agent link made", {{"replica", id}});
-        feed(*known, found->second);
-    }
     found->second.heardAt = now;
-    known->agent = agent_status{status->engineUp, status->startedAtMs, status->models,  status->adapters,
-                                status->loading,  status->running,     status->queued, now};
-    known->tellLoad(status->running + status->queued, now);
+    if (const auto *status = std::get_if<link::engine_status>(&message)) {
+        known->agent = agent_status{status->engineUp, status->startedAtMs, status->models, status->adapters,
+                                    status->running,  status->queued,      status->wanted, now};
+        if (!found->second.connected) {
+            found->second.connected = true;
+            log::write(log::level::info, "agent link made", {{"replica", id}});
+            feed(*known, found->second);
+        }
+    } else if (const auto *change = std::get_if<link::engine_change>(&message); change != nullptr && known->agent) {
+        for (const auto &[adapter, version] : change->loaded) {
+            known->agent->adapters[adapter] = version;
+        }
+        for (const std::string &adapter : change->unloaded) {
+            known->agent->adapters.erase(adapter);
+        }
+        known->agent->running = change->running;
+        known->agent->queued = change->queued;
+        known->agent->wanted = change->wanted;
+        known->agent->at = now;
+    } else {
+        return;
+    }
+    known->tellLoad(known->agent->running + known->agent->queued, now);
     m_onStatus(known);
 }
 
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -17,8 +17,7 @@
 
 namespace medlarrack::gateway {
 
-/// Links to the agents beside engines: to those of this data centre always, to others once one of their engines is
-/// asked for an adapter.
+/// Links to the agents beside all engines.
 class agent_links
 {
 public:
@@ -58,7 +57,6 @@
     const catalog::route_table &m_routes;
     std::function<void(const replica_ptr &)> m_onStatus;
     std::map<std::string, agent_link, std::less<>> m_links;
-    std::set<std::string, std::less<>> m_asked;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -17,7 +17,11 @@
 /// Deadline of callers that don't say one.
 constexpr milliseconds defaultTimeLeft{60'000};
 /// How long an adapter is waited for at one engine: a load takes 250 ms, and longer while many are on their way.
-constexpr milliseconds longestLoadWait{1'200};
+constexpr milliseconds longestLoadWait{800};
+/// Share of the time for a request, in hundredths, and longest time that it waits for its adapter in all: beyond it the
+/// caller is better off with a refusal that leaves time to come back.
+constexpr int waitShare = 30;
+constexpr milliseconds longestWait{1'500};
 /// Engines at which an adapter is waited for.
 constexpr std::uint32_t maxLoadWaits = 3;
 /// A replica gives its own answer at its deadline; it is waited for this much longer.
@@ -80,6 +84,10 @@
     m_deadline = m_startedAt + wanted;
     m_service = serviceFor(*m_route, core::hash64(m_facts.id));
     m_services.budgetOf(m_service).onFirstAttempt();
+    if (!m_facts.adapter.empty()) {
+        m_demand = m_services.demand.asked(m_facts.adapter, m_startedAt);
+    }
+    m_waitEnd = m_startedAt + std::min(longestWait, wanted * waitShare / 100);
     next();
 }
 
@@ -118,6 +126,7 @@
     asked.adapter = m_facts.adapter;
     asked.batchSize = hasEngine ? service->engine->batchSize : 1;
     asked.tried = m_tried;
+    asked.demand = m_demand;
     const replica_choice choice = hasEngine ? chooseEngine(m_services.replicas, asked, now)
                                             : choosePlain(m_services.replicas, asked, now);
     m_choiceWhy = choice.why;
@@ -142,7 +151,8 @@
 
 void exchange::waitForAdapter(const replica_choice &choice)
 {
-    if (m_loadWaits >= maxLoadWaits) {
+    const core::monotonic_time now = m_services.clock.now();
+    if (m_loadWaits >= maxLoadWaits || now >= m_waitEnd) {
         refuse("adapter_not_loaded", "the adapter was not loaded in time");
         return;
     }
@@ -156,7 +166,7 @@
     }
     assign(choice.target);
     m_waiting = true;
-    m_waitUntil = std::min(m_deadline, m_services.clock.now() + longestLoadWait);
+    m_waitUntil = std::min(m_waitEnd, now + longestLoadWait);
     m_services.waiters.add(*choice.target, m_facts.adapter, weak_from_this());
 }
 
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -81,6 +81,9 @@
     connection_ptr m_connection;
     core::monotonic_time m_sentAt{};
     core::monotonic_time m_waitUntil{};
+    /// Until when the request may wait for its adapter, at whichever engines.
+    core::monotonic_time m_waitEnd{};
+    double m_demand = 0;
     core::monotonic_time m_lastBytesAt{};
     std::string_view m_choiceWhy;
     attempt_history m_history;
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -6,6 +6,7 @@
 
 #include <medlarrack/catalog/route_table.hpp>
 #include <medlarrack/core/clock.hpp>
+#include <medlarrack/gateway/adapter_demand.hpp>
 #include <medlarrack/gateway/caller_format.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/metrics/registry.hpp>
@@ -27,6 +28,7 @@
     connection_pool &connections;
     agent_links &agents;
     adapter_waiters &waiters;
+    adapter_demand &demand;
     metrics::registry &metrics;
     /// The retry budget of a service.
     std::function<overload::retry_budget &(std::string_view service)> budgetOf;
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -51,7 +51,7 @@
                  })
         , random(static_cast<std::minstd_rand::result_type>(time.wallNow().time_since_epoch().count()))
         , services{time,    callerFormat, routes,  replicas,
-                   connections, agents, waiters, metrics,
+                   connections, agents, waiters, demand, metrics,
                    [this](std::string_view service) -> overload::retry_budget & {
                        return budgetOf(service);
                    },
@@ -233,6 +233,7 @@
     replica_table replicas;
     metrics::registry metrics;
     adapter_waiters waiters;
+    adapter_demand demand;
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> budgets;
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -23,6 +23,14 @@
 constexpr double homeLoadFloor = 6;
 /// Requests of one adapter at one engine above which the adapter gets a further home.
 constexpr std::uint32_t copyDemand = 8;
+/// Share of a batch by which an engine of another data centre counts as fuller: a request there costs more bytes than
+/// it gains time, as long as the engines have room.
+constexpr double remoteLoad = 0.4;
+/// Adapters waiting for a slot above which an engine is no home for a further one.
+constexpr std::uint32_t maxBacklog = 5;
+/// Recent requests of this process for an adapter from which its data centre gets a home for it: a load costs about as
+/// much as eight requests between data centres.
+constexpr double localDemand = 5;
 /// An engine whose first events take this many times as long as those of its peers gets requests last.
 constexpr int slowFactor = 3;
 
@@ -70,18 +78,16 @@
     return one.local ? time : time + remotePenalty;
 }
 
-/// Usable engines that hold the base model, local ones only unless there are none.
 std::vector<replica_ptr> usableEngines(const replica_table &table, const choice_query &asked,
                                        core::monotonic_time now)
 {
-    std::vector<replica_ptr> local;
-    std::vector<replica_ptr> remote;
+    std::vector<replica_ptr> usable;
     for (const replica_ptr &one : table.ofService(asked.service)) {
         if (isUsable(*one, now) && !wasTried(asked, *one) && holdsModel(*one, asked.model)) {
-            (one->local ? local : remote).push_back(one);
+            usable.push_back(one);
         }
     }
-    return local.empty() ? remote : local;
+    return usable;
 }
 
 /// Leaves out engines that are much slower than the median, as long as others are left.
@@ -106,17 +112,27 @@
     });
 }
 
-replica_ptr leastLoaded(const std::vector<replica_ptr> &engines)
+/// The engine with the least load, where one of another data centre counts as having more.
+replica_ptr leastLoaded(const std::vector<replica_ptr> &engines, double batchSize)
 {
-    const auto least = std::min_element(engines.begin(), engines.end(), [](const auto &left, const auto &right) {
-        return left->load() < right->load();
-    });
-    return least == engines.end() ? nullptr : *least;
+    replica_ptr best;
+    double bestCost = 0;
+    for (const replica_ptr &one : engines) {
+        const double cost = one->load() + (one->local ? 0 : remoteLoad * batchSize);
+        if (best == nullptr || cost < bestCost) {
+            best = one;
+            bestCost = cost;
+        }
+    }
+    return best;
 }
 
 /// The home of highest rank that isn't overloaded and doesn't hold or load the adapter.
 replica_ptr nextHome(const replica_table &table, const std::vector<replica_ptr> &engines, std::string_view adapter)
 {
+    if (engines.empty()) {
+        return nullptr;
+    }
     double total = 0;
     for (const replica_ptr &one : engines) {
         total += one->load();
@@ -127,7 +143,8 @@
     std::uint64_t bestWeight = 0;
     for (const replica_ptr &one : engines) {
         const std::uint64_t weight = core::rendezvousWeight(key, one->idHash);
-        if (one->load() <= bound && demandAt(*one, adapter) == 0 && !holdsAdapter(table, *one, adapter)
+        const bool backlog = one->agent && one->agent->wanted >= maxBacklog;
+        if (one->load() <= bound && !backlog && demandAt(*one, adapter) == 0 && !holdsAdapter(table, *one, adapter)
             && (best == nullptr || weight > bestWeight)) {
             best = one;
             bestWeight = weight;
@@ -171,35 +188,42 @@
     }
     dropSlow(engines);
     if (asked.adapter.empty()) {
-        return {.target = leastLoaded(engines), .why = "least loaded"};
+        return {.target = leastLoaded(engines, asked.batchSize), .why = "least loaded"};
     }
     std::vector<replica_ptr> holders;
     std::vector<replica_ptr> expecting;
     for (const replica_ptr &one : engines) {
         if (holdsAdapter(table, *one, asked.adapter)) {
             holders.push_back(one);
-        } else if (demandAt(*one, asked.adapter) > 0 || (one->agent && one->agent->loading.contains(asked.adapter))) {
+        } else if (demandAt(*one, asked.adapter) > 0) {
             expecting.push_back(one);
         }
     }
     const double crowded = crowdedShare * asked.batchSize;
-    if (const replica_ptr holder = leastLoaded(holders); holder != nullptr && holder->load() < crowded) {
+    if (const replica_ptr holder = leastLoaded(holders, asked.batchSize);
+        holder != nullptr && holder->load() < crowded) {
         replica_choice chosen{.target = holder, .why = "adapter loaded"};
-        if (expecting.empty() && demandAt(*holder, asked.adapter) >= copyDemand) {
+        if (!holder->local && asked.demand >= localDemand) {
+            std::vector<replica_ptr> local = engines;
+            std::erase_if(local, [](const replica_ptr &one) {
+                return !one->local;
+            });
+            chosen.alsoLoadAt = nextHome(table, local, asked.adapter);
+        } else if (expecting.empty() && demandAt(*holder, asked.adapter) >= copyDemand) {
             chosen.alsoLoadAt = nextHome(table, engines, asked.adapter);
         }
         return chosen;
     }
-    if (const replica_ptr next = leastLoaded(expecting); next != nullptr && next->load() < crowded) {
+    if (const replica_ptr next = leastLoaded(expecting, asked.batchSize); next != nullptr && next->load() < crowded) {
         return {.target = next, .needsLoad = true, .why = "adapter on its way"};
     }
     if (const replica_ptr home = nextHome(table, engines, asked.adapter); home != nullptr) {
         return {.target = home, .needsLoad = true, .why = "home of the adapter"};
     }
-    if (const replica_ptr holder = leastLoaded(holders); holder != nullptr) {
+    if (const replica_ptr holder = leastLoaded(holders, asked.batchSize); holder != nullptr) {
         return {.target = holder, .why = "adapter loaded, all crowded"};
     }
-    return {.target = leastLoaded(engines), .needsLoad = true, .why = "least loaded, all crowded"};
+    return {.why = "all engines are crowded"};
 }
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -38,7 +38,6 @@
         if (known.agent && known.agent->startedAtMs < record.startedAtMs) {
             known.agent->models = record.models;
             known.agent->adapters = record.adapters;
-            known.agent->loading.clear();
         }
     }
     // A replica that leaves doesn't come back without a new start.
--- a/libs/link/include/medlarrack/link/link_connection.hpp
+++ b/libs/link/include/medlarrack/link/link_connection.hpp
@@ -21,6 +21,8 @@
     void start();
     /// Sends a message; a peer that doesn't read loses the link rather than our memory.
     void send(const message &value);
+    /// The same with a message encoded before, for several links.
+    void sendEncoded(std::string_view bytes);
 
 private:
     void onBytes(std::string_view bytes) override;
--- a/libs/link/include/medlarrack/link/messages.hpp
+++ b/libs/link/include/medlarrack/link/messages.hpp
@@ -60,13 +60,25 @@
     std::uint64_t startedAtMs = 0;
     std::vector<std::string> models;
     std::map<std::string, std::uint64_t, std::less<>> adapters;
-    std::map<std::string, std::uint64_t, std::less<>> loading;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
+    /// Adapters asked for and not on their way yet.
+    std::uint32_t wanted = 0;
+};
+
+/// What has changed since the last engine_status or engine_change; also the heartbeat. Much smaller than a status:
+/// bytes between data centres are dear.
+struct engine_change
+{
+    std::map<std::string, std::uint64_t, std::less<>> loaded;
+    std::vector<std::string> unloaded;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t wanted = 0;
 };
 
 /// Any message of a link.
 using message =
-    std::variant<greeting, load_request, adapters_in_use, service_facts, adapter_releases, engine_status>;
+    std::variant<greeting, load_request, adapters_in_use, service_facts, adapter_releases, engine_status, engine_change>;
 
 } // namespace medlarrack::link
--- a/libs/link/src/link_connection.cpp
+++ b/libs/link/src/link_connection.cpp
@@ -38,9 +38,14 @@
 }
 
 void link_connection::send(const message &value)
+{
+    sendEncoded(encode(value));
+}
+
+void link_connection::sendEncoded(std::string_view bytes)
 {
     if (m_stream->queued() <= maxQueuedBytes) {
-        m_stream->write(encode(value));
+        m_stream->write(bytes);
         return;
     }
     m_stream->close();
--- a/libs/link/src/message_codec.cpp
+++ b/libs/link/src/message_codec.cpp
@@ -53,8 +53,14 @@
 auto fields(auto &value)
     requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, engine_status>
 {
-    return std::tie(value.engineUp, value.startedAtMs, value.models, value.adapters, value.loading, value.running,
-                    value.queued);
+    return std::tie(value.engineUp, value.startedAtMs, value.models, value.adapters, value.running, value.queued,
+                    value.wanted);
+}
+
+auto fields(auto &value)
+    requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, engine_change>
+{
+    return std::tie(value.loaded, value.unloaded, value.running, value.queued, value.wanted);
 }
 
 using packer = msgpack::packer<msgpack::sbuffer>;
