--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -16,13 +16,11 @@
 
 /// Deadline of callers that don't say one.
 constexpr milliseconds defaultTimeLeft{60'000};
-/// How long an adapter is waited for at one engine: a load takes 250 ms, and longer while many are on their way.
-constexpr milliseconds longestLoadWait{800};
 /// Share of the time for a request, in hundredths, and longest time that it waits for its adapter in all: beyond it the
 /// caller is better off with a refusal that leaves time to come back.
 constexpr int waitShare = 30;
 constexpr milliseconds longestWait{1'500};
-/// Engines at which an adapter is waited for.
+/// Engines at which an adapter is waited for: the next one only if the one before is lost.
 constexpr std::uint32_t maxLoadWaits = 3;
 /// A replica gives its own answer at its deadline; it is waited for this much longer.
 constexpr milliseconds deadlineGrace{200};
@@ -135,7 +133,7 @@
             constexpr int badGateway = 502;
             answerOwn(badGateway, "no_replica", "the request may have run and no other replica is left");
         } else {
-            refuse("no_replica", "no replica can take the request now");
+            refuse("no_replica", choice.why);
         }
         return;
     }
@@ -166,7 +164,6 @@
     }
     assign(choice.target);
     m_waiting = true;
-    m_waitUntil = std::min(m_waitEnd, now + longestLoadWait);
     m_services.waiters.add(*choice.target, m_facts.adapter, weak_from_this());
 }
 
@@ -474,8 +471,10 @@
     }
     const auto self = shared_from_this();
     if (m_waiting) {
-        if (now >= m_waitUntil) {
-            engineLost();
+        if (now >= m_waitEnd) {
+            m_waiting = false;
+            release();
+            refuse("adapter_not_loaded", "the adapter was not loaded in time");
         }
         return;
     }
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -80,7 +80,6 @@
     replica_ptr m_target;
     connection_ptr m_connection;
     core::monotonic_time m_sentAt{};
-    core::monotonic_time m_waitUntil{};
     /// Until when the request may wait for its adapter, at whichever engines.
     core::monotonic_time m_waitEnd{};
     double m_demand = 0;
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -18,16 +18,13 @@
 constexpr std::chrono::milliseconds loadMemory{300};
 /// An engine counts as crowded above this share of its batch: it prefills in turn, so that first events come late.
 constexpr double crowdedShare = 0.75;
-/// An engine is no home for a further adapter above this multiple of the mean load and this many requests.
-constexpr double homeLoadFactor = 1.5;
-constexpr double homeLoadFloor = 6;
 /// Requests of one adapter at one engine above which the adapter gets a further home.
 constexpr std::uint32_t copyDemand = 8;
 /// Share of a batch by which an engine of another data centre counts as fuller: a request there costs more bytes than
 /// it gains time, as long as the engines have room.
 constexpr double remoteLoad = 0.4;
 /// Adapters waiting for a slot above which an engine is no home for a further one.
-constexpr std::uint32_t maxBacklog = 5;
+constexpr std::uint32_t maxBacklog = 10;
 /// Recent requests of this process for an adapter from which its data centre gets a home for it: a load costs about as
 /// much as eight requests between data centres.
 constexpr double localDemand = 5;
@@ -127,25 +124,19 @@
     return best;
 }
 
-/// The home of highest rank that isn't overloaded and doesn't hold or load the adapter.
-replica_ptr nextHome(const replica_table &table, const std::vector<replica_ptr> &engines, std::string_view adapter)
+/// The home of highest rank that doesn't hold or expect the adapter and has room. Homes don't follow the load below
+/// that: an engine that has held an adapter loads it again ten times as fast, and without a call to the weight store.
+replica_ptr nextHome(const replica_table &table, const std::vector<replica_ptr> &engines, const choice_query &asked)
 {
-    if (engines.empty()) {
-        return nullptr;
-    }
-    double total = 0;
-    for (const replica_ptr &one : engines) {
-        total += one->load();
-    }
-    const double bound = std::max(homeLoadFloor, homeLoadFactor * total / static_cast<double>(engines.size()));
-    const std::uint64_t key = core::hash64(adapter);
+    const double crowded = crowdedShare * asked.batchSize;
+    const std::uint64_t key = core::hash64(asked.adapter);
     replica_ptr best;
     std::uint64_t bestWeight = 0;
     for (const replica_ptr &one : engines) {
         const std::uint64_t weight = core::rendezvousWeight(key, one->idHash);
         const bool backlog = one->agent && one->agent->wanted >= maxBacklog;
-        if (one->load() <= bound && !backlog && demandAt(*one, adapter) == 0 && !holdsAdapter(table, *one, adapter)
-            && (best == nullptr || weight > bestWeight)) {
+        if (one->load() < crowded && !backlog && demandAt(*one, asked.adapter) == 0
+            && !holdsAdapter(table, *one, asked.adapter) && (best == nullptr || weight > bestWeight)) {
             best = one;
             bestWeight = weight;
         }
@@ -208,16 +199,16 @@
             std::erase_if(local, [](const replica_ptr &one) {
                 return !one->local;
             });
-            chosen.alsoLoadAt = nextHome(table, local, asked.adapter);
+            chosen.alsoLoadAt = nextHome(table, local, asked);
         } else if (expecting.empty() && demandAt(*holder, asked.adapter) >= copyDemand) {
-            chosen.alsoLoadAt = nextHome(table, engines, asked.adapter);
+            chosen.alsoLoadAt = nextHome(table, engines, asked);
         }
         return chosen;
     }
     if (const replica_ptr next = leastLoaded(expecting, asked.batchSize); next != nullptr && next->load() < crowded) {
         return {.target = next, .needsLoad = true, .why = "adapter on its way"};
     }
-    if (const replica_ptr home = nextHome(table, engines, asked.adapter); home != nullptr) {
+    if (const replica_ptr home = nextHome(table, engines, asked); home != nullptr) {
         return {.target = home, .needsLoad = true, .why = "home of the adapter"};
     }
     if (const replica_ptr holder = leastLoaded(holders, asked.batchSize); holder != nullptr) {
