--- a/libs/agent/include/medlarrack/agent/slot_keeper.hpp
+++ b/libs/agent/include/medlarrack/agent/slot_keeper.hpp
@@ -7,7 +7,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,9 +21,12 @@
     std::uint32_t adapterSlots = 0;
 };
 
-/// Decides on orders to one engine: loads the base model after a restart, loads wanted adapters in the order in which
-/// they were asked for, replaces old versions, and makes room by unloading the adapter that nobody has used for the
-/// longest time. Answers the pattern of many adapters by a Zipf law before few slots. No network, no clock; not
+/// Requests by adapter.
+using use_counts = std::map<std::string, std::uint32_t, std::less<>>;
+
+/// Decides on orders to one engine: loads the base model after a restart, loads wanted adapters, those that most requests
+/// wait for first, replaces old versions, and makes room by unloading the adapter that nobody has used for the longest
+/// time. Answers the pattern of many adapters by a Zipf law before few slots. No network, no clock; not
 /// thread-safe.
 class slot_keeper
 {
@@ -35,7 +37,7 @@
     /// A gateway's requests wait for an adapter.
     void want(std::string_view adapter, core::monotonic_time now);
     /// Adapters that a gateway's requests use or wait for; replaces what it said before. An empty list forgets it.
-    void setInUse(std::string_view gateway, std::set<std::string, std::less<>> adapters, core::monotonic_time now);
+    void setInUse(std::string_view gateway, use_counts adapters, core::monotonic_time now);
 
     /// What the engine says now.
     void reported(engine_report report, core::monotonic_time now);
@@ -58,7 +60,9 @@
     [[nodiscard]] std::optional<engine_order> nextReplacement(core::monotonic_time now) const;
     [[nodiscard]] std::optional<engine_order> nextLoad(core::monotonic_time now);
     [[nodiscard]] std::optional<std::string> leastRecentlyUsed(core::monotonic_time now) const;
+    [[nodiscard]] const std::string *mostWanted(core::monotonic_time now) const;
     [[nodiscard]] bool isInUse(std::string_view adapter) const;
+    [[nodiscard]] std::uint32_t requestsFor(std::string_view adapter) const;
     [[nodiscard]] bool isOnItsWay(std::string_view adapter) const;
     [[nodiscard]] std::size_t occupied() const;
     [[nodiscard]] bool holdsNewest(std::string_view adapter) const;
@@ -71,7 +75,7 @@
     catalog::adapter_versions m_releases;
     /// Adapters waited for, with the time at which they were last asked for.
     std::deque<std::pair<std::string, core::monotonic_time>> m_wanted;
-    std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_inUse;
+    std::map<std::string, use_counts, std::less<>> m_inUse;
     std::map<std::string, core::monotonic_time, std::less<>> m_lastUsed;
     /// Loads accepted that no report shows yet, with the time of the order.
     std::map<std::string, core::monotonic_time, std::less<>> m_accepted;
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -213,7 +213,7 @@
 
     void take(gateway_link &from, const link::adapters_in_use &used)
     {
-        keeper.setInUse(from.name, {used.adapters.begin(), used.adapters.end()}, clock.now());
+        keeper.setInUse(from.name, used.adapters, clock.now());
     }
 
     void take(gateway_link &, const link::service_facts &facts)
--- a/libs/agent/src/slot_keeper.cpp
+++ b/libs/agent/src/slot_keeper.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds retryPause{100};
 /// Pause between orders to load a base model: the engine works on one for seconds.
 constexpr std::chrono::milliseconds modelPause{1'000};
+/// Waiting time that counts as much as one more request: a rare adapter comes before a busy one in the end.
+constexpr std::chrono::duration<double> requestWorth{0.2};
 /// Adapters waited for at most; beyond it the oldest are forgotten, since their requests have been given up.
 constexpr std::size_t maxWanted = 200;
 
@@ -59,17 +61,16 @@
     }
 }
 
-void slot_keeper::setInUse(std::string_view gateway, std::set<std::string, std::less<>> adapters,
-                           core::monotonic_time now)
+void slot_keeper::setInUse(std::string_view gateway, use_counts adapters, core::monotonic_time now)
 {
     const auto known = m_inUse.find(gateway);
     if (known != m_inUse.end()) {
         // What has just ended was used until now.
-        for (const std::string &adapter : known->second) {
+        for (const auto &[adapter, count] : known->second) {
             m_lastUsed[adapter] = now;
         }
     }
-    for (const std::string &adapter : adapters) {
+    for (const auto &[adapter, count] : adapters) {
         m_lastUsed[adapter] = now;
     }
     if (adapters.empty()) {
@@ -156,26 +157,39 @@
 
 std::optional<engine_order> slot_keeper::nextLoad(core::monotonic_time now)
 {
-    const std::size_t onTheirWay = m_report.loading.size() + m_accepted.size();
-    if (onTheirWay >= maxOnTheirWay) {
+    if (m_report.loading.size() + m_accepted.size() >= maxOnTheirWay) {
         return std::nullopt;
     }
+    const std::string *adapter = mostWanted(now);
+    if (adapter == nullptr) {
+        return std::nullopt;
+    }
+    if (occupied() < m_limits.adapterSlots) {
+        return engine_order{engine_order::kind::load, modelOf(*adapter), *adapter, releaseOf(*adapter)};
+    }
+    if (const auto victim = leastRecentlyUsed(now)) {
+        return engine_order{engine_order::kind::unload, modelOf(*victim), *victim, 0};
+    }
+    return std::nullopt;
+}
+
+const std::string *slot_keeper::mostWanted(core::monotonic_time now) const
+{
+    const std::string *best = nullptr;
+    double bestRank = 0;
     for (const auto &[adapter, askedAt] : m_wanted) {
-        const std::string model = modelOf(adapter);
         const bool modelHeld =
-            std::find(m_report.models.begin(), m_report.models.end(), model) != m_report.models.end();
+            std::find(m_report.models.begin(), m_report.models.end(), modelOf(adapter)) != m_report.models.end();
         if (!modelHeld || isOnItsWay(adapter) || m_report.adapters.contains(adapter) || !mayOrder(adapter, now)) {
             continue;
         }
-        if (occupied() < m_limits.adapterSlots) {
-            return engine_order{engine_order::kind::load, model, adapter, releaseOf(adapter)};
+        const double rank = requestsFor(adapter) + std::chrono::duration<double>(now - askedAt) / requestWorth;
+        if (best == nullptr || rank > bestRank) {
+            best = &adapter;
+            bestRank = rank;
         }
-        if (const auto victim = leastRecentlyUsed(now)) {
-            return engine_order{engine_order::kind::unload, modelOf(*victim), *victim, 0};
-        }
-        return std::nullopt;
     }
-    return std::nullopt;
+    return best;
 }
 
 void slot_keeper::ordered(const engine_order &order, order_result result, core::monotonic_time now)
@@ -247,6 +261,16 @@
     });
 }
 
+std::uint32_t slot_keeper::requestsFor(std::string_view adapter) const
+{
+    std::uint32_t sum = 0;
+    for (const auto &[gateway, counts] : m_inUse) {
+        const auto found = counts.find(adapter);
+        sum += found == counts.end() ? 0 : found->second;
+    }
+    return sum;
+}
+
 bool slot_keeper::isOnItsWay(std::string_view adapter) const
 {
     return m_report.loading.contains(adapter) || m_accepted.contains(adapter);
--- a/libs/agent/tests/test_slot_keeper.cpp
+++ b/libs/agent/tests/test_slot_keeper.cpp
@@ -103,7 +103,7 @@
         pass(milliseconds(100));
     }
     pass(milliseconds(1'000));
-    keeper.setInUse("gateway", {"m/a1"}, clock.now());
+    keeper.setInUse("gateway", {{"m/a1", 1}}, clock.now());
     keeper.setInUse("gateway", {}, clock.now());
     pass(milliseconds(400));
     load("m/a4");
@@ -117,15 +117,15 @@
     for (const char *adapter : {"m/a1", "m/a2", "m/a3"}) {
         load(adapter);
     }
-    keeper.setInUse("one", {"m/a1", "m/a2"}, clock.now());
-    keeper.setInUse("two", {"m/a3"}, clock.now());
+    keeper.setInUse("one", {{"m/a1", 1}, {"m/a2", 2}}, clock.now());
+    keeper.setInUse("two", {{"m/a3", 1}}, clock.now());
     pass(milliseconds(60'000));
     keeper.want("m/a4", clock.now());
     BOOST_TEST(!next().has_value());
     keeper.setInUse("two", {}, clock.now());
     // A request sent a moment ago may still be on the way.
     BOOST_TEST(!next().has_value());
-    keeper.setInUse("two", {"m/a4"}, clock.now());
+    keeper.setInUse("two", {{"m/a4", 1}}, clock.now());
     pass(milliseconds(400));
     const auto order = next();
     BOOST_REQUIRE(order.has_value());
@@ -164,7 +164,7 @@
 
 BOOST_AUTO_TEST_CASE(an_adapter_that_nobody_waits_for_any_more_is_not_loaded)
 {
-    keeper.setInUse("gateway", {"m/a1"}, clock.now());
+    keeper.setInUse("gateway", {{"m/a1", 1}}, clock.now());
     keeper.want("m/a1", clock.now());
     keeper.want("m/a2", clock.now());
     engine.busy = true;
@@ -240,22 +240,22 @@
 {
     // The pattern: a hot head that is always in use beside a tail of which each adapter comes once.
     engine_world world(15);
-    std::set<std::string, std::less<>> head;
+    use_counts head;
     for (int index = 0; index < 8; ++index) {
         const std::string adapter = "m/head" + std::to_string(index);
         world.load(adapter);
-        head.insert(adapter);
+        head[adapter] = 1;
     }
     for (int index = 0; index < 200; ++index) {
         const std::string adapter = "m/tail" + std::to_string(index);
         auto inUse = head;
-        inUse.insert(adapter);
+        inUse[adapter] = 1;
         world.keeper.setInUse("gateway", inUse, world.clock.now());
         world.pass(milliseconds(350));
         world.load(adapter);
     }
     BOOST_TEST(world.mostHeld <= 15U);
-    for (const std::string &adapter : head) {
+    for (const auto &[adapter, count] : head) {
         BOOST_TEST(world.engine.adapters.contains(adapter));
     }
     const auto headLoads = std::count_if(world.orders.begin(), world.orders.end(), [](const engine_order &order) {
@@ -264,6 +264,19 @@
     BOOST_TEST(headLoads == 8);
 }
 
+BOOST_AUTO_TEST_CASE(what_most_requests_wait_for_is_loaded_first_and_rare_adapters_in_the_end)
+{
+    // The pattern: an empty engine after a loss of power, with all adapters asked for at once.
+    keeper.want("m/rare", clock.now());
+    keeper.want("m/busy", clock.now());
+    keeper.setInUse("gateway", {{"m/rare", 1}, {"m/busy", 4}}, clock.now());
+    BOOST_TEST(next()->adapter == "m/busy");
+    clock.advance(milliseconds(1'000));
+    keeper.want("m/new", clock.now());
+    keeper.setInUse("gateway", {{"m/rare", 1}, {"m/new", 4}}, clock.now());
+    BOOST_TEST(next()->adapter == "m/rare");
+}
+
 BOOST_AUTO_TEST_CASE(fencing_climbs_past_a_token_of_a_time_of_day_that_was_ahead)
 {
     const core::wall_time start(milliseconds(1'700'000'000'000));
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -34,6 +34,8 @@
     bool needsLoad = false;
     /// Another replica that is to load the adapter because demand fills this one; usually null.
     replica_ptr alsoLoadAt;
+    /// There are replicas, but all are full or have too many adapters to load.
+    bool crowded = false;
     /// Why there, for the log.
     std::string_view why;
 };
--- a/libs/gateway/include/medlarrack/gateway/replica_table.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_table.hpp
@@ -21,7 +21,8 @@
 public:
     explicit replica_table(std::string dataCentre);
 
-    /// Takes a record unless it is older than the one held; says whether it was taken.
+    /// Takes a record unless it is older than the one held; says whether it was taken. A replica at whose address a
+    /// later one has started is gone, whatever the list says.
     bool take(catalog::replica_record record, core::monotonic_time now);
     /// A replica has left the list. With a grace, because the store was away meanwhile, it serves on for that long
     /// unless it is listed again.
@@ -42,6 +43,8 @@
     [[nodiscard]] const catalog::adapter_versions &releases() const;
 
 private:
+    /// Drops the replica that an address had before; false if the record is the one that is outdated.
+    bool replaceAtAddress(const catalog::replica_record &record);
     void drop(std::string_view id);
     void addToService(const replica_ptr &added);
 
--- /dev/null
+++ b/libs/gateway/include/medlarrack/gateway/return_advice.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <medlarrack/gateway/replica_table.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace medlarrack::gateway {
+
+/// What a request is refused for.
+enum class refusal_cause {
+    /// No published state is known yet.
+    starting,
+    /// No replica of the service can take it.
+    no_replica,
+    /// Its adapter waits for a slot behind others.
+    adapter_backlog,
+    /// The replicas rejected it, or were not reached.
+    rejected,
+};
+
+/// When a refused caller is to return: at the time at which a place is expected, spread so that callers don't return
+/// together. Callers return only once or twice, so that too early is as bad as too late.
+[[nodiscard]] std::chrono::milliseconds returnAfter(refusal_cause cause, const replica_table &table,
+                                                    std::string_view service, std::uint32_t random);
+
+} // namespace medlarrack::gateway
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/ip/address_v4.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,20 @@
 constexpr std::chrono::milliseconds reconnectPause{250};
 /// Three heartbeats of an agent.
 constexpr std::chrono::milliseconds silenceLimit{1'500};
+/// Change of the requests for one adapter that is told though the adapters are the same.
+constexpr std::uint32_t notableCountChange = 4;
+
+using use_counts = std::map<std::string, std::uint32_t, std::less<>>;
+
+bool differsNotably(const use_counts &told, const use_counts &now)
+{
+    return told.size() != now.size()
+        || !std::equal(told.begin(), told.end(), now.begin(), [](const auto &left, const auto &right) {
+               const std::uint32_t low = std::min(left.second, right.second);
+               const std::uint32_t high = std::max(left.second, right.second);
+               return left.first == right.first && high - low < notableCountChange;
+           });
+}
 
 } // namespace
 
@@ -165,13 +180,9 @@
         one.toldReleases = m_replicas.releases();
         one.connection->send(link::adapter_releases{one.toldReleases});
     }
-    std::set<std::string, std::less<>> inUse;
-    for (const auto &[adapter, count] : of.byAdapter) {
-        inUse.insert(adapter);
-    }
-    if (inUse != one.toldInUse) {
-        one.connection->send(link::adapters_in_use{{inUse.begin(), inUse.end()}});
-        one.toldInUse = std::move(inUse);
+    if (differsNotably(one.toldInUse, of.byAdapter)) {
+        one.connection->send(link::adapters_in_use{of.byAdapter});
+        one.toldInUse = of.byAdapter;
     }
 }
 
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -11,7 +11,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -40,7 +39,7 @@
         core::monotonic_time heardAt{};
         core::monotonic_time nextTry{};
         std::uint64_t toldStateVersion = 0;
-        std::set<std::string, std::less<>> toldInUse;
+        std::map<std::string, std::uint32_t, std::less<>> toldInUse;
         catalog::adapter_versions toldReleases;
     };
 
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -33,8 +33,6 @@
 /// Unread bytes of a caller at which its replica is slowed down, and of a plain answer from which it is passed on
 /// before it is whole.
 constexpr std::size_t relayBuffer = 256 * 1024;
-/// Refused callers return after this and up to as much again, spread: long enough for a load or a replica's return.
-constexpr milliseconds returnAfter{250};
 
 void appendChunk(std::string &out, std::string_view bytes)
 {
@@ -92,7 +90,7 @@
 bool exchange::findRoute()
 {
     if (m_services.routes.isEmpty()) {
-        refuse("no_state", "no published state is known yet");
+        refuse(refusal_cause::starting, "no_state", "no published state is known yet");
         return false;
     }
     m_route = m_services.routes.find(m_request.value("Host"), m_request.target);
@@ -112,7 +110,7 @@
             constexpr int gatewayTimeout = 504;
             answerOwn(gatewayTimeout, "timeout", "the time for the request is over");
         } else {
-            refuse("timeout", "the time for the request is over");
+            refuse(refusal_cause::rejected, "timeout", "the time for the request is over");
         }
         return;
     }
@@ -133,7 +131,7 @@
             constexpr int badGateway = 502;
             answerOwn(badGateway, "no_replica", "the request may have run and no other replica is left");
         } else {
-            refuse("no_replica", choice.why);
+            refuse(choice.crowded ? refusal_cause::adapter_backlog : refusal_cause::no_replica, "no_replica", choice.why);
         }
         return;
     }
@@ -151,7 +149,7 @@
 {
     const core::monotonic_time now = m_services.clock.now();
     if (m_loadWaits >= maxLoadWaits || now >= m_waitEnd) {
-        refuse("adapter_not_loaded", "the adapter was not loaded in time");
+        refuse(refusal_cause::adapter_backlog, "adapter_not_loaded", "the adapter was not loaded in time");
         return;
     }
     ++m_loadWaits;
@@ -350,7 +348,7 @@
         return;
     }
     release();
-    refuse("rejected", "the replicas did not run the request");
+    refuse(refusal_cause::rejected, "rejected", "the replicas did not run the request");
 }
 
 void exchange::onFailed(http1::call_progress progress, std::string_view why)
@@ -376,7 +374,7 @@
     if (m_headSent) {
         breakOff(why);
     } else if (end == attempt_end::not_run && m_history.runs == 0) {
-        refuse("not_reached", why);
+        refuse(refusal_cause::rejected, "not_reached", why);
     } else {
         constexpr int badGateway = 502;
         answerOwn(badGateway, "attempt_failed", why);
@@ -411,7 +409,7 @@
     finish("ran", m_answer.status, m_choiceWhy);
 }
 
-void exchange::refuse(std::string_view code, std::string_view why)
+void exchange::refuse(refusal_cause cause, std::string_view code, std::string_view why)
 {
     constexpr int unavailable = 503;
     if (m_headSent) {
@@ -422,7 +420,8 @@
     answer.status = unavailable;
     answer.code = code;
     answer.message = why;
-    answer.retryAfter = returnAfter + milliseconds(m_services.random() % returnAfter.count());
+    answer.retryAfter =
+        returnAfter(cause, m_services.replicas, m_service, static_cast<std::uint32_t>(m_services.random()));
     answer.closes = m_caller->closesAfterAnswer();
     std::string out;
     m_services.format.appendOwnAnswer(out, answer, m_facts.id);
@@ -473,7 +472,7 @@
         if (now >= m_waitEnd) {
             m_waiting = false;
             release();
-            refuse("adapter_not_loaded", "the adapter was not loaded in time");
+            refuse(refusal_cause::adapter_backlog, "adapter_not_loaded", "the adapter was not loaded in time");
         }
         return;
     }
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -7,6 +7,7 @@
 #include <medlarrack/gateway/attempt_policy.hpp>
 #include <medlarrack/gateway/event_cutter.hpp>
 #include <medlarrack/gateway/replica_choice.hpp>
+#include <medlarrack/gateway/return_advice.hpp>
 #include <medlarrack/http1/client_connection.hpp>
 
 #include <memory>
@@ -57,7 +58,7 @@
     void attemptFailed(attempt_end end, std::string_view why);
     void tryAgain(std::string_view why);
     void deliver();
-    void refuse(std::string_view code, std::string_view why);
+    void refuse(refusal_cause cause, std::string_view code, std::string_view why);
     void answerOwn(int status, std::string_view code, std::string_view why);
     void breakOff(std::string_view why);
     void dropConnection();
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -212,7 +212,7 @@
     if (const replica_ptr holder = leastLoaded(holders, asked.batchSize); holder != nullptr) {
         return {.target = holder, .why = "adapter loaded, all crowded"};
     }
-    return {.why = "all engines are crowded"};
+    return {.crowded = true, .why = "all engines are crowded"};
 }
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -13,6 +13,9 @@
 
 bool replica_table::take(catalog::replica_record record, core::monotonic_time now)
 {
+    if (!replaceAtAddress(record)) {
+        return false;
+    }
     const auto found = m_replicas.find(record.id);
     if (found == m_replicas.end()) {
         auto added = std::make_shared<replica>();
@@ -132,6 +135,24 @@
     return m_releases;
 }
 
+bool replica_table::replaceAtAddress(const catalog::replica_record &record)
+{
+    std::string replaced;
+    for (const auto &[id, known] : m_replicas) {
+        const catalog::replica_record &other = known->record;
+        if (id == record.id || other.port != record.port || other.address != record.address
+            || other.startedAtMs == 0 || record.startedAtMs == 0) {
+            continue;
+        }
+        if (other.startedAtMs > record.startedAtMs) {
+            return false;
+        }
+        replaced = id;
+    }
+    drop(replaced);
+    return true;
+}
+
 void replica_table::drop(std::string_view id)
 {
     const auto found = m_replicas.find(id);
--- /dev/null
+++ b/libs/gateway/src/return_advice.cpp
@@ -0,0 +1,69 @@
+#include <medlarrack/gateway/return_advice.hpp>
+
+#include <algorithm>
+
+namespace medlarrack::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A process that starts reads the published state within this.
+constexpr milliseconds startTime{400};
+/// Engines that lost their base model load it from their own disk within this.
+constexpr milliseconds modelTime{1'000};
+/// A replica that was left out is tried again after this.
+constexpr milliseconds leftOutTime{500};
+/// Time per adapter in a backlog: a store that carries 24 loads of 250 ms for 18 engines gives each 5 a second.
+constexpr milliseconds loadTime{190};
+constexpr milliseconds longestBacklogTime{1'500};
+/// A place at a replica is free within this.
+constexpr milliseconds placeTime{200};
+
+bool anyHoldsModel(const replica_table &table, std::string_view service)
+{
+    const auto replicas = table.ofService(service);
+    return std::any_of(replicas.begin(), replicas.end(), [](const replica_ptr &one) {
+        return one->agent && one->agent->engineUp && !one->agent->models.empty();
+    });
+}
+
+std::uint32_t shortestBacklog(const replica_table &table, std::string_view service)
+{
+    std::uint32_t shortest = 0;
+    bool any = false;
+    for (const replica_ptr &one : table.ofService(service)) {
+        if (one->agent) {
+            shortest = any ? std::min(shortest, one->agent->wanted) : one->agent->wanted;
+            any = true;
+        }
+    }
+    return shortest;
+}
+
+milliseconds expectedTime(refusal_cause cause, const replica_table &table, std::string_view service)
+{
+    switch (cause) {
+    case refusal_cause::starting:
+        return startTime;
+    case refusal_cause::no_replica:
+        return anyHoldsModel(table, service) ? leftOutTime : modelTime;
+    case refusal_cause::adapter_backlog:
+        return std::min(longestBacklogTime, placeTime + loadTime * shortestBacklog(table, service));
+    case refusal_cause::rejected:
+        break;
+    }
+    return placeTime;
+}
+
+} // namespace
+
+std::chrono::milliseconds returnAfter(refusal_cause cause, const replica_table &table, std::string_view service,
+                                      std::uint32_t random)
+{
+    const milliseconds expected = expectedTime(cause, table, service);
+    // Spread over half of the time again.
+    return expected + milliseconds(random % (expected.count() / 2 + 1));
+}
+
+} // namespace medlarrack::gateway
--- a/libs/gateway/tests/fleet_fixture.hpp
+++ b/libs/gateway/tests/fleet_fixture.hpp
@@ -20,7 +20,7 @@
         record.id = id;
         record.service = service;
         record.address = "127.0.0.1";
-        record.port = 1;
+        record.port = static_cast<std::uint16_t>(table.all().size() + 1);
         record.dataCentre = dataCentre;
         record.slots = slots;
         record.sequence = 1;
--- a/libs/gateway/tests/test_replica_table.cpp
+++ b/libs/gateway/tests/test_replica_table.cpp
@@ -91,6 +91,23 @@
     BOOST_TEST(table.ofService("plain").size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_started_at_the_address_of_another_replaces_it_though_both_are_listed)
+{
+    // After a loss of power the old entries stay listed for seconds beside those of the new replicas.
+    const replica_ptr before = add("before");
+    catalog::replica_record record = before->record;
+    record.id = "after";
+    record.startedAtMs = 2;
+    BOOST_TEST(table.take(record, clock.now()));
+    BOOST_TEST(before->removed);
+    BOOST_TEST(table.ofService("llm").size() == 1U);
+    // A late record of the old one doesn't bring it back.
+    catalog::replica_record late = before->record;
+    late.sequence = 9;
+    BOOST_TEST(!table.take(late, clock.now()));
+    BOOST_TEST(table.find("before") == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(an_adapters_version_never_goes_back)
 {
     BOOST_TEST(table.takeRelease("m/a", 3));
--- a/libs/link/include/medlarrack/link/messages.hpp
+++ b/libs/link/include/medlarrack/link/messages.hpp
@@ -23,10 +23,11 @@
     std::vector<std::string> adapters;
 };
 
-/// Adapters that requests of the gateway use or wait for now; replaces the last such message.
+/// Adapters that requests of the gateway use or wait for now, with the number of requests; replaces the last such
+/// message.
 struct adapters_in_use
 {
-    std::vector<std::string> adapters;
+    std::map<std::string, std::uint32_t, std::less<>> adapters;
 };
 
 /// A base model that engines of a service hold.
--- a/libs/link/tests/test_message_codec.cpp
+++ b/libs/link/tests/test_message_codec.cpp
@@ -13,7 +13,7 @@
 {
     return {greeting{1, "edge-1"},
             load_request{{"m/a1", "m/a2"}},
-            adapters_in_use{{}},
+            adapters_in_use{{{"m/a1", 3}}},
             service_facts{7, "llm", {{"m", 72'700, 66}}, 75'200, 15},
             adapter_releases{{{"m/a1", 3}}},
             engine_status{true, 77, {"m"}, {{"m/a1", 2}}, 12, 1, 4},
