Two loads at once while an engine is nearly empty

Cause: after a loss of power 18 engines kept 72 loads on their way, three times what the store carries at full speed, so that the busiest adapters took 750 ms.

--- a/libs/agent/src/slot_keeper.cpp
+++ b/libs/agent/src/slot_keeper.cpp
@@ -9,6 +9,9 @@
 
 /// Adapters that an engine takes on their way at once.
 constexpr std::size_t maxOnTheirWay = 4;
+/// The same while an engine holds less than half of what it may: 18 empty engines with two loads each come near the 24
+/// that the store carries at full speed.
+constexpr std::size_t maxOnTheirWayAfterStart = 2;
 /// An adapter stays for this long after its last use: a request sent to it may still be on the way.
 constexpr std::chrono::milliseconds keepAfterUse{300};
 /// How long an accepted load is believed without a report that shows it; reports are some 100 ms old.
@@ -157,7 +160,10 @@
 
 std::optional<engine_order> slot_keeper::nextLoad(core::monotonic_time now)
 {
-    if (m_report.loading.size() + m_accepted.size() >= maxOnTheirWay) {
+    // Engines that were started anew are seldom alone: the store is shared by all of them, and what is wanted most comes
+    // sooner if less is on its way beside it.
+    const bool nearlyEmpty = 2 * m_report.adapters.size() < m_limits.adapterSlots;
+    if (m_report.loading.size() + m_accepted.size() >= (nearlyEmpty ? maxOnTheirWayAfterStart : maxOnTheirWay)) {
         return std::nullopt;
     }
     const std::string *adapter = mostWanted(now);
