--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <vector>
 
 namespace medlarrack::gateway {
@@ -17,11 +18,15 @@
 constexpr std::chrono::milliseconds loadMemory{300};
 /// An engine counts as crowded above this share of its batch: it prefills in turn, so that first events come late.
 constexpr double crowdedShare = 0.75;
-/// Requests of one adapter at one engine above which the adapter gets a further home.
-constexpr std::uint32_t copyDemand = 8;
-/// Share of a batch by which an engine of another data centre counts as fuller: a request there costs more bytes than
-/// it gains time, as long as the engines have room.
-constexpr double remoteLoad = 0.4;
+/// An adapter gets a further home if the least loaded engine that holds it runs this many requests and this many times
+/// the mean: it prefills in turn, so that first events and long streams come late there while others have room.
+constexpr std::uint32_t copyLoad = 12;
+constexpr double copyLoadFactor = 1.25;
+/// Recent requests of this process for the adapter from which a further home is worth its load.
+constexpr double copyDemand = 2;
+/// Requests by which an engine of another data centre counts as fuller: a request there costs more bytes than it gains
+/// time, as long as the engines have room.
+constexpr double remoteLoad = 10;
 /// Adapters waiting for a slot above which an engine is no home for a further one.
 constexpr std::uint32_t maxBacklog = 10;
 /// Recent requests of this process for an adapter from which its data centre gets a home for it: a load costs about as
@@ -108,12 +113,12 @@
 }
 
 /// The engine with the least load, where one of another data centre counts as having more.
-replica_ptr leastLoaded(const std::vector<replica_ptr> &engines, double batchSize)
+replica_ptr leastLoaded(const std::vector<replica_ptr> &engines)
 {
     replica_ptr best;
     double bestCost = 0;
     for (const replica_ptr &one : engines) {
-        const double cost = one->load() + (one->local ? 0 : remoteLoad * batchSize);
+        const double cost = one->load() + (one->local ? 0 : remoteLoad);
         if (best == nullptr || cost < bestCost) {
             best = one;
             bestCost = cost;
@@ -142,6 +147,33 @@
     return best;
 }
 
+/// A further home for an adapter that an engine holds; null if it isn't worth a load.
+replica_ptr furtherHome(const replica_table &table, const std::vector<replica_ptr> &engines, const replica &holder,
+                        const choice_query &asked)
+{
+    std::vector<replica_ptr> candidates;
+    if (!holder.local && asked.demand >= localDemand) {
+        std::copy_if(engines.begin(), engines.end(), std::back_inserter(candidates), [](const replica_ptr &one) {
+            return one->local;
+        });
+        return nextHome(table, candidates, asked);
+    }
+    if (asked.demand < copyDemand || holder.load() < copyLoad) {
+        return nullptr;
+    }
+    double mean = 0;
+    for (const replica_ptr &one : engines) {
+        mean += static_cast<double>(one->load()) / static_cast<double>(engines.size());
+    }
+    if (holder.load() < copyLoadFactor * mean) {
+        return nullptr;
+    }
+    std::copy_if(engines.begin(), engines.end(), std::back_inserter(candidates), [mean](const replica_ptr &one) {
+        return one->load() <= mean;
+    });
+    return nextHome(table, candidates, asked);
+}
+
 } // namespace
 
 bool holdsAdapter(const replica_table &table, const replica &at, std::string_view adapter)
@@ -177,7 +209,7 @@
     }
     dropSlow(engines);
     if (asked.adapter.empty()) {
-        return {.target = leastLoaded(engines, asked.batchSize), .why = "least loaded"};
+        return {.target = leastLoaded(engines), .why = "least loaded"};
     }
     std::vector<replica_ptr> holders;
     std::vector<replica_ptr> expecting;
@@ -189,27 +221,21 @@
         }
     }
     const double crowded = crowdedShare * asked.batchSize;
-    if (const replica_ptr holder = leastLoaded(holders, asked.batchSize);
+    if (const replica_ptr holder = leastLoaded(holders);
         holder != nullptr && holder->load() < crowded) {
         replica_choice chosen{.target = holder, .why = "adapter loaded"};
-        if (!holder->local && asked.demand >= localDemand) {
-            std::vector<replica_ptr> local = engines;
-            std::erase_if(local, [](const replica_ptr &one) {
-                return !one->local;
-            });
-            chosen.alsoLoadAt = nextHome(table, local, asked);
-        } else if (expecting.empty() && demandAt(*holder, asked.adapter) >= copyDemand) {
-            chosen.alsoLoadAt = nextHome(table, engines, asked);
+        if (expecting.empty()) {
+            chosen.alsoLoadAt = furtherHome(table, engines, *holder, asked);
         }
         return chosen;
     }
-    if (const replica_ptr next = leastLoaded(expecting, asked.batchSize); next != nullptr && next->load() < crowded) {
+    if (const replica_ptr next = leastLoaded(expecting); next != nullptr && next->load() < crowded) {
         return {.target = next, .needsLoad = true, .why = "adapter on its way"};
     }
     if (const replica_ptr home = nextHome(table, engines, asked); home != nullptr) {
         return {.target = home, .needsLoad = true, .why = "home of the adapter"};
     }
-    if (const replica_ptr holder = leastLoaded(holders, asked.batchSize); holder != nullptr) {
+    if (const replica_ptr holder = leastLoaded(holders); holder != nullptr) {
         return {.target = holder, .why = "adapter loaded, all crowded"};
     }
     return {.crowded = true, .why = "all engines are crowded"};
--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -157,14 +157,20 @@
 BOOST_AUTO_TEST_CASE(demand_that_fills_an_engine_gets_a_second_home)
 {
     addEngines(18);
+    // Each of many processes has few of the requests; together they fill the engine.
     const replica_ptr holder = table.find("e0");
     holder->agent->adapters["m/a1"] = 1;
-    holder->byAdapter["m/a1"] = 9;
-    holder->outstanding = 9;
-    const replica_choice choice = choose("m/a1");
+    holder->tellLoad(20, clock.now());
+    table.find("e3")->tellLoad(14, clock.now());
+    BOOST_TEST(choose("m/a1", 1).alsoLoadAt == nullptr);
+    const replica_choice choice = choose("m/a1", 3);
     BOOST_TEST(choice.target == holder);
     BOOST_REQUIRE(choice.alsoLoadAt != nullptr);
-    BOOST_TEST(choice.alsoLoadAt != holder);
+    BOOST_TEST(choice.alsoLoadAt->load() == 0U);
+    for (const auto &[id, one] : table.all()) {
+        one->tellLoad(18, clock.now());
+    }
+    BOOST_TEST(choose("m/a1", 3).alsoLoadAt == nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(steady_demand_from_one_data_centre_gets_a_home_there)
