--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -458,7 +458,7 @@
 {
     m_caller = nullptr;
     if (!m_done) {
-        finish("caller_gone", 0, m_waiting ? "while waiting for the adapter" : "while it ran");
+        finish("caller_gone", 0, m_connection == nullptr ? "while it waited" : "while it ran");
     }
 }
 
@@ -542,6 +542,7 @@
                 {"runs", m_history.runs},
                 {"rejections", m_history.rejections},
                 {"load_waits", m_loadWaits},
+                {"waited_ms", m_sentAt > m_startedAt ? inMilliseconds(m_sentAt - m_startedAt) : 0},
                 {"first_byte_ms", inMilliseconds(m_firstByte)},
                 {"ms", inMilliseconds(now - m_startedAt)},
                 {"state_version", m_services.routes.version()}});
--- a/libs/gateway/src/store_reader.cpp
+++ b/libs/gateway/src/store_reader.cpp
@@ -134,7 +134,7 @@
         if (now - lastGood >= outageAfter) {
             catchingUp = true;
         }
-        if (!reachable) {
+        if (reachable != true) {
             reachable = true;
             log::write(log::level::info, "store regained", {{"revision", revision}});
         }
@@ -143,7 +143,7 @@
 
     void failed(const core::reason &why)
     {
-        if (reachable) {
+        if (reachable != false) {
             reachable = false;
             log::write(log::level::warning, "store lost",
                        {{"code", why.code}, {"why", why.message}, {"revision", revision}});
@@ -182,7 +182,8 @@
     /// The next news tells what happened while the store was away.
     bool catchingUp = false;
     bool whole = false;
-    bool reachable = false;
+    /// Nothing before the first call has ended.
+    std::optional<bool> reachable;
 };
 
 store_reader::store_reader(asio::io_context &context, const asio::ip::tcp::endpoint &store,
