--- a/apps/medlarrackctl/src/arguments.cpp
+++ b/apps/medlarrackctl/src/arguments.cpp
@@ -15,13 +15,14 @@
 
 constexpr const char *program = "medlarrackctl";
 
-constexpr const char *usage = R"([--url URL]... [--salt TEXT] COMMAND ...
+constexpr const char *usage = R"([--url URL]... [--log FILE]... [--salt TEXT] COMMAND ...
 
 Commands:
   check-settings entry|sidecar FILE   check a settings file
   check-ticket FILE...                check change tickets before they are published
   state URL                           show a daemon's state
   explain REQUEST-ID --url URL...     join what daemons know of a request into one time line
+  explain REQUEST-ID --log FILE...    the same from log files, with what its processes learnt of its replicas meanwhile
   hash-key OPERATOR.SECRET            make a ticket's entry for a bearer key; "-" reads it from standard input
 
 Exit codes: 0 done, 1 failed (a daemon can't be reached, or no daemon knows the request), 2 bad command line,
@@ -38,6 +39,7 @@
 struct raw_options
 {
     const char **urls = nullptr;
+    const char **logs = nullptr;
     char *salt = nullptr;
     int version = 0;
 };
@@ -66,9 +68,11 @@
                                         std::ostream &out, std::ostream &err, int &exitCode)
 {
     raw_options raw;
-    const std::array<poptOption, 5> options = {
+    const std::array<poptOption, 6> options = {
         {{"url", 'u', POPT_ARG_ARGV, static_cast<void *>(&raw.urls), 0,
           "root of a daemon's HTTP address, such as http://127.0.0.1:8080", "URL"},
+         {"log", 'l', POPT_ARG_ARGV, static_cast<void *>(&raw.logs), 0,
+          "log file of a daemon; \"-\" for standard input", "FILE"},
          {"salt", '\0', POPT_ARG_STRING, static_cast<void *>(&raw.salt), 0, "salt of hash-key; random without it",
           "TEXT"},
          {"version", 'V', POPT_ARG_NONE, &raw.version, 0, "print the version and exit", nullptr},
@@ -79,6 +83,7 @@
     const int result = poptGetNextOpt(context.get());
     arguments parsed;
     parsed.urls = takeTexts(raw.urls);
+    parsed.logs = takeTexts(raw.logs);
     parsed.salt = takeText(raw.salt);
     exitCode = daemon::exitUsage;
     if (result < -1) {
--- a/apps/medlarrackctl/src/arguments.hpp
+++ b/apps/medlarrackctl/src/arguments.hpp
@@ -16,6 +16,8 @@
     std::vector<std::string> operands;
     /// --url URL, as often as given.
     std::vector<std::string> urls;
+    /// --log FILE, as often as given.
+    std::vector<std::string> logs;
     /// --salt TEXT; empty for a random one.
     std::string salt;
 };
--- a/apps/medlarrackctl/src/commands.cpp
+++ b/apps/medlarrackctl/src/commands.cpp
@@ -28,10 +28,13 @@
     return line;
 }
 
-int runExplain(const arguments &wanted, std::ostream &out, std::ostream &err)
+int runExplain(const arguments &wanted, std::istream &in, std::ostream &out, std::ostream &err)
 {
+    if (!wanted.logs.empty()) {
+        return explainFromLogs(wanted.operands.front(), wanted.logs, in, out, err);
+    }
     if (wanted.urls.empty()) {
-        err << "medlarrackctl: explain: --url is missing; see --help\n";
+        err << "medlarrackctl: explain: --url or --log is missing; see --help\n";
         return daemon::exitUsage;
     }
     return explain(wanted.operands.front(), wanted.urls, out, err);
@@ -53,7 +56,7 @@
         return hasOperands(wanted, 1, 1, err) ? showState(operands[0], out, err) : daemon::exitUsage;
     }
     if (wanted.command == "explain") {
-        return hasOperands(wanted, 1, 1, err) ? runExplain(wanted, out, err) : daemon::exitUsage;
+        return hasOperands(wanted, 1, 1, err) ? runExplain(wanted, in, out, err) : daemon::exitUsage;
     }
     if (wanted.command == "hash-key") {
         if (!hasOperands(wanted, 1, 1, err)) {
--- a/apps/medlarrackctl/src/commands.hpp
+++ b/apps/medlarrackctl/src/commands.hpp
@@ -22,6 +22,9 @@
 /// Prints the joined time line of a request.
 [[nodiscard]] int explain(const std::string &requestId, const std::vector<std::string> &urls, std::ostream &out,
                           std::ostream &err);
+/// Prints the time line of a request from log files, with what its processes learnt of its replicas meanwhile.
+[[nodiscard]] int explainFromLogs(const std::string &requestId, const std::vector<std::string> &paths, std::istream &in,
+                                  std::ostream &out, std::ostream &err);
 /// Prints a ticket's entry for a bearer key.
 [[nodiscard]] int hashKey(const std::string &bearerKey, const std::string &salt, std::ostream &out, std::ostream &err);
 
--- a/libs/agent/include/medlarrack/agent/agent_settings.hpp
+++ b/libs/agent/include/medlarrack/agent/agent_settings.hpp
@@ -17,6 +17,8 @@
     /// Where gateways connect.
     std::string address;
     std::uint16_t port = 0;
+    /// Where metrics are read, at the same address; 0 for nowhere.
+    std::uint16_t metricsPort = 0;
     /// The engine, "ADDRESS:PORT".
     std::string engine;
     std::string logLevel = "info";
--- a/libs/agent/include/medlarrack/agent/slot_keeper.hpp
+++ b/libs/agent/include/medlarrack/agent/slot_keeper.hpp
@@ -24,9 +24,9 @@
 /// Requests by adapter.
 using use_counts = std::map<std::string, std::uint32_t, std::less<>>;
 
-/// Decides on orders to one engine: loads the base model after a restart, loads wanted adapters, those that most requests
-/// wait for first, replaces old versions, and makes room by unloading the adapter that nobody has used for the longest
-/// time. Answers the pattern of many adapters by a Zipf law before few slots. No network, no clock; not
+/// Decides on orders to one engine: loads the base model after a restart, loads wanted adapters, those that most
+/// requests wait for first, replaces old versions, and makes room by unloading the adapter that nobody has used for the
+/// longest time. Answers the pattern of many adapters by a Zipf law before few slots. No network, no clock; not
 /// thread-safe.
 class slot_keeper
 {
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -3,8 +3,10 @@
 #include <medlarrack/agent/slot_keeper.hpp>
 #include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/listen.hpp>
+#include <medlarrack/http1/page_server.hpp>
 #include <medlarrack/link/link_connection.hpp>
 #include <medlarrack/log/log.hpp>
+#include <medlarrack/metrics/registry.hpp>
 
 #include <asio/ip/address_v4.hpp>
 #include <asio/ip/tcp.hpp>
@@ -116,6 +118,10 @@
         , clock(time)
         , acceptor(owner)
         , timer(owner)
+        , pages(owner,
+                [this](std::string_view target) {
+                    return answerPage(target);
+                })
         , fence(time.wallNow())
     {
     }
@@ -137,6 +143,9 @@
         if (!http1::listen(acceptor, at, why)) {
             return false;
         }
+        if (settings.metricsPort != 0 && !pages.listen({at.address(), settings.metricsPort}, why)) {
+            return false;
+        }
         accept();
         scheduleTick(std::chrono::milliseconds(0));
         return true;
@@ -147,11 +156,30 @@
         std::error_code ignored;
         stopped = true;
         acceptor.close(ignored);
+        pages.close();
         timer.cancel();
         links.clear();
         client.reset();
     }
 
+    http1::page answerPage(std::string_view target)
+    {
+        constexpr int ok = 200;
+        constexpr int notFound = 404;
+        if (target != "/metrics") {
+            return {notFound, "text/plain", "no such page\n"};
+        }
+        const engine_report &report = keeper.report();
+        metrics.gauge("medlarrack_agent_engine_up", "Whether the engine answers", {}, keeper.isUp() ? 1 : 0);
+        metrics.gauge("medlarrack_agent_adapters", "Adapters that the engine holds", {},
+                      static_cast<double>(report.adapters.size()));
+        metrics.gauge("medlarrack_agent_adapters_wanted", "Adapters that requests wait for", {},
+                      static_cast<double>(keeper.waiting()));
+        metrics.gauge("medlarrack_agent_requests", "Requests running and queued at the engine", {},
+                      report.running + report.queued);
+        return {ok, "text/plain; version=0.0.4", metrics.text()};
+    }
+
     void accept()
     {
         acceptor.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
@@ -331,6 +359,7 @@
     void give(const engine_order &order)
     {
         const std::uint64_t token = fence.token();
+        orderedAt = clock.now();
         client->call("POST", format.orderTarget(), format.orderBody(order, settings.name, token), callTimeout,
                      [this, order, token](const std::optional<http1::call_answer> &answer, const core::reason &why) {
                          takeOrderEnd(order, token, answer, why);
@@ -345,6 +374,10 @@
             fence.refused();
         }
         keeper.ordered(order, result, clock.now());
+        metrics.count("medlarrack_agent_orders_total", "Orders given to the engine, by how it took them",
+                      {.code = std::string(toString(result))});
+        metrics.observeSeconds("medlarrack_agent_order_seconds", "Time from an order to its answer", {},
+                               std::chrono::duration<double>(clock.now() - orderedAt).count());
         log::write(log::level::info, order.what == engine_order::kind::load ? "load ordered" : "unload ordered",
                    {{"model", order.model},
                     {"adapter", order.adapter},
@@ -382,12 +415,15 @@
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer timer;
     std::unique_ptr<http1::call_client> client;
+    http1::page_server pages;
+    metrics::registry metrics;
     slot_keeper keeper;
     fencing fence;
     std::list<gateway_link> links;
     link::engine_status published;
     core::monotonic_time publishedAt{};
     core::monotonic_time reportedAt{};
+    core::monotonic_time orderedAt{};
     std::uint64_t stateVersion = 0;
     bool reportDue = false;
     bool stopped = false;
--- a/libs/agent/src/agent_settings.cpp
+++ b/libs/agent/src/agent_settings.cpp
@@ -20,6 +20,7 @@
         listen.integer("port", value.port, 0, highestPort);
         listen.finish();
     });
+    reader.integer("metrics_port", value.metricsPort, 0, highestPort);
     reader.require("engine");
     reader.text("engine", value.engine);
     reader.word("log_level", value.logLevel, {"debug", "info", "warning", "error"});
--- a/libs/agent/src/slot_keeper.cpp
+++ b/libs/agent/src/slot_keeper.cpp
@@ -160,8 +160,8 @@
 
 std::optional<engine_order> slot_keeper::nextLoad(core::monotonic_time now)
 {
-    // Engines that were started anew are seldom alone: the store is shared by all of them, and what is wanted most comes
-    // sooner if less is on its way beside it.
+    // Engines that were started anew are seldom alone: the store is shared by all of them, and what is wanted most
+    // comes sooner if less is on its way beside it.
     const bool nearlyEmpty = 2 * m_report.adapters.size() < m_limits.adapterSlots;
     if (m_report.loading.size() + m_accepted.size() >= (nearlyEmpty ? maxOnTheirWayAfterStart : maxOnTheirWay)) {
         return std::nullopt;
--- a/libs/gateway/include/medlarrack/gateway/gateway_service.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_service.hpp
@@ -29,7 +29,7 @@
     [[nodiscard]] bool start(core::reason &why);
     /// Isn't ready any more, finishes running requests, and calls back when all are answered or the time is over.
     void drain(std::function<void()> onDone);
-    /// Takes changed settings as far as they can change while running: the store's pace, retries, the log level.
+    /// Takes changed settings as far as they can change while running: retries and the time for a drain.
     void reload(const gateway_settings &settings);
 
     [[nodiscard]] std::uint16_t callersPort() const;
--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -23,8 +23,9 @@
     std::string store;
     /// Port of the agents; each listens at its engine's address.
     std::uint16_t agentPort = 0;
-    /// Pause between calls to the store: with the time of a call it bounds how late a change is seen.
-    std::chrono::milliseconds storeInterval{700};
+    /// Time in which a published change must be in force, the shortest of those promised. The store is asked at a share
+    /// of it.
+    std::chrono::milliseconds changeBound{2'000};
     /// Time for running requests after a request to stop.
     std::chrono::milliseconds drainTime{7'000};
     /// Share of the requests of a service that may be sent once more, and those allowed besides each second.
--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t maxHeadBytes = 32 * 1024;
+constexpr std::size_t maxHeadBytes = 32'768;
 /// A replica that doesn't take a connection in this time is as good as gone: it takes 1 ms when it is well.
 constexpr std::chrono::milliseconds connectTimeout{350};
 /// Idle time if the replica doesn't say when it closes.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -131,7 +131,8 @@
             constexpr int badGateway = 502;
             answerOwn(badGateway, "no_replica", "the request may have run and no other replica is left");
         } else {
-            refuse(choice.crowded ? refusal_cause::adapter_backlog : refusal_cause::no_replica, "no_replica", choice.why);
+            refuse(choice.crowded ? refusal_cause::adapter_backlog : refusal_cause::no_replica, "no_replica",
+                   choice.why);
         }
         return;
     }
--- a/libs/gateway/src/front_connection.cpp
+++ b/libs/gateway/src/front_connection.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 /// Bytes of further requests that are read ahead while one is answered.
-constexpr std::size_t readAhead = 64 * 1024;
+constexpr std::size_t readAhead = 65'536;
 /// Bound on a head before the published state says one.
-constexpr std::size_t defaultHeadBytes = 16 * 1024;
+constexpr std::size_t defaultHeadBytes = 16'384;
 
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -22,11 +22,12 @@
 /// After a request to stop, new connections still come until the balancer has seen twice, once a second, that the
 /// process isn't ready.
 constexpr milliseconds listenAfterStop{2'500};
+/// Pause between calls to the store, in hundredths of the time for a change: one call may fail and be made again.
+constexpr int storeShare = 38;
 /// Replicas that the store dropped while it was away are listed again within about two seconds of its return.
 constexpr milliseconds removalGrace{2'200};
 /// Most retries that a service saves up in quiet times.
 constexpr double maxSavedRetries = 20;
-/// Long enough for the replicas' answers after the end of the drain, short of the platform's kill.
 constexpr int ok = 200;
 constexpr int notReady = 503;
 constexpr int notFound = 404;
@@ -69,7 +70,7 @@
                 })
         , timer(owner)
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
-                given.storeInterval, [this](const store_news &news) {
+                given.changeBound * storeShare / 100, [this](const store_news &news) {
                     takeNews(news);
                 })
     {
@@ -227,6 +228,14 @@
             return {isReady() ? ok : notReady, "text/plain", isReady() ? "ready\n" : "not ready\n"};
         }
         if (target == "/metrics") {
+            metrics.gauge("medlarrack_gateway_store_age_seconds", "Time since the store's last good answer", {},
+                          std::chrono::duration<double>(store.age()).count());
+            metrics.gauge("medlarrack_gateway_state_version", "Version of the published state in force", {},
+                          static_cast<double>(routes.version()));
+            metrics.gauge("medlarrack_gateway_replicas", "Replicas listed", {},
+                          static_cast<double>(replicas.all().size()));
+            metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
+                          static_cast<double>(callers.busy()));
             return {ok, "text/plain; version=0.0.4", metrics.text()};
         }
         return {notFound, "text/plain", "no such page\n"};
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -9,8 +9,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t highestPort = 65'535;
-constexpr milliseconds shortestStoreInterval{50};
-constexpr milliseconds longestStoreInterval{10'000};
+constexpr milliseconds shortestChangeBound{100};
+constexpr milliseconds longestChangeBound{60'000};
 constexpr milliseconds longestDrainTime{600'000};
 constexpr double mostRetriesPerSecond = 1'000;
 
@@ -34,7 +34,7 @@
     readEndpoint(reader, "store", value.store);
     reader.require("agent_port");
     reader.integer("agent_port", value.agentPort, 1, highestPort);
-    reader.duration("store_interval_ms", value.storeInterval, shortestStoreInterval, longestStoreInterval);
+    reader.duration("change_bound_ms", value.changeBound, shortestChangeBound, longestChangeBound);
     reader.duration("drain_time_ms", value.drainTime, milliseconds(0), longestDrainTime);
     reader.number("retry_share", value.retryShare, 0, 1);
     reader.number("retries_per_second", value.retriesPerSecond, 0, mostRetriesPerSecond);
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -221,8 +221,7 @@
         }
     }
     const double crowded = crowdedShare * asked.batchSize;
-    if (const replica_ptr holder = leastLoaded(holders);
-        holder != nullptr && holder->load() < crowded) {
+    if (const replica_ptr holder = leastLoaded(holders); holder != nullptr && holder->load() < crowded) {
         replica_choice chosen{.target = holder, .why = "adapter loaded"};
         if (expecting.empty()) {
             chosen.alsoLoadAt = furtherHome(table, engines, *holder, asked);
--- a/libs/http1/src/call_client.cpp
+++ b/libs/http1/src/call_client.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t maxHeadBytes = 16 * 1024;
+constexpr std::size_t maxHeadBytes = 16'384;
 
 } // namespace
 
--- a/libs/http1/src/message_parser.cpp
+++ b/libs/http1/src/message_parser.cpp
@@ -201,7 +201,7 @@
         }
         self.state = parse_state::body;
         const bool noBody = self.skipsBody || (self.kind == message_kind::response && self.head.status < 200);
-        self.endsWithStream = self.kind == message_kind::response && !noBody && http_message_needs_eof(*parser);
+        self.endsWithStream = self.kind == message_kind::response && !noBody && needsStreamEnd(*parser);
         return noBody ? 1 : 0;
     }
 
@@ -242,7 +242,7 @@
         return {};
     }
 
-    static bool http_message_needs_eof(const http_parser &parsed)
+    static bool needsStreamEnd(const http_parser &parsed)
     {
         const bool bodiless = parsed.status_code / 100 == 1 || parsed.status_code == 204 || parsed.status_code == 304;
         return !bodiless && (parsed.flags & F_CHUNKED) == 0 && (parsed.flags & F_CONTENTLENGTH) == 0;
--- a/libs/http1/src/page_server.cpp
+++ b/libs/http1/src/page_server.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t maxHeadBytes = 8 * 1024;
+constexpr std::size_t maxHeadBytes = 8'192;
 /// Connections kept; the oldest makes room.
 constexpr std::size_t maxConnections = 32;
 
