Never call a request not run that may have run; pass on a replica's failure when no other replica answers

Change: a refusal is given only if no attempt may have run; the failure of the first replica is kept while another one is tried and passed on if that brings no answer.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <tuple>
 #include <utility>
 
 namespace medlarrack::gateway {
@@ -312,7 +313,9 @@
         m_target->health.failed(false, m_services.clock.now());
         if (mayTryAgain(*m_route, attempt_end::unknown, m_history)
             && m_services.budgetOf(m_service).tryRetry(m_services.clock.now())) {
-            tryAgain("the replica answered " + std::to_string(m_answer.status));
+            const int status = m_answer.status;
+            m_heldFailure.emplace(std::move(m_answer), std::move(m_answerBody));
+            tryAgain("the replica answered " + std::to_string(status));
             return;
         }
     }
@@ -410,9 +413,25 @@
     finish("ran", m_answer.status, m_choiceWhy);
 }
 
+bool exchange::deliverHeldFailure()
+{
+    if (m_headSent || !m_heldFailure) {
+        return false;
+    }
+    std::tie(m_answer, m_answerBody) = *std::exchange(m_heldFailure, std::nullopt);
+    deliver();
+    return true;
+}
+
 void exchange::refuse(refusal_cause cause, std::string_view code, std::string_view why)
 {
     constexpr int unavailable = 503;
+    if (m_history.runs > 0) {
+        // A refusal promises that the request has not run.
+        constexpr int badGateway = 502;
+        answerOwn(badGateway, code, why);
+        return;
+    }
     if (m_headSent) {
         breakOff(why);
         return;
@@ -432,6 +451,9 @@
 
 void exchange::answerOwn(int status, std::string_view code, std::string_view why)
 {
+    if (deliverHeldFailure()) {
+        return;
+    }
     if (m_headSent) {
         breakOff(why);
         return;
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -11,8 +11,10 @@
 #include <medlarrack/http1/client_connection.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace medlarrack::gateway {
@@ -58,6 +60,8 @@
     void attemptFailed(attempt_end end, std::string_view why);
     void tryAgain(std::string_view why);
     void deliver();
+    /// Passes on a failure that was held; false if there is none.
+    bool deliverHeldFailure();
     void refuse(refusal_cause cause, std::string_view code, std::string_view why);
     void answerOwn(int status, std::string_view code, std::string_view why);
     void breakOff(std::string_view why);
@@ -93,13 +97,14 @@
     http1::message_head m_answer;
     answer_facts m_answerFacts;
     std::string m_answerBody;
+    /// A replica's own failure that was not passed on because another replica was tried.
+    std::optional<std::pair<http1::message_head, std::string>> m_heldFailure;
     event_cutter m_cutter;
     std::size_t m_unfinishedEvent = 0;
     bool m_headSent = false;
     bool m_paused = false;
     bool m_waiting = false;
     bool m_done = false;
-    /// A run was waited for beyond patience, or a replica said nothing: what it says later doesn't count.
     std::chrono::nanoseconds m_firstByte{0};
 };
 
