--- a/apps/medlarrack-agent/main.cpp
+++ b/apps/medlarrack-agent/main.cpp
@@ -17,7 +17,7 @@
 
 int serve(const daemon::command_line &options, const agent::agent_settings &settings)
 {
-    log::startBuffered("medlarrack-agent", log::levelFromString(settings.logLevel), maxLogBytes);
+    log::startBuffered("medlarrack-agent", settings.name, log::levelFromString(settings.logLevel), maxLogBytes);
     asio::io_context context(1);
     const core::system_clock clock;
     const platform::engine_codec format;
@@ -28,8 +28,7 @@
         log::flush();
         return daemon::exitFailure;
     }
-    log::write(log::level::info, "started",
-               {{"name", settings.name}, {"version", MEDLARRACK_VERSION}, {"engine", settings.engine}});
+    log::write(log::level::info, "started", {{"version", MEDLARRACK_VERSION}, {"engine", settings.engine}});
     const daemon::signals signals(context, [&] {
         service.stop();
         log::write(log::level::info, "stopped");
--- a/apps/medlarrack-gateway/main.cpp
+++ b/apps/medlarrack-gateway/main.cpp
@@ -31,7 +31,7 @@
 
 int serve(const daemon::command_line &options, const gateway::gateway_settings &settings)
 {
-    log::startBuffered("medlarrack-gateway", log::levelFromString(settings.logLevel), maxLogBytes);
+    log::startBuffered("medlarrack-gateway", settings.name, log::levelFromString(settings.logLevel), maxLogBytes);
     asio::io_context context(1);
     const core::system_clock clock;
     const platform::caller_codec callers;
@@ -43,7 +43,7 @@
         log::flush();
         return daemon::exitFailure;
     }
-    log::write(log::level::info, "started", {{"name", settings.name}, {"version", MEDLARRACK_VERSION}});
+    log::write(log::level::info, "started", {{"version", MEDLARRACK_VERSION}});
     if (options.printPort) {
         std::cout << "listening callers " << service.callersPort() << "\nlistening admin " << service.adminPort()
                   << std::endl;
--- a/apps/medlarrackctl/src/explain_logs.cpp
+++ b/apps/medlarrackctl/src/explain_logs.cpp
@@ -64,10 +64,12 @@
 
 void print(const log_line &line, std::ostream &out)
 {
-    out << line.time << ' ' << text(line.fields, "program") << ": " << text(line.fields, "message");
+    const std::string instance = text(line.fields, "instance");
+    out << line.time << ' ' << (instance.empty() ? text(line.fields, "program") : instance) << ": "
+        << text(line.fields, "message");
     for (const auto &[key, value] : line.fields.items()) {
-        if (key != "time" && key != "program" && key != "message" && key != "level" && key != "request_id"
-            && value != "") {
+        if (key != "time" && key != "program" && key != "instance" && key != "message" && key != "level"
+            && key != "request_id" && value != "") {
             out << ' ' << key << '=' << (value.is_string() ? value.get<std::string>() : value.dump());
         }
     }
@@ -77,6 +79,8 @@
 /// What a request's own lines say: its replicas, its adapter, and its time.
 struct request_scope
 {
+    /// Processes that answered it.
+    std::set<std::string> instances;
     std::set<std::string> replicas;
     std::string adapter;
     std::int64_t firstMs = 0;
@@ -89,6 +93,7 @@
     scope.firstMs = own.front().atMs;
     scope.lastMs = own.front().atMs;
     for (const log_line &line : own) {
+        scope.instances.insert(text(line.fields, "instance"));
         scope.replicas.insert(text(line.fields, "replica"));
         if (const std::string adapter = text(line.fields, "adapter"); !adapter.empty()) {
             scope.adapter = adapter;
@@ -108,10 +113,14 @@
         return false;
     }
     const std::string message = text(line.fields, "message");
+    // What another gateway learnt says nothing of this request; agents tell of their engine and its adapters.
+    const bool ofGateway = text(line.fields, "program") == "medlarrack-gateway";
+    if (ofGateway && !scope.instances.contains(text(line.fields, "instance"))) {
+        return false;
+    }
     const std::string adapter = text(line.fields, "adapter");
     return scope.replicas.contains(text(line.fields, "replica")) || (!adapter.empty() && adapter == scope.adapter)
-        || message.starts_with("store ") || message.starts_with("engine ") || message == "published state taken"
-        || message == "log lines dropped";
+        || message.starts_with("store ") || message == "published state taken" || message == "log lines dropped";
 }
 
 } // namespace
--- a/apps/medlarrackctl/tests/test_explain_logs.cpp
+++ b/apps/medlarrackctl/tests/test_explain_logs.cpp
@@ -18,6 +18,7 @@
 edge-1 {"time":"2026-12-04T01:00:10.000Z","program":"medlarrack-gateway","message":"request sent on","request_id":"id1","replica":"i-1","why":"reset"}
 edge-1 {"time":"2026-12-04T01:00:10.500Z","program":"medlarrack-gateway","message":"request ended","request_id":"id1","replica":"i-2","adapter":"m/a1","ms":900}
 edge-1 {"time":"2026-12-04T01:00:10.500Z","program":"medlarrack-gateway","message":"request ended","request_id":"id2","replica":"i-2"}
+edge-2 {"time":"2026-12-04T01:00:09.000Z","program":"medlarrack-gateway","instance":"edge-2","message":"agent link lost","replica":"i-1"}
 not a line of ours {
 )";
 
@@ -45,6 +46,7 @@
     BOOST_TEST(out.find("load ordered") < out.find("* 2026-12-04T01:00:10.000Z"));
     BOOST_TEST(out.find("m/other") == std::string::npos);
     BOOST_TEST(out.find("id2") == std::string::npos);
+    BOOST_TEST(out.find("agent link lost") == std::string::npos);
     // Learnt more than five seconds before.
     BOOST_TEST(out.find("replica listed") == std::string::npos);
 }
@@ -54,7 +56,7 @@
     std::string out;
     std::string err;
     BOOST_TEST(explain("id9", out, err) == daemon::exitFailure);
-    BOOST_TEST(err.find("no line of the 7 read names request id9") != std::string::npos);
+    BOOST_TEST(err.find("no line of the 8 read names request id9") != std::string::npos);
     std::istringstream in;
     std::ostringstream stream;
     std::ostringstream errors;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -164,6 +164,14 @@
     }
     assign(choice.target);
     m_waiting = true;
+    log::write(log::level::info, "request waits for its adapter",
+               {{"request_id", m_facts.id},
+                {"replica", m_targetId},
+                {"adapter", m_facts.adapter},
+                {"why", choice.why},
+                {"wanted_there", choice.target->agent ? choice.target->agent->wanted : 0},
+                {"status_age_ms", inMilliseconds(m_statusAge)},
+                {"waits_until_ms", inMilliseconds(m_waitEnd - m_startedAt)}});
     m_services.waiters.add(*choice.target, m_facts.adapter, weak_from_this());
 }
 
@@ -529,6 +537,8 @@
 void exchange::assign(const replica_ptr &to)
 {
     m_target = to;
+    m_targetId = to->record.id;
+    m_statusAge = to->agent ? m_services.clock.now() - to->agent->at : std::chrono::nanoseconds(0);
     ++to->outstanding;
     if (!m_facts.adapter.empty()) {
         ++to->byAdapter[m_facts.adapter];
@@ -558,7 +568,8 @@
                {{"request_id", m_facts.id},
                 {"route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view()},
                 {"adapter", m_facts.adapter},
-                {"replica", m_tried.empty() ? std::string_view() : std::string_view(m_tried.back())},
+                {"replica", m_targetId},
+                {"status_age_ms", inMilliseconds(m_statusAge)},
                 {"outcome", outcome},
                 {"status", status},
                 {"why", why},
@@ -568,7 +579,8 @@
                 {"waited_ms", m_sentAt > m_startedAt ? inMilliseconds(m_sentAt - m_startedAt) : 0},
                 {"first_byte_ms", inMilliseconds(m_firstByte)},
                 {"ms", inMilliseconds(now - m_startedAt)},
-                {"state_version", m_services.routes.version()}});
+                {"state_version", m_services.routes.version()},
+                {"store_age_ms", inMilliseconds(m_services.storeAge())}});
     m_services.metrics.observeSeconds("medlarrack_gateway_request_seconds", "Time from request to end of answer",
                                       {.code = std::string(outcome)},
                                       std::chrono::duration<double>(now - m_startedAt).count());
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -83,6 +83,10 @@
 
     /// The replica that the request waits for or runs at.
     replica_ptr m_target;
+    /// Its id, also after it was left.
+    std::string m_targetId;
+    /// Age of what its agent had said when it was chosen.
+    std::chrono::nanoseconds m_statusAge{0};
     connection_ptr m_connection;
     core::monotonic_time m_sentAt{};
     /// Until when the request may wait for its adapter, at whichever engines.
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -12,6 +12,7 @@
 #include <medlarrack/metrics/registry.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 
+#include <chrono>
 #include <functional>
 #include <random>
 #include <string_view>
@@ -32,6 +33,8 @@
     metrics::registry &metrics;
     /// The retry budget of a service.
     std::function<overload::retry_budget &(std::string_view service)> budgetOf;
+    /// Time since the store's last good answer.
+    std::function<std::chrono::nanoseconds()> storeAge;
     /// Spreads the times at which refused callers return.
     std::minstd_rand &random;
 };
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -62,6 +62,9 @@
                    [this](std::string_view service) -> overload::retry_budget & {
                        return budgetOf(service);
                    },
+                   [this] {
+                       return store.age();
+                   },
                    random}
         , callers(owner, services)
         , admin(owner,
--- a/libs/log/include/medlarrack/log/log.hpp
+++ b/libs/log/include/medlarrack/log/log.hpp
@@ -37,9 +37,9 @@
 
 /// Sets up the output; called once at start. Lines below the level are dropped.
 void start(std::string_view program, level lowest);
-/// The same to standard output, through a buffer of at most `maxBytes` that flush() empties. Lines that find it full
-/// are dropped; flush() writes how many.
-void startBuffered(std::string_view program, level lowest, std::size_t maxBytes);
+/// The same to standard output, each line with the name of the instance, through a buffer of at most `maxBytes` that
+/// flush() empties. Lines that find it full are dropped; flush() writes how many.
+void startBuffered(std::string_view program, std::string_view instance, level lowest, std::size_t maxBytes);
 /// Hands buffered lines to standard output as far as it takes them; never waits.
 void flush();
 /// The level of a name ("debug", "info", "warning", "error"); info for any other text.
--- a/libs/log/src/log.cpp
+++ b/libs/log/src/log.cpp
@@ -33,6 +33,12 @@
     return name;
 }
 
+std::string &instanceName()
+{
+    static std::string name;
+    return name;
+}
+
 std::unique_ptr<detail::bounded_output> &buffer()
 {
     static std::unique_ptr<detail::bounded_output> output;
@@ -185,8 +191,9 @@
     startSink(program, lowest, boost::shared_ptr<std::ostream>(&std::cerr, [](std::ostream *) {}));
 }
 
-void startBuffered(std::string_view program, level lowest, std::size_t maxBytes)
+void startBuffered(std::string_view program, std::string_view instance, level lowest, std::size_t maxBytes)
 {
+    instanceName() = instance;
     buffer() = std::make_unique<detail::bounded_output>(STDOUT_FILENO, maxBytes);
     static line_buffer lines;
     startSink(program, lowest, boost::make_shared<std::ostream>(&lines));
@@ -226,6 +233,9 @@
     std::string line = "{\"time\":\"" + utcNow() + "\",\"level\":\"";
     line += nameOf(value);
     line += "\",\"program\":" + jsonText(programName());
+    if (!instanceName().empty()) {
+        line += ",\"instance\":" + jsonText(instanceName());
+    }
     line += ",\"message\":" + jsonText(message);
     for (const field &one : fields) {
         line += ",\"" + one.name + "\":" + one.json;
