--- a/cmake/medlarrack_layers.cmake
+++ b/cmake/medlarrack_layers.cmake
@@ -1,9 +1,9 @@
 # Holds the line between decisions and transports: a decision library takes events and the time and returns actions,
 # so it may link nothing of the workspace but other decision libraries.
-set(MEDLARRACK_DECISION_LIBRARIES core instances once overload placement policy routing suspects tickets trace)
+set(MEDLARRACK_DECISION_LIBRARIES catalog core instances once overload placement policy routing suspects tickets trace)
 # Transports know nothing of decisions.
-set(MEDLARRACK_TRANSPORT_LIBRARIES http peer)
-set(MEDLARRACK_TRANSPORT_MAY_LINK core http peer)
+set(MEDLARRACK_TRANSPORT_LIBRARIES http http1 link peer)
+set(MEDLARRACK_TRANSPORT_MAY_LINK core http http1 link peer)
 
 function(medlarrack_check_links library allowed)
     if(NOT TARGET medlarrack_${library})
