Bound what a message of a link may make the decoder allocate

Cause (address sanitizer, first run over the new libraries): a list length of five bytes made msgpack allocate 128 GB before any entry came; the test with changed bytes ended the process. Change: limits on entries, texts and depth. Before: test_link fails under the address sanitizer; after: passes, with lengths of 2^32-1 among its cases.

--- a/libs/link/src/message_codec.cpp
+++ b/libs/link/src/message_codec.cpp
@@ -13,6 +13,13 @@
 /// MB.
 constexpr std::size_t maxMessageBytes = 8 * 1024 * 1024;
 
+/// Entries of one list or map; above the 70,000 adapters of the largest deployment planned.
+constexpr std::size_t maxEntries = 100'000;
+/// Longest name.
+constexpr std::size_t maxTextBytes = 4'096;
+/// A message holds a list of models, each a list of fields.
+constexpr std::size_t maxDepth = 4;
+
 // Each message as a tuple of its fields: the form in which it is written and read.
 
 auto fields(auto &value) requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, greeting>
@@ -150,7 +157,9 @@
 class message_decoder::impl
 {
 public:
-    msgpack::unpacker unpacker;
+    // Without limits a length of a few bytes makes the library allocate what it says, up to 100 GB.
+    msgpack::unpacker unpacker{nullptr, nullptr, MSGPACK_UNPACKER_INIT_BUFFER_SIZE,
+                               msgpack::unpack_limit(maxEntries, maxEntries, maxTextBytes, 0, 0, maxDepth)};
     bool failed = false;
 };
 
--- a/libs/link/tests/test_message_codec.cpp
+++ b/libs/link/tests/test_message_codec.cpp
@@ -60,8 +60,9 @@
 
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_end_the_decoding)
 {
-    for (const std::string &bytes : {std::string("\x01"), std::string("\x90"), std::string("\x92\x63\x01"),
-                                     std::string("\x91\x00", 2), std::string("\xc1")}) {
+    for (const std::string &bytes :
+         {std::string("\x01"), std::string("\x90"), std::string("\x92\x63\x01"), std::string("\x91\x00", 2),
+          std::string("\xc1"), std::string("\xdd\xff\xff\xff\xff", 5), std::string("\xdf\xff\xff\xff\xff", 5)}) {
         message_decoder decoder;
         core::reason why;
         decoder.feed(bytes);
@@ -72,6 +73,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_text_without_end_is_given_up_at_a_bound)
+{
+    message_decoder decoder;
+    core::reason why;
+    decoder.feed(std::string("\xdb\xff\xff\xff\xff", 5));
+    BOOST_TEST(!decoder.next(why).has_value());
+    const std::string more(1024 * 1024, 'x');
+    std::size_t fed = 0;
+    while (!decoder.failed() && fed < 64) {
+        decoder.feed(more);
+        BOOST_TEST(!decoder.next(why).has_value());
+        ++fed;
+    }
+    BOOST_TEST(fed <= 9U);
+}
+
 BOOST_AUTO_TEST_CASE(changed_bytes_never_do_more_than_end_the_decoding)
 {
     std::mt19937 random(20'261'204);
