--- a/apps/medlarrack-agent/main.cpp
+++ b/apps/medlarrack-agent/main.cpp
@@ -13,7 +13,7 @@
 using namespace medlarrack;
 
 /// Log lines that wait for a reader.
-constexpr std::size_t maxLogBytes = 128 * 1024;
+constexpr std::size_t maxLogBytes = 131'072;
 
 int serve(const daemon::command_line &options, const agent::agent_settings &settings)
 {
--- a/apps/medlarrack-gateway/main.cpp
+++ b/apps/medlarrack-gateway/main.cpp
@@ -16,7 +16,7 @@
 using namespace medlarrack;
 
 /// Log lines that wait for a reader; about half a second of full load.
-constexpr std::size_t maxLogBytes = 256 * 1024;
+constexpr std::size_t maxLogBytes = 262'144;
 
 void reload(const std::string &path, gateway::gateway_service &service)
 {
--- a/apps/medlarrackctl/src/explain_logs.cpp
+++ b/apps/medlarrackctl/src/explain_logs.cpp
@@ -45,6 +45,11 @@
     return found != fields.end() && found->is_string() ? found->get<std::string>() : "";
 }
 
+bool isEmptyText(const nlohmann::json &value)
+{
+    return value.is_string() && value.get_ref<const std::string &>().empty();
+}
+
 /// Reads the JSON lines of a log; what stands before the first brace of a line, such as a host's name, is skipped.
 void readLog(std::istream &in, std::vector<log_line> &lines)
 {
@@ -69,7 +74,7 @@
         << text(line.fields, "message");
     for (const auto &[key, value] : line.fields.items()) {
         if (key != "time" && key != "program" && key != "instance" && key != "message" && key != "level"
-            && key != "request_id" && value != "") {
+            && key != "request_id" && !isEmptyText(value)) {
             out << ' ' << key << '=' << (value.is_string() ? value.get<std::string>() : value.dump());
         }
     }
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -33,7 +33,7 @@
 constexpr milliseconds idleForAny{60'000};
 /// Unread bytes of a caller at which its replica is slowed down, and of a plain answer from which it is passed on
 /// before it is whole.
-constexpr std::size_t relayBuffer = 256 * 1024;
+constexpr std::size_t relayBuffer = 262'144;
 
 void appendChunk(std::string &out, std::string_view bytes)
 {
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Bytes taken from a connection at once. Most answers fit.
-constexpr std::size_t readBytes = 32 * 1024;
+constexpr std::size_t readBytes = 32'768;
 /// Written bytes that stay unacknowledged this long end the connection: a peer without power or behind a partition
 /// answers nothing. Below the time after which callers abandon a stream (2 s).
 constexpr unsigned unacknowledgedLimitMs = 1'500;
--- a/libs/http1/tests/scripted_server.hpp
+++ b/libs/http1/tests/scripted_server.hpp
@@ -85,8 +85,8 @@
         }
 
         asio::ip::tcp::socket socket;
-        message_parser parser{message_kind::request, 64 * 1024};
-        std::array<char, 16 * 1024> buffer{};
+        message_parser parser{message_kind::request, 65'536};
+        std::array<char, 16'384> buffer{};
         std::size_t number = 0;
         bool answered = false;
     };
--- a/libs/http1/tests/test_client_connection.cpp
+++ b/libs/http1/tests/test_client_connection.cpp
@@ -68,7 +68,7 @@
     scripted_server server{context, [this](const scripted_server::seen_request &) {
                                return answer;
                            }};
-    std::shared_ptr<client_connection> connection = std::make_shared<client_connection>(context, 16 * 1024);
+    std::shared_ptr<client_connection> connection = std::make_shared<client_connection>(context, 16'384);
     recorder seen;
 
     void call(std::string_view request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -127,7 +127,7 @@
 {
     answer.early = true;
     answer.bytes = "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno";
-    const std::string body(64 * 1024 * 1024, 'x');
+    const std::string body(67'108'864, 'x');
     call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     BOOST_TEST(seen.complete);
     BOOST_TEST(!connection->isReusable());
--- a/libs/link/src/link_connection.cpp
+++ b/libs/link/src/link_connection.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Unsent bytes at which a peer counts as stuck; a status takes about 1 KB.
-constexpr std::size_t maxQueuedBytes = 1024 * 1024;
+constexpr std::size_t maxQueuedBytes = 1'048'576;
 
 } // namespace
 
--- a/libs/link/src/message_codec.cpp
+++ b/libs/link/src/message_codec.cpp
@@ -11,7 +11,7 @@
 
 /// Longest buffered message. A status with all adapters of an engine takes about 1 KB, releases of 70,000 adapters 1
 /// MB.
-constexpr std::size_t maxMessageBytes = 8 * 1024 * 1024;
+constexpr std::size_t maxMessageBytes = 8'388'608;
 
 /// Entries of one list or map; above the 70,000 adapters of the largest deployment planned.
 constexpr std::size_t maxEntries = 100'000;
--- a/libs/link/tests/test_message_codec.cpp
+++ b/libs/link/tests/test_message_codec.cpp
@@ -79,7 +79,7 @@
     core::reason why;
     decoder.feed(std::string("\xdb\xff\xff\xff\xff", 5));
     BOOST_TEST(!decoder.next(why).has_value());
-    const std::string more(1024 * 1024, 'x');
+    const std::string more(1'048'576, 'x');
     std::size_t fed = 0;
     while (!decoder.failed() && fed < 64) {
         decoder.feed(more);
