--- a/libs/http1/tests/test_client_connection.cpp
+++ b/libs/http1/tests/test_client_connection.cpp
@@ -127,7 +127,8 @@
 {
     answer.early = true;
     answer.bytes = "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno";
-    const std::string body(67'108'864, 'x');
+    std::string body;
+    body.resize(67'108'864, 'x');
     call("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     BOOST_TEST(seen.complete);
     BOOST_TEST(!connection->isReusable());
