Simplify the exchange and the links to agents after reading the change

No behaviour changes. Own answers are written in one place; two branches that could not be reached (a stream whose head was sent always has a run behind it), a declaration without a body and an unused accessor are gone; the bound on bodies is checked once; each link keeps a count of the adapter releases told in place of a copy of all of them, which was compared 40 times a second.

--- a/libs/gateway/include/medlarrack/gateway/replica_table.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_table.hpp
@@ -41,6 +41,8 @@
     /// 0 if none was published.
     [[nodiscard]] std::uint64_t newestVersion(std::string_view adapter) const;
     [[nodiscard]] const catalog::adapter_versions &releases() const;
+    /// Grows with each release taken; 0 before the first.
+    [[nodiscard]] std::uint64_t releaseCount() const;
 
 private:
     /// Drops the replica that an address had before; false if the record is the one that is outdated.
@@ -52,6 +54,7 @@
     std::map<std::string, replica_ptr, std::less<>> m_replicas;
     std::map<std::string, std::vector<replica_ptr>, std::less<>> m_services;
     catalog::adapter_versions m_releases;
+    std::uint64_t m_releaseCount = 0;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -176,9 +176,9 @@
         facts.adapterSlots = service->engine->adapterSlots;
         one.connection->send(facts);
     }
-    if (one.toldReleases != m_replicas.releases()) {
-        one.toldReleases = m_replicas.releases();
-        one.connection->send(link::adapter_releases{one.toldReleases});
+    if (one.toldReleases != m_replicas.releaseCount()) {
+        one.toldReleases = m_replicas.releaseCount();
+        one.connection->send(link::adapter_releases{m_replicas.releases()});
     }
     if (differsNotably(one.toldInUse, of.byAdapter)) {
         one.connection->send(link::adapters_in_use{of.byAdapter});
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -40,7 +40,7 @@
         core::monotonic_time nextTry{};
         std::uint64_t toldStateVersion = 0;
         std::map<std::string, std::uint32_t, std::less<>> toldInUse;
-        catalog::adapter_versions toldReleases;
+        std::uint64_t toldReleases = 0;
     };
 
     void open(const replica_ptr &to, agent_link &one);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -31,8 +31,7 @@
 /// proof either way.
 constexpr milliseconds idleForOnce{400};
 constexpr milliseconds idleForAny{60'000};
-/// Unread bytes of a caller at which its replica is slowed down, and of a plain answer from which it is passed on
-/// before it is whole.
+/// Unread bytes of a caller at which its replica is slowed down.
 constexpr std::size_t relayBuffer = 262'144;
 
 void appendChunk(std::string &out, std::string_view bytes)
@@ -383,9 +382,7 @@
         return;
     }
     release();
-    if (m_headSent) {
-        breakOff(why);
-    } else if (end == attempt_end::not_run && m_history.runs == 0) {
+    if (end == attempt_end::not_run && m_history.runs == 0) {
         refuse(refusal_cause::rejected, "not_reached", why);
     } else {
         constexpr int badGateway = 502;
@@ -440,21 +437,22 @@
         answerOwn(badGateway, code, why);
         return;
     }
-    if (m_headSent) {
-        breakOff(why);
-        return;
-    }
     own_answer answer;
     answer.status = unavailable;
     answer.code = code;
     answer.message = why;
     answer.retryAfter =
         returnAfter(cause, m_services.replicas, m_service, static_cast<std::uint32_t>(m_services.random()));
+    giveOwn(answer, "not_run");
+}
+
+void exchange::giveOwn(own_answer &answer, std::string_view outcome)
+{
     answer.closes = m_caller->closesAfterAnswer();
     std::string out;
     m_services.format.appendOwnAnswer(out, answer, m_facts.id);
     m_caller->write(out);
-    finish("not_run", unavailable, why);
+    finish(outcome, answer.status, answer.message);
 }
 
 void exchange::answerOwn(int status, std::string_view code, std::string_view why)
@@ -470,11 +468,7 @@
     answer.status = status;
     answer.code = code;
     answer.message = why;
-    answer.closes = m_caller->closesAfterAnswer();
-    std::string out;
-    m_services.format.appendOwnAnswer(out, answer, m_facts.id);
-    m_caller->write(out);
-    finish(status == 404 ? "not_run" : "unknown", status, why);
+    giveOwn(answer, status == 404 ? "not_run" : "unknown");
 }
 
 void exchange::breakOff(std::string_view why)
@@ -595,9 +589,4 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - now);
 }
 
-bool exchange::isDone() const
-{
-    return m_done;
-}
-
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -38,7 +38,6 @@
     void callerDrained();
     /// Checks deadlines and patience; called at a steady pace.
     void tick(core::monotonic_time now);
-    [[nodiscard]] bool isDone() const;
 
     void adapterLoaded() override;
     void engineLost() override;
@@ -54,7 +53,6 @@
     void waitForAdapter(const replica_choice &choice);
     void send(const replica_ptr &to);
     void relayEvents(std::string &body);
-    void relayPlain();
     void completeStream();
     void rejected();
     void attemptFailed(attempt_end end, std::string_view why);
@@ -63,6 +61,7 @@
     /// Passes on a failure that was held; false if there is none.
     bool deliverHeldFailure();
     void refuse(refusal_cause cause, std::string_view code, std::string_view why);
+    void giveOwn(own_answer &answer, std::string_view outcome);
     void answerOwn(int status, std::string_view code, std::string_view why);
     void breakOff(std::string_view why);
     void dropConnection();
--- a/libs/gateway/src/front_connection.cpp
+++ b/libs/gateway/src/front_connection.cpp
@@ -74,14 +74,11 @@
             break;
         case http1::parse_state::body:
             continueIfExpected();
-            if (m_parser.body().size() > m_services.routes.limits().maxBodyBytes) {
-                reject(tooLarge, "body_too_large", "the body is longer than allowed");
-            }
-            break;
+            [[fallthrough]];
         case http1::parse_state::complete:
             if (m_parser.body().size() > m_services.routes.limits().maxBodyBytes) {
                 reject(tooLarge, "body_too_large", "the body is longer than allowed");
-            } else {
+            } else if (m_parser.state() == http1::parse_state::complete) {
                 begin();
             }
             break;
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -19,6 +19,8 @@
 
 /// Pace of deadlines, links and logs. Half of the finest bound, 50 ms of use told to agents.
 constexpr milliseconds tickInterval{25};
+/// Pace of closing kept connections that have been idle for too long; finer than their idle times of seconds.
+constexpr milliseconds trimInterval{500};
 /// After a request to stop, new connections still come until the balancer has seen twice, once a second, that the
 /// process isn't ready.
 constexpr milliseconds listenAfterStop{2'500};
@@ -181,7 +183,7 @@
         callers.tick(now);
         agents.tick();
         if (now >= trimAt) {
-            trimAt = now + milliseconds(500);
+            trimAt = now + trimInterval;
             connections.trim();
         }
         log::flush();
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -121,6 +121,7 @@
         return false;
     }
     known = version;
+    ++m_releaseCount;
     return true;
 }
 
@@ -135,6 +136,11 @@
     return m_releases;
 }
 
+std::uint64_t replica_table::releaseCount() const
+{
+    return m_releaseCount;
+}
+
 bool replica_table::replaceAtAddress(const catalog::replica_record &record)
 {
     std::string replaced;
