One function for the end of an event, one class for signals

libs/gateway and libs/engine each found the end of a server-sent event by the same lines: both call core::eventEnd now. The class for SIGHUP was a copy of daemon::signals, which takes a second callback instead; programs that give none treat SIGHUP as before. Checked: all 28 test programs pass with their assertions unchanged; a gateway that got SIGHUP and then SIGTERM logged 'settings reloaded', 'stopping', 'stopped' and ended with 0.

--- a/apps/medlarrack-agent/main.cpp
+++ b/apps/medlarrack-agent/main.cpp
@@ -1,6 +1,5 @@
 #include <medlarrack/agent/agent_service.hpp>
 #include <medlarrack/core/system_clock.hpp>
-#include <medlarrack/daemon/reload_signal.hpp>
 #include <medlarrack/daemon/run_program.hpp>
 #include <medlarrack/daemon/signals.hpp>
 #include <medlarrack/log/log.hpp>
@@ -29,13 +28,13 @@
         return daemon::exitFailure;
     }
     log::write(log::level::info, "started", {{"version", MEDLARRACK_VERSION}, {"engine", settings.engine}});
-    const daemon::signals signals(context, [&] {
+    const auto terminate = [&] {
         service.stop();
         log::write(log::level::info, "stopped");
         log::flush();
         context.stop();
-    });
-    const daemon::reload_signal reloads(context, [&] {
+    };
+    const daemon::signals signals(context, terminate, [&] {
         // Nothing of the agent's settings can change while it runs; the file is checked all the same.
         settings::fault_list faults;
         const bool good = agent::loadSettings(options.settingsPath, faults).has_value();
--- a/apps/medlarrack-gateway/main.cpp
+++ b/apps/medlarrack-gateway/main.cpp
@@ -1,5 +1,4 @@
 #include <medlarrack/core/system_clock.hpp>
-#include <medlarrack/daemon/reload_signal.hpp>
 #include <medlarrack/daemon/run_program.hpp>
 #include <medlarrack/daemon/signals.hpp>
 #include <medlarrack/gateway/gateway_service.hpp>
@@ -48,12 +47,12 @@
         std::cout << "listening callers " << service.callersPort() << "\nlistening admin " << service.adminPort()
                   << std::endl;
     }
-    const daemon::signals signals(context, [&] {
+    const auto terminate = [&] {
         service.drain([&context] {
             context.stop();
         });
-    });
-    const daemon::reload_signal reloads(context, [&] {
+    };
+    const daemon::signals signals(context, terminate, [&] {
         reload(options.settingsPath, service);
     });
     context.run();
--- a/libs/daemon/include/medlarrack/daemon/signals.hpp
+++ b/libs/daemon/include/medlarrack/daemon/signals.hpp
@@ -7,11 +7,12 @@
 
 namespace medlarrack::daemon {
 
-/// Calls back once at the first SIGTERM or SIGINT; further ones are ignored. SIGPIPE is ignored throughout.
+/// Calls back once at the first SIGTERM or SIGINT; further ones are ignored. With a second callback, calls it at each
+/// SIGHUP, which otherwise ends the process. SIGPIPE is ignored throughout.
 class signals
 {
 public:
-    signals(asio::io_context &context, std::function<void()> onTerminate);
+    signals(asio::io_context &context, std::function<void()> onTerminate, std::function<void()> onReload = {});
     ~signals();
     signals(const signals &) = delete;
     signals &operator=(const signals &) = delete;
--- a/libs/engine/src/sse_events.cpp
+++ b/libs/engine/src/sse_events.cpp
@@ -1,5 +1,7 @@
 #include "sse_events.hpp"
 
+#include <medlarrack/core/event_stream.hpp>
+
 #include <algorithm>
 
 namespace medlarrack::engine::detail {
@@ -7,17 +9,6 @@
 
 constexpr std::string_view dataField = "data:";
 
-/// End of the first event from a position: behind its closing empty line.
-std::size_t eventEnd(std::string_view text, std::size_t from)
-{
-    const std::size_t plain = text.find("\n\n", from);
-    const std::size_t carriage = text.find("\r\n\r\n", from);
-    if (plain == std::string_view::npos && carriage == std::string_view::npos) {
-        return std::string_view::npos;
-    }
-    return plain < carriage ? plain + 2 : carriage + 4;
-}
-
 } // namespace
 
 bool sse_events::feed(std::string_view bytes, std::size_t maxEventBytes)
@@ -25,13 +16,13 @@
     m_buffer.erase(0, m_taken);
     m_taken = 0;
     m_buffer.append(bytes);
-    const std::size_t end = eventEnd(m_buffer, 0);
+    const std::size_t end = core::eventEnd(m_buffer, 0);
     return std::min(end, m_buffer.size()) <= maxEventBytes;
 }
 
 std::optional<std::string_view> sse_events::next()
 {
-    const std::size_t end = eventEnd(m_buffer, m_taken);
+    const std::size_t end = core::eventEnd(m_buffer, m_taken);
     if (end == std::string_view::npos) {
         return std::nullopt;
     }
--- a/libs/gateway/src/event_cutter.cpp
+++ b/libs/gateway/src/event_cutter.cpp
@@ -1,3 +1,4 @@
+#include <medlarrack/core/event_stream.hpp>
 #include <medlarrack/gateway/event_cutter.hpp>
 
 #include <algorithm>
@@ -8,17 +9,6 @@
 
 constexpr std::string_view idField = "id:";
 
-/// Position behind the next empty line; npos without one.
-std::size_t eventEnd(std::string_view bytes, std::size_t from)
-{
-    const std::size_t plain = bytes.find("\n\n", from);
-    const std::size_t carriage = bytes.find("\r\n\r\n", from);
-    if (plain == std::string_view::npos && carriage == std::string_view::npos) {
-        return std::string_view::npos;
-    }
-    return plain < carriage ? plain + 2 : carriage + 4;
-}
-
 /// The value of an event's id field; empty without one.
 std::string_view idOf(std::string_view event)
 {
@@ -46,7 +36,7 @@
 std::string event_cutter::take(std::string &bytes)
 {
     std::size_t whole = 0;
-    for (std::size_t end = eventEnd(bytes, 0); end != std::string::npos; end = eventEnd(bytes, whole)) {
+    for (std::size_t end = core::eventEnd(bytes, 0); end != std::string::npos; end = core::eventEnd(bytes, whole)) {
         if (const std::string_view id = idOf(std::string_view(bytes).substr(whole, end - whole)); !id.empty()) {
             m_lastId = id;
         }
