Hold callers that came back while engines come back; three homes for each adapter

Change: a request waits for the state that is being read and for engines about to hold their base model; callers that came back are held as long as their answer can still be made, not longer than they wait for a silent stream. An adapter has three homes; they keep their ranks while engines come back; engines just listed are not believed before their agent tells; a 421 of an engine without agent takes the adapter off, not the engine.

--- a/libs/gateway/include/medlarrack/gateway/attempt_policy.hpp
+++ b/libs/gateway/include/medlarrack/gateway/attempt_policy.hpp
@@ -31,6 +31,9 @@
 /// tried.
 [[nodiscard]] std::chrono::milliseconds answerPatience(const catalog::route &route);
 
+/// For how long callers wait for the first event of a stream, or the next one, before they leave.
+[[nodiscard]] std::chrono::milliseconds callerPatience(const catalog::route &route);
+
 /// The same for the next event of a stream.
 [[nodiscard]] std::chrono::milliseconds gapPatience(const catalog::route &route);
 
--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -43,6 +43,8 @@
     /// Not in the instance list any more, or soon if the store was away when it vanished.
     bool removed = false;
     std::optional<core::monotonic_time> removalDue;
+    /// When this process learnt of it.
+    core::monotonic_time listedAt{};
 
     /// Nothing without a connection to the agent.
     std::optional<agent_status> agent;
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -36,6 +36,8 @@
     replica_ptr alsoLoadAt;
     /// There are replicas, but all are full or have too many adapters to load.
     bool crowded = false;
+    /// There is no engine with the base model, but one is about to load it or has not told yet.
+    bool expected = false;
     /// Why there, for the log.
     std::string_view why;
 };
--- a/libs/gateway/src/attempt_policy.cpp
+++ b/libs/gateway/src/attempt_policy.cpp
@@ -11,7 +11,12 @@
 /// Twice the latency target: an answer of a sound replica is there by then, and a second one still comes in time for
 /// most of what it is worth.
 constexpr int patienceFactor = 2;
-/// Callers abandon a stream after two seconds of silence or more.
+/// Callers abandon a stream after a silence of two seconds, four times the latency target or eight times the longest
+/// pause, whichever is longest: what the users say of their callers.
+constexpr std::chrono::milliseconds shortestCallerPatience{2'000};
+constexpr int targetsWaited = 4;
+constexpr int gapsWaited = 8;
+/// Another replica's answer still comes before the shortest of these.
 constexpr std::chrono::milliseconds longestPatience{1'500};
 constexpr std::chrono::milliseconds shortestGapPatience{600};
 
@@ -29,6 +34,11 @@
     return catalog::mayRunAgain(route) && history.runs < route.maxAttempts;
 }
 
+std::chrono::milliseconds callerPatience(const catalog::route &route)
+{
+    return std::max({shortestCallerPatience, route.latencyTarget * targetsWaited, route.gapTarget * gapsWaited});
+}
+
 std::chrono::milliseconds answerPatience(const catalog::route &route)
 {
     return std::min(longestPatience, route.latencyTarget * patienceFactor);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -17,10 +17,11 @@
 
 /// Deadline of callers that don't say one.
 constexpr milliseconds defaultTimeLeft{60'000};
-/// Share of the time for a request, in hundredths, and longest time that it waits for its adapter in all: beyond it the
-/// caller is better off with a refusal that leaves time to come back.
-constexpr int waitShare = 30;
-constexpr milliseconds longestWait{1'500};
+/// A process that starts reads the published state within this, also over 10 Mbit/s; without an answer of the store for
+/// longer than that the state isn't expected soon.
+constexpr milliseconds stateTime{1'200};
+/// Pace at which held requests are looked at again: small beside the second that engines take to come back.
+constexpr milliseconds heldPace{50};
 /// Engines at which an adapter is waited for: the next one only if the one before is lost.
 constexpr std::uint32_t maxLoadWaits = 3;
 /// A replica gives its own answer at its deadline; it is waited for this much longer.
@@ -73,24 +74,29 @@
 
 void exchange::start()
 {
-    if (!findRoute()) {
-        return;
-    }
-    const auto wanted = std::min(m_facts.timeLeft.value_or(defaultTimeLeft), m_route->timeout);
-    m_deadline = m_startedAt + wanted;
-    m_service = serviceFor(*m_route, core::hash64(m_facts.id));
-    m_services.budgetOf(m_service).onFirstAttempt();
-    if (!m_facts.adapter.empty()) {
-        m_demand = m_services.demand.asked(m_facts.adapter, m_startedAt);
+    proceed();
+}
+
+void exchange::proceed()
+{
+    if (m_route == nullptr) {
+        if (!findRoute()) {
+            return;
+        }
+        routeFound();
     }
-    m_waitEnd = m_startedAt + std::min(longestWait, wanted * waitShare / 100);
     next();
 }
 
 bool exchange::findRoute()
 {
     if (m_services.routes.isEmpty()) {
-        refuse(refusal_cause::starting, "no_state", "no published state is known yet");
+        const milliseconds longest = holdingTime(m_facts.timeLeft.value_or(defaultTimeLeft), {}, false);
+        if (m_services.storeAge() < stateTime && m_services.clock.now() - m_startedAt < longest) {
+            hold("no published state is known yet");
+        } else {
+            refuse(refusal_cause::starting, "no_state", "no published state is known yet");
+        }
         return false;
     }
     m_route = m_services.routes.find(m_request.value("Host"), m_request.target);
@@ -102,6 +108,32 @@
     return true;
 }
 
+void exchange::routeFound()
+{
+    const milliseconds callerWaits = m_facts.timeLeft.value_or(defaultTimeLeft);
+    const auto wanted = std::min(callerWaits, m_route->timeout);
+    m_deadline = m_startedAt + wanted;
+    m_service = serviceFor(*m_route, core::hash64(m_facts.id));
+    m_services.budgetOf(m_service).onFirstAttempt();
+    if (!m_facts.adapter.empty()) {
+        m_demand = m_services.demand.asked(m_facts.adapter, m_startedAt);
+    }
+    m_returning = m_services.returning.came(m_route->name, callerWaits);
+    m_waitEnd = m_startedAt + holdingTime(wanted, callerPatience(*m_route), m_returning);
+}
+
+void exchange::hold(std::string_view why)
+{
+    m_lookAgainAt = m_services.clock.now() + heldPace;
+    if (!std::exchange(m_holdLogged, true)) {
+        log::write(log::level::info, "request held",
+                   {{"request_id", m_facts.id},
+                    {"why", why},
+                    {"state_version", m_services.routes.version()},
+                    {"store_age_ms", inMilliseconds(m_services.storeAge())}});
+    }
+}
+
 void exchange::next()
 {
     const core::monotonic_time now = m_services.clock.now();
@@ -130,6 +162,8 @@
         if (m_history.runs > 0) {
             constexpr int badGateway = 502;
             answerOwn(badGateway, "no_replica", "the request may have run and no other replica is left");
+        } else if ((choice.expected || (choice.crowded && m_returning)) && now < m_waitEnd) {
+            hold(choice.why);
         } else {
             refuse(choice.crowded ? refusal_cause::adapter_backlog : refusal_cause::no_replica, "no_replica",
                    choice.why);
@@ -351,7 +385,7 @@
         // The adapter has left since the last status; the agent will be asked again.
         m_target->agent->adapters.erase(m_facts.adapter);
         m_tried.pop_back();
-    } else if (m_answerFacts.misdirected) {
+    } else if (m_answerFacts.misdirected && m_target->record.adapters.erase(m_facts.adapter) == 0) {
         m_target->health.failed(true, now);
     }
     if (mayTryAgain(*m_route, attempt_end::not_run, m_history) && m_services.budgetOf(m_service).tryRetry(now)) {
@@ -501,6 +535,13 @@
         }
         return;
     }
+    if (m_lookAgainAt) {
+        if (now >= *m_lookAgainAt) {
+            m_lookAgainAt.reset();
+            proceed();
+        }
+        return;
+    }
     if (m_connection == nullptr) {
         return;
     }
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -48,8 +48,13 @@
     void onComplete() override;
     void onFailed(http1::call_progress progress, std::string_view why) override;
 
+    /// Goes on from where it is held, or from the start.
+    void proceed();
     bool findRoute();
+    void routeFound();
     void next();
+    /// Holds the request until the next look at what can take it.
+    void hold(std::string_view why);
     void waitForAdapter(const replica_choice &choice);
     void send(const replica_ptr &to);
     void relayEvents(std::string &body);
@@ -88,8 +93,13 @@
     std::chrono::nanoseconds m_statusAge{0};
     connection_ptr m_connection;
     core::monotonic_time m_sentAt{};
-    /// Until when the request may wait for its adapter, at whichever engines.
+    /// Until when the request may be held for its adapter, at whichever engines, or for an engine.
     core::monotonic_time m_waitEnd{};
+    /// When a held request is looked at again.
+    std::optional<core::monotonic_time> m_lookAgainAt;
+    bool m_holdLogged = false;
+    /// The caller has come before; a refusal would be its last.
+    bool m_returning = false;
     double m_demand = 0;
     core::monotonic_time m_lastBytesAt{};
     std::string_view m_choiceWhy;
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -9,6 +9,7 @@
 #include <medlarrack/gateway/adapter_demand.hpp>
 #include <medlarrack/gateway/caller_format.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
+#include <medlarrack/gateway/returning_callers.hpp>
 #include <medlarrack/metrics/registry.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 
@@ -30,6 +31,7 @@
     agent_links &agents;
     adapter_waiters &waiters;
     adapter_demand &demand;
+    returning_callers &returning;
     metrics::registry &metrics;
     /// The retry budget of a service.
     std::function<overload::retry_budget &(std::string_view service)> budgetOf;
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -60,6 +60,7 @@
                    agents,
                    waiters,
                    demand,
+                   returning,
                    metrics,
                    [this](std::string_view service) -> overload::retry_budget & {
                        return budgetOf(service);
@@ -255,6 +256,7 @@
     metrics::registry metrics;
     adapter_waiters waiters;
     adapter_demand demand;
+    returning_callers returning;
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> budgets;
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -28,8 +28,11 @@
 /// Requests by which an engine of another data centre counts as fuller: a request there costs more bytes than it gains
 /// time, as long as the engines have room.
 constexpr double remoteLoad = 10;
-/// Adapters waiting for a slot above which an engine is no home for a further one.
+/// Adapters waiting for a slot above which an engine takes no further one: an engine that loads two at a time begins as
+/// many loads in the 1.5 s for which requests are held. Other engines than the homes would only load what these load.
 constexpr std::uint32_t maxBacklog = 10;
+/// Engines at which an adapter is loaded first, in the order of their rank. At most times one of three has a free slot.
+constexpr std::size_t homesOfAdapter = 3;
 /// Time until an engine whose slots are all in use has one for the next adapter in line: it runs some 20 requests a
 /// second of half a second each, of which several use one adapter.
 constexpr std::chrono::milliseconds slotTime{150};
@@ -39,6 +42,8 @@
 /// Recent requests of this process for an adapter from which its data centre gets a home for it: a load costs about as
 /// much as eight requests between data centres.
 constexpr double localDemand = 5;
+/// An agent is linked within this after its engine was listed: connecting times out after 400 ms.
+constexpr std::chrono::milliseconds linkTime{500};
 /// An engine whose first events take this many times as long as those of its peers gets requests last.
 constexpr int slowFactor = 3;
 
@@ -86,15 +91,42 @@
     return one.local ? time : time + remotePenalty;
 }
 
-std::vector<replica_ptr> usableEngines(const replica_table &table, const choice_query &asked, core::monotonic_time now)
+/// Whether the engine has yet to tell what it holds: the instance list says what it held before its last start.
+bool isUnknown(const replica &one, core::monotonic_time now)
+{
+    return !one.agent && now - one.listedAt < linkTime;
+}
+
+/// Whether the engine is about to hold the model: its agent loads it, or has not told yet.
+bool isExpected(const replica &one, std::string_view model, core::monotonic_time now)
+{
+    if (one.removed || one.record.leaving) {
+        return false;
+    }
+    return isUnknown(one, now) || (one.agent && one.agent->engineUp && !holdsModel(one, model));
+}
+
+struct known_engines
 {
     std::vector<replica_ptr> usable;
+    /// About to be usable.
+    std::vector<replica_ptr> expected;
+};
+
+known_engines enginesFor(const replica_table &table, const choice_query &asked, core::monotonic_time now)
+{
+    known_engines known;
     for (const replica_ptr &one : table.ofService(asked.service)) {
-        if (isUsable(*one, now) && !wasTried(asked, *one) && holdsModel(*one, asked.model)) {
-            usable.push_back(one);
+        if (wasTried(asked, *one)) {
+            continue;
+        }
+        if (isExpected(*one, asked.model, now)) {
+            known.expected.push_back(one);
+        } else if (isUsable(*one, now) && holdsModel(*one, asked.model)) {
+            known.usable.push_back(one);
         }
     }
-    return usable;
+    return known;
 }
 
 /// Leaves out engines that are much slower than the median, as long as others are left.
@@ -144,27 +176,64 @@
     return at.agent->room > 0 ? load : load + slotTime * (at.agent->wanted + 1);
 }
 
-/// The engine that is expected to hold the adapter first, of those that don't hold or expect it and have room; of
-/// equal ones that of the highest rank. Ranks don't follow the load, so that all processes ask for an adapter at the
-/// same engines, and these have it in memory the next time.
-replica_ptr nextHome(const replica_table &table, const std::vector<replica_ptr> &engines, const choice_query &asked)
+bool mayBeHome(const replica_table &table, const replica &one, const choice_query &asked)
 {
-    const double crowded = crowdedShare * asked.batchSize;
+    return one.load() < crowdedShare * asked.batchSize && demandAt(one, asked.adapter) == 0
+        && !holdsAdapter(table, one, asked.adapter);
+}
+
+struct home_choice
+{
+    /// Null if there is none that can load the adapter now.
+    replica_ptr engine;
+    /// No home can load the adapter now, but one is about to be usable.
+    bool expected = false;
+};
+
+/// Where the adapter is to be loaded: of its homes and the engines that have held it before, the one that is expected to
+/// hold it first; of equal ones that of the highest rank. Ranks don't follow the load and homes are few, so that all
+/// processes ask for an adapter at the same engines, also after a mass restart: engines that are about to be usable keep
+/// their ranks.
+home_choice nextHome(const replica_table &table, const known_engines &engines, const choice_query &asked)
+{
+    struct candidate
+    {
+        std::uint64_t weight = 0;
+        replica_ptr engine;
+        bool expected = false;
+    };
+    std::vector<candidate> candidates;
     const std::uint64_t key = core::hash64(asked.adapter);
-    replica_ptr best;
+    for (const replica_ptr &one : engines.usable) {
+        if (mayBeHome(table, *one, asked)) {
+            candidates.push_back({core::rendezvousWeight(key, one->idHash), one, false});
+        }
+    }
+    for (const replica_ptr &one : engines.expected) {
+        candidates.push_back({core::rendezvousWeight(key, one->idHash), one, true});
+    }
+    const std::size_t homes = std::min(homesOfAdapter, candidates.size());
+    const auto homesEnd = candidates.begin() + static_cast<std::ptrdiff_t>(homes);
+    std::partial_sort(candidates.begin(), homesEnd, candidates.end(), [](const candidate &left, const candidate &right) {
+        return left.weight > right.weight;
+    });
+    home_choice best;
     std::pair<std::chrono::milliseconds, std::uint64_t> bestRank;
-    for (const replica_ptr &one : engines) {
-        const bool backlog = one->agent && one->agent->wanted >= maxBacklog;
-        if (one->load() >= crowded || backlog || demandAt(*one, asked.adapter) > 0
-            || holdsAdapter(table, *one, asked.adapter)) {
+    for (auto one = candidates.begin(); one != candidates.end(); ++one) {
+        const bool held = one->engine->agent && one->engine->agent->recent.contains(asked.adapter);
+        const bool backlog = one->engine->agent && one->engine->agent->wanted >= maxBacklog;
+        if (one->expected || backlog || (one >= homesEnd && !held)) {
             continue;
         }
-        const std::pair rank(expectedLoadTime(*one, asked.adapter), ~core::rendezvousWeight(key, one->idHash));
-        if (best == nullptr || rank < bestRank) {
-            best = one;
+        const std::pair rank(expectedLoadTime(*one->engine, asked.adapter), ~one->weight);
+        if (best.engine == nullptr || rank < bestRank) {
+            best.engine = one->engine;
             bestRank = rank;
         }
     }
+    best.expected = best.engine == nullptr && std::any_of(candidates.begin(), homesEnd, [](const candidate &one) {
+        return one.expected;
+    });
     return best;
 }
 
@@ -182,7 +251,7 @@
         std::copy_if(engines.begin(), engines.end(), std::back_inserter(candidates), [](const replica_ptr &one) {
             return one->local && hasRoom(*one);
         });
-        return nextHome(table, candidates, asked);
+        return nextHome(table, {candidates, {}}, asked).engine;
     }
     if (asked.demand < copyDemand || holder.load() < copyLoad) {
         return nullptr;
@@ -197,7 +266,7 @@
     std::copy_if(engines.begin(), engines.end(), std::back_inserter(candidates), [mean](const replica_ptr &one) {
         return one->load() <= mean && hasRoom(*one);
     });
-    return nextHome(table, candidates, asked);
+    return nextHome(table, {candidates, {}}, asked).engine;
 }
 
 } // namespace
@@ -229,9 +298,10 @@
 
 replica_choice chooseEngine(const replica_table &table, const choice_query &asked, core::monotonic_time now)
 {
-    std::vector<replica_ptr> engines = usableEngines(table, asked, now);
+    known_engines known = enginesFor(table, asked, now);
+    std::vector<replica_ptr> &engines = known.usable;
     if (engines.empty()) {
-        return {.why = "no usable replica"};
+        return {.expected = !known.expected.empty(), .why = "no usable replica"};
     }
     dropSlow(engines);
     if (asked.adapter.empty()) {
@@ -257,13 +327,17 @@
     if (const replica_ptr next = leastLoaded(expecting); next != nullptr && next->load() < crowded) {
         return {.target = next, .needsLoad = true, .why = "adapter on its way"};
     }
-    if (const replica_ptr home = nextHome(table, engines, asked); home != nullptr) {
-        return {.target = home, .needsLoad = true, .why = "home of the adapter"};
+    const home_choice home = nextHome(table, known, asked);
+    if (home.engine != nullptr) {
+        return {.target = home.engine, .needsLoad = true, .why = "home of the adapter"};
     }
     if (const replica_ptr holder = leastLoaded(holders); holder != nullptr) {
         return {.target = holder, .why = "adapter loaded, all crowded"};
     }
-    return {.crowded = true, .why = "all engines are crowded"};
+    if (home.expected) {
+        return {.expected = true, .why = "the homes of the adapter are about to load its base model"};
+    }
+    return {.crowded = true, .why = "all engines are crowded or have too many adapters to load"};
 }
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -21,6 +21,7 @@
         auto added = std::make_shared<replica>();
         added->idHash = core::hash64(record.id);
         added->local = record.dataCentre == m_dataCentre;
+        added->listedAt = now;
         added->record = std::move(record);
         m_replicas[added->record.id] = added;
         addToService(added);
--- a/libs/gateway/tests/test_attempts.cpp
+++ b/libs/gateway/tests/test_attempts.cpp
@@ -87,4 +87,16 @@
     BOOST_TEST(demand.size() <= 20'000U);
 }
 
+BOOST_AUTO_TEST_CASE(callers_wait_for_the_longest_of_two_seconds_four_targets_and_eight_pauses)
+{
+    catalog::route route;
+    route.latencyTarget = milliseconds(500);
+    route.gapTarget = milliseconds(250);
+    BOOST_TEST((callerPatience(route) == milliseconds(2'000)));
+    route.gapTarget = milliseconds(300);
+    BOOST_TEST((callerPatience(route) == milliseconds(2'400)));
+    route.latencyTarget = milliseconds(1'000);
+    BOOST_TEST((callerPatience(route) == milliseconds(4'000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
