Share among gateways what they see of failing engines

Change: gateways tell an engine's agent how their requests ended; the agent tells all the share that failed lately. Requests that run once avoid engines above 25%, unless many fail.

--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -1,4 +1,5 @@
 #include <medlarrack/agent/agent_service.hpp>
+#include <medlarrack/agent/failure_share.hpp>
 #include <medlarrack/agent/fencing.hpp>
 #include <medlarrack/agent/slot_keeper.hpp>
 #include <medlarrack/http1/call_client.hpp>
@@ -30,6 +31,9 @@
 /// Change of the number of requests that is told before the heartbeat.
 constexpr std::uint32_t notableLoadChange = 6;
 
+/// Change of the share of failing requests, in hundredths, that is told before the heartbeat.
+constexpr std::uint32_t notableFailures = 10;
+
 /// A gateway's link with what it said of itself.
 struct gateway_link
 {
@@ -38,7 +42,7 @@
     bool lost = false;
 };
 
-link::engine_status statusOf(const slot_keeper &keeper, core::monotonic_time now)
+link::engine_status statusOf(const slot_keeper &keeper, const failure_share &failures, core::monotonic_time now)
 {
     const engine_report &report = keeper.report();
     link::engine_status status;
@@ -50,6 +54,8 @@
     status.queued = report.queued;
     status.wanted = static_cast<std::uint32_t>(keeper.waiting());
     status.room = static_cast<std::uint32_t>(keeper.room(now));
+    constexpr double hundredths = 100;
+    status.failing = static_cast<std::uint32_t>(failures.share(now) * hundredths);
     return status;
 }
 
@@ -60,6 +66,7 @@
     change.queued = now.queued;
     change.wanted = now.wanted;
     change.room = now.room;
+    change.failing = now.failing;
     for (const auto &[adapter, version] : now.adapters) {
         const auto known = before.adapters.find(adapter);
         if (known == before.adapters.end() || known->second != version) {
@@ -86,6 +93,11 @@
     return std::max(before, now) - std::min(before, now) >= notableLoadChange;
 }
 
+bool hasNotableFailures(const link::engine_status &left, const link::engine_status &right)
+{
+    return std::max(left.failing, right.failing) - std::min(left.failing, right.failing) >= notableFailures;
+}
+
 std::string_view toString(order_result result)
 {
     switch (result) {
@@ -177,6 +189,8 @@
                       static_cast<double>(report.adapters.size()));
         metrics.gauge("medlarrack_agent_adapters_wanted", "Adapters that requests wait for", {},
                       static_cast<double>(keeper.waiting()));
+        metrics.gauge("medlarrack_agent_failing_share", "Share of recent requests that failed", {},
+                      failures.share(clock.now()));
         metrics.gauge("medlarrack_agent_requests", "Requests running and queued at the engine", {},
                       report.running + report.queued);
         return {ok, "text/plain; version=0.0.4", metrics.text()};
@@ -244,6 +258,7 @@
     void take(gateway_link &from, const link::adapters_in_use &used)
     {
         keeper.setInUse(from.name, used.adapters, clock.now());
+        failures.ended(used.succeeded, used.failed, clock.now());
     }
 
     void take(gateway_link &, const link::service_facts &facts)
@@ -348,6 +363,9 @@
             return;
         }
         reportedAt = clock.now();
+        if (report->startedAtMs != keeper.report().startedAtMs) {
+            failures.restarted(reportedAt);
+        }
         keeper.reported(*std::move(report), reportedAt);
         if (!wasUp) {
             log::write(log::level::info, "engine answers",
@@ -393,10 +411,11 @@
     void publishIfDue()
     {
         const core::monotonic_time now = clock.now();
-        link::engine_status status = statusOf(keeper, now);
+        link::engine_status status = statusOf(keeper, failures, now);
         const link::engine_change change = changeBetween(published, status);
         const bool other = isOtherEngine(published, status);
-        const bool same = change.loaded.empty() && change.unloaded.empty() && !hasNotableLoadChange(published, status);
+        const bool same = change.loaded.empty() && change.unloaded.empty() && !hasNotableLoadChange(published, status)
+            && !hasNotableFailures(published, status);
         if (!other && same && now - publishedAt < heartbeat) {
             return;
         }
@@ -420,6 +439,7 @@
     http1::page_server pages;
     metrics::registry metrics;
     slot_keeper keeper;
+    failure_share failures;
     fencing fence;
     std::list<gateway_link> links;
     link::engine_status published;
--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -31,6 +31,8 @@
     std::uint32_t room = std::numeric_limits<std::uint32_t>::max();
     /// As far as this process has seen the engine hold them.
     recent_adapters recent;
+    /// Recent requests of all processes that failed there, in hundredths.
+    std::uint32_t failing = 0;
 };
 
 /// What is known of one replica.
@@ -49,6 +51,13 @@
     /// Nothing without a connection to the agent.
     std::optional<agent_status> agent;
     replica_health health;
+    struct
+    {
+        std::uint32_t succeeded = 0;
+        std::uint32_t failed = 0;
+    }
+    /// Ends of requests of which the agent hasn't been told.
+    untold;
 
     /// Requests of this process in progress there.
     std::uint32_t outstanding = 0;
@@ -64,6 +73,20 @@
         return outstanding + othersLoad;
     }
 
+    /// A request had an answer, or its first event, after this time.
+    void succeeded(std::chrono::nanoseconds latency)
+    {
+        ++untold.succeeded;
+        health.succeeded(latency);
+    }
+
+    /// A request failed in a way that speaks against the replica.
+    void failed(bool notReached, core::monotonic_time now)
+    {
+        ++untold.failed;
+        health.failed(notReached, now);
+    }
+
     /// Takes a count of all requests running and waiting there.
     void tellLoad(std::uint32_t all, core::monotonic_time now)
     {
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -23,6 +23,8 @@
     double demand = 0;
     /// Replicas that have had this request.
     std::span<const std::string> tried;
+    /// It may be sent to another replica after its run may have begun.
+    bool mayRunAgain = false;
 };
 
 /// Where a request goes.
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -31,6 +31,19 @@
            });
 }
 
+/// Share of failing requests, in hundredths, whose crossing is logged.
+constexpr std::uint32_t loggedFailing = 25;
+
+void tellFailing(replica &at, std::uint32_t failing)
+{
+    const bool was = at.agent->failing >= loggedFailing;
+    at.agent->failing = failing;
+    if (was != (failing >= loggedFailing)) {
+        log::write(log::level::info, was ? "replica fails less" : "replica fails",
+                   {{"replica", at.record.id}, {"failing_percent", failing}});
+    }
+}
+
 } // namespace
 
 agent_links::agent_links(asio::io_context &context, const core::clock &clock, std::string name, std::uint16_t agentPort,
@@ -132,7 +145,8 @@
                                     status->wanted,
                                     now,
                                     status->room,
-                                    std::move(recent)};
+                                    std::move(recent),
+                                    status->failing};
         if (!found->second.connected) {
             found->second.connected = true;
             log::write(log::level::info, "agent link made", {{"replica", id}});
@@ -151,6 +165,7 @@
         known->agent->queued = change->queued;
         known->agent->wanted = change->wanted;
         known->agent->room = change->room;
+        tellFailing(*known, change->failing);
         known->agent->at = now;
     } else {
         return;
@@ -181,7 +196,7 @@
     }
 }
 
-void agent_links::feed(const replica &of, agent_link &one)
+void agent_links::feed(replica &of, agent_link &one)
 {
     const catalog::service *service = m_routes.findService(of.record.service);
     if (service != nullptr && service->engine && one.toldStateVersion != m_routes.version()) {
@@ -200,9 +215,10 @@
         one.toldReleases = m_replicas.releaseCount();
         one.connection->send(link::adapter_releases{m_replicas.releases()});
     }
-    if (differsNotably(one.toldInUse, of.byAdapter)) {
-        one.connection->send(link::adapters_in_use{of.byAdapter});
+    if (differsNotably(one.toldInUse, of.byAdapter) || of.untold.failed > 0) {
+        one.connection->send(link::adapters_in_use{of.byAdapter, of.untold.succeeded, of.untold.failed});
         one.toldInUse = of.byAdapter;
+        of.untold = {};
     }
 }
 
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -46,7 +46,7 @@
     void open(const replica_ptr &to, agent_link &one);
     void take(const std::string &id, const link::message &message);
     void lose(const std::string &id, std::string_view why);
-    void feed(const replica &of, agent_link &one);
+    void feed(replica &of, agent_link &one);
 
     asio::io_context &m_context;
     const core::clock &m_clock;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -155,6 +155,7 @@
     asked.batchSize = hasEngine ? service->engine->batchSize : 1;
     asked.tried = m_tried;
     asked.demand = m_demand;
+    asked.mayRunAgain = mayTryAgain(*m_route, attempt_end::unknown, {m_history.runs + 1, m_history.rejections});
     const replica_choice choice =
         hasEngine ? chooseEngine(m_services.replicas, asked, now) : choosePlain(m_services.replicas, asked, now);
     m_choiceWhy = choice.why;
@@ -302,7 +303,7 @@
     std::string out;
     if (!m_headSent) {
         m_headSent = true;
-        m_target->health.succeeded(m_lastBytesAt - m_sentAt);
+        m_target->succeeded(m_lastBytesAt - m_sentAt);
         const body_framing framing = m_caller->takesChunks() ? body_framing::chunked : body_framing::none;
         m_services.format.appendAnswerHead(out, m_answer, framing, 0, m_caller->closesAfterAnswer());
     }
@@ -345,13 +346,13 @@
         return;
     }
     if (success) {
-        m_target->health.succeeded(m_services.clock.now() - m_sentAt);
+        m_target->succeeded(m_services.clock.now() - m_sentAt);
         deliver();
         return;
     }
     constexpr int firstServerError = 500;
     if (m_answer.status >= firstServerError) {
-        m_target->health.failed(false, m_services.clock.now());
+        m_target->failed(false, m_services.clock.now());
         if (mayTryAgain(*m_route, attempt_end::unknown, m_history)
             && m_services.budgetOf(m_service).tryRetry(m_services.clock.now())) {
             const int status = m_answer.status;
@@ -386,7 +387,7 @@
         m_target->agent->adapters.erase(m_facts.adapter);
         m_tried.pop_back();
     } else if (m_answerFacts.misdirected && m_target->record.adapters.erase(m_facts.adapter) == 0) {
-        m_target->health.failed(true, now);
+        m_target->failed(true, now);
     }
     if (mayTryAgain(*m_route, attempt_end::not_run, m_history) && m_services.budgetOf(m_service).tryRetry(now)) {
         tryAgain("the replica did not run it");
@@ -405,7 +406,7 @@
         --m_history.runs;
         ++m_history.rejections;
     }
-    m_target->health.failed(notSent, m_services.clock.now());
+    m_target->failed(notSent, m_services.clock.now());
     attemptFailed(notSent ? attempt_end::not_run : attempt_end::unknown, why);
 }
 
@@ -555,7 +556,7 @@
     const auto patience = m_headSent ? gapPatience(*m_route) : answerPatience(*m_route);
     if (now - m_lastBytesAt >= patience && !m_paused && now < m_deadline
         && mayTryAgain(*m_route, attempt_end::unknown, m_history) && m_services.budgetOf(m_service).tryRetry(now)) {
-        m_target->health.failed(false, now);
+        m_target->failed(false, now);
         dropConnection();
         tryAgain("no answer for longer than is usual");
     }
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -44,6 +44,10 @@
 constexpr double localDemand = 5;
 /// An agent is linked within this after its engine was listed: connecting times out after 400 ms.
 constexpr std::chrono::milliseconds linkTime{500};
+/// Failing requests, in hundredths, above which an engine is left out: some sound services fail 14.
+constexpr std::uint32_t failingTooOften = 25;
+/// Up to this part of the engines is left out, one in so many.
+constexpr std::size_t mostFailing = 3;
 /// An engine whose first events take this many times as long as those of its peers gets requests last.
 constexpr int slowFactor = 3;
 
@@ -151,6 +155,19 @@
     });
 }
 
+/// Leaves out engines whose requests fail more often than is usual, by what all processes tell of them, unless many do:
+/// then it isn't the engines, or there is no choice.
+void dropFailing(std::vector<replica_ptr> &engines)
+{
+    const auto fails = [](const replica_ptr &one) {
+        return one->agent && one->agent->failing >= failingTooOften;
+    };
+    const auto failing = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), fails));
+    if (failing * mostFailing < engines.size()) {
+        std::erase_if(engines, fails);
+    }
+}
+
 /// The engine with the least load, where one of another data centre counts as having more.
 replica_ptr leastLoaded(const std::vector<replica_ptr> &engines)
 {
@@ -303,6 +320,10 @@
     if (engines.empty()) {
         return {.expected = !known.expected.empty(), .why = "no usable replica"};
     }
+    if (!asked.mayRunAgain) {
+        // What may be sent once more uses them: a second run costs less than their slots are worth while others are full.
+        dropFailing(engines);
+    }
     dropSlow(engines);
     if (asked.adapter.empty()) {
         return {.target = leastLoaded(engines), .why = "least loaded"};
--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -328,6 +328,28 @@
     BOOST_TEST(choose("m/a1").target == one);
 }
 
+BOOST_AUTO_TEST_CASE(an_engine_that_fails_requests_of_other_processes_gets_none_while_most_are_sound)
+{
+    // Seven of 45 engines fail four of ten requests for eight seconds; a process sends each about one request a second.
+    addEngines(45);
+    for (int index = 0; index < 7; ++index) {
+        const replica_ptr one = table.find("e" + std::to_string(index));
+        one->agent->failing = 40;
+        one->agent->adapters["m/a1"] = 1;
+    }
+    BOOST_TEST(choose("m/a1").target->agent->failing == 0U);
+    // What may be sent once more uses their slots.
+    const choice_query repeatable{"llm", "m", "m/a1", 32, 0, {}, true};
+    BOOST_TEST(chooseEngine(table, repeatable, clock.now()).target->agent->failing == 40U);
+    table.find("e9")->agent->adapters["m/a1"] = 1;
+    BOOST_TEST(choose("m/a1").target->record.id == "e9");
+    // A service of which all replicas fail is used on.
+    for (const auto &[id, one] : table.all()) {
+        one->agent->failing = 45;
+    }
+    BOOST_TEST(!choose("m/a1").needsLoad);
+}
+
 BOOST_AUTO_TEST_CASE(a_much_slower_engine_gets_one_request_at_a_time)
 {
     addEngines(6);
--- a/libs/link/include/medlarrack/link/messages.hpp
+++ b/libs/link/include/medlarrack/link/messages.hpp
@@ -24,10 +24,12 @@
 };
 
 /// Adapters that requests of the gateway use or wait for now, with the number of requests; replaces the last such
-/// message.
+/// message. Also what became of its requests since that message.
 struct adapters_in_use
 {
     std::map<std::string, std::uint32_t, std::less<>> adapters;
+    std::uint32_t succeeded = 0;
+    std::uint32_t failed = 0;
 };
 
 /// A base model that engines of a service hold.
@@ -67,6 +69,8 @@
     std::uint32_t wanted = 0;
     /// Further adapters whose loads could begin at once.
     std::uint32_t room = 0;
+    /// Recent requests of all gateways that failed, in hundredths.
+    std::uint32_t failing = 0;
 };
 
 /// What has changed since the last engine_status or engine_change; also the heartbeat. Much smaller than a status:
@@ -80,6 +84,8 @@
     std::uint32_t wanted = 0;
     /// Further adapters whose loads could begin at once.
     std::uint32_t room = 0;
+    /// Recent requests of all gateways that failed, in hundredths.
+    std::uint32_t failing = 0;
 };
 
 /// Any message of a link.
