--- a/libs/agent/include/medlarrack/agent/failure_share.hpp
+++ b/libs/agent/include/medlarrack/agent/failure_share.hpp
@@ -14,8 +14,8 @@
 {
 public:
     void ended(std::uint32_t succeeded, std::uint32_t failed, core::monotonic_time now);
-    /// The engine was started anew. What is known of it is forgotten, unless it was started shortly before too: one that
-    /// goes down and up by turns fails again.
+    /// The engine was started anew. What is known of it is forgotten, unless it was started shortly before too: one
+    /// that goes down and up by turns fails again.
     void restarted(core::monotonic_time now);
     /// From 0 to 1; 0 while too few requests are known.
     [[nodiscard]] double share(core::monotonic_time now) const;
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -136,17 +136,9 @@
         for (const auto &[adapter, version] : status->adapters) {
             recent.add(adapter);
         }
-        known->agent = agent_status{status->engineUp,
-                                    status->startedAtMs,
-                                    status->models,
-                                    status->adapters,
-                                    status->running,
-                                    status->queued,
-                                    status->wanted,
-                                    now,
-                                    status->room,
-                                    std::move(recent),
-                                    status->failing};
+        known->agent = agent_status{status->engineUp, status->startedAtMs, status->models, status->adapters,
+                                    status->running,  status->queued,      status->wanted, now,
+                                    status->room,     std::move(recent),   status->failing};
         if (!found->second.connected) {
             found->second.connected = true;
             log::write(log::level::info, "agent link made", {{"replica", id}});
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -207,10 +207,10 @@
     bool expected = false;
 };
 
-/// Where the adapter is to be loaded: of its homes and the engines that have held it before, the one that is expected to
-/// hold it first; of equal ones that of the highest rank. Ranks don't follow the load and homes are few, so that all
-/// processes ask for an adapter at the same engines, also after a mass restart: engines that are about to be usable keep
-/// their ranks.
+/// Where the adapter is to be loaded: of its homes and the engines that have held it before, the one that is expected
+/// to hold it first; of equal ones that of the highest rank. Ranks don't follow the load and homes are few, so that all
+/// processes ask for an adapter at the same engines, also after a mass restart: engines that are about to be usable
+/// keep their ranks.
 home_choice nextHome(const replica_table &table, const known_engines &engines, const choice_query &asked)
 {
     struct candidate
@@ -231,9 +231,10 @@
     }
     const std::size_t homes = std::min(homesOfAdapter, candidates.size());
     const auto homesEnd = candidates.begin() + static_cast<std::ptrdiff_t>(homes);
-    std::partial_sort(candidates.begin(), homesEnd, candidates.end(), [](const candidate &left, const candidate &right) {
-        return left.weight > right.weight;
-    });
+    std::partial_sort(candidates.begin(), homesEnd, candidates.end(),
+                      [](const candidate &left, const candidate &right) {
+                          return left.weight > right.weight;
+                      });
     home_choice best;
     std::pair<std::chrono::milliseconds, std::uint64_t> bestRank;
     for (auto one = candidates.begin(); one != candidates.end(); ++one) {
@@ -249,8 +250,8 @@
         }
     }
     best.expected = best.engine == nullptr && std::any_of(candidates.begin(), homesEnd, [](const candidate &one) {
-        return one.expected;
-    });
+                        return one.expected;
+                    });
     return best;
 }
 
@@ -321,7 +322,8 @@
         return {.expected = !known.expected.empty(), .why = "no usable replica"};
     }
     if (!asked.mayRunAgain) {
-        // What may be sent once more uses them: a second run costs less than their slots are worth while others are full.
+        // What may be sent once more uses them: a second run costs less than their slots are worth while others are
+        // full.
         dropFailing(engines);
     }
     dropSlow(engines);
