Count answers without signature and cut streams against their replica

Found by a new test: an answer without a replica's signature, with an encoding, or a stream without its last event was tried again elsewhere but said nothing of the replica's health. One place counts the end of a failed attempt now.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -409,12 +409,12 @@
         --m_history.runs;
         ++m_history.rejections;
     }
-    m_target->failed(notSent, m_services.clock.now());
     attemptFailed(notSent ? attempt_end::not_run : attempt_end::unknown, why);
 }
 
 void exchange::attemptFailed(attempt_end end, std::string_view why)
 {
+    m_target->failed(end == attempt_end::not_run, m_services.clock.now());
     if (mayTryAgain(*m_route, end, m_history) && m_services.budgetOf(m_service).tryRetry(m_services.clock.now())) {
         tryAgain(why);
         return;
