--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -14,6 +14,16 @@
 
 namespace medlarrack::gateway {
 
+/// Failing requests of an engine, in hundredths, from which it counts as failing: some sound services fail 14.
+inline constexpr std::uint32_t failingTooOften = 25;
+
+/// How requests ended, as far as it speaks for or against a replica.
+struct request_ends
+{
+    std::uint32_t succeeded = 0;
+    std::uint32_t failed = 0;
+};
+
 /// What the agent beside an engine last said of it.
 struct agent_status
 {
@@ -53,13 +63,8 @@
     /// Nothing without a connection to the agent.
     std::optional<agent_status> agent;
     replica_health health;
-    struct
-    {
-        std::uint32_t succeeded = 0;
-        std::uint32_t failed = 0;
-    }
-    /// Ends of requests of which the agent hasn't been told.
-    untold;
+    /// Of which the agent hasn't been told.
+    request_ends untold;
 
     /// Requests of this process in progress there.
     std::uint32_t outstanding = 0;
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -31,14 +31,11 @@
            });
 }
 
-/// Share of failing requests, in hundredths, whose crossing is logged.
-constexpr std::uint32_t loggedFailing = 25;
-
-void tellFailing(replica &at, std::uint32_t failing)
+void takeFailing(replica &at, std::uint32_t failing)
 {
-    const bool was = at.agent->failing >= loggedFailing;
+    const bool was = at.agent->failing >= failingTooOften;
     at.agent->failing = failing;
-    if (was != (failing >= loggedFailing)) {
+    if (was != (failing >= failingTooOften)) {
         log::write(log::level::info, was ? "replica fails less" : "replica fails",
                    {{"replica", at.record.id}, {"failing_percent", failing}});
     }
@@ -70,7 +67,11 @@
     found->second.connection->send(link::load_request{{std::string(adapter)}});
     if (at->agent) {
         // What the agent will say of it is on its way back.
-        at->agent->room > 0 ? --at->agent->room : ++at->agent->wanted;
+        if (at->agent->room > 0) {
+            --at->agent->room;
+        } else {
+            ++at->agent->wanted;
+        }
     }
     return true;
 }
@@ -157,7 +158,7 @@
         known->agent->queued = change->queued;
         known->agent->wanted = change->wanted;
         known->agent->room = change->room;
-        tellFailing(*known, change->failing);
+        takeFailing(*known, change->failing);
         // What this process has told is a part of it.
         known->agent->othersUnread = change->unreadTokens - std::min(change->unreadTokens, found->second.toldUnread);
         known->agent->at = now;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -389,8 +389,12 @@
         // The adapter has left since the last status; the agent will be asked again.
         m_target->agent->adapters.erase(m_facts.adapter);
         m_tried.pop_back();
-    } else if (m_answerFacts.misdirected && m_target->record.adapters.erase(m_facts.adapter) == 0) {
-        m_target->failed(true, now);
+    } else if (m_answerFacts.misdirected) {
+        // Without an agent, the instance list may have named an adapter that has left.
+        const bool adapterLeft = m_target->record.adapters.erase(m_facts.adapter) > 0;
+        if (!adapterLeft) {
+            m_target->failed(true, now);
+        }
     }
     if (mayTryAgain(*m_route, attempt_end::not_run, m_history) && m_services.budgetOf(m_service).tryRetry(now)) {
         tryAgain("the replica did not run it");
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -47,8 +47,6 @@
 constexpr double localDemand = 5;
 /// An agent is linked within this after its engine was listed: connecting times out after 400 ms.
 constexpr std::chrono::milliseconds linkTime{500};
-/// Failing requests, in hundredths, above which an engine is left out: some sound services fail 14.
-constexpr std::uint32_t failingTooOften = 25;
 /// Up to this part of the engines is left out, one in so many.
 constexpr std::size_t mostFailing = 3;
 /// An engine whose first events take this many times as long as those of its peers gets requests last.
