One type for an engine's load in the messages of a link

Found on reading the change once more: engine_status and engine_change repeated the same six fields, which were copied one by one, and three functions compared them by the same difference. engine_load holds them, one function says what is notable. The bytes on the wire are the same: the codec writes the fields in the same order (test_message_codec). Behaviour is unchanged.

--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -51,24 +51,19 @@
     status.startedAtMs = report.startedAtMs;
     status.models = report.models;
     status.adapters = report.adapters;
-    status.running = report.running;
-    status.queued = report.queued;
-    status.wanted = static_cast<std::uint32_t>(keeper.waiting());
-    status.room = static_cast<std::uint32_t>(keeper.room(now));
+    status.load.running = report.running;
+    status.load.queued = report.queued;
+    status.load.wanted = static_cast<std::uint32_t>(keeper.waiting());
+    status.load.room = static_cast<std::uint32_t>(keeper.room(now));
     constexpr double hundredths = 100;
-    status.failing = static_cast<std::uint32_t>(failures.share(now) * hundredths);
+    status.load.failing = static_cast<std::uint32_t>(failures.share(now) * hundredths);
     return status;
 }
 
 link::engine_change changeBetween(const link::engine_status &before, const link::engine_status &now)
 {
     link::engine_change change;
-    change.running = now.running;
-    change.queued = now.queued;
-    change.wanted = now.wanted;
-    change.room = now.room;
-    change.failing = now.failing;
-    change.unreadTokens = now.unreadTokens;
+    change.load = now.load;
     for (const auto &[adapter, version] : now.adapters) {
         const auto known = before.adapters.find(adapter);
         if (known == before.adapters.end() || known->second != version) {
@@ -88,22 +83,18 @@
     return left.engineUp != right.engineUp || left.startedAtMs != right.startedAtMs || left.models != right.models;
 }
 
-bool hasNotableLoadChange(const link::engine_status &left, const link::engine_status &right)
+template<typename Count>
+Count difference(Count left, Count right)
 {
-    const std::uint32_t before = left.running + left.queued + left.wanted;
-    const std::uint32_t now = right.running + right.queued + right.wanted;
-    return std::max(before, now) - std::min(before, now) >= notableLoadChange;
+    return std::max(left, right) - std::min(left, right);
 }
 
-bool hasNotableReading(const link::engine_status &left, const link::engine_status &right)
+bool isNotable(const link::engine_load &before, const link::engine_load &now)
 {
-    return std::max(left.unreadTokens, right.unreadTokens) - std::min(left.unreadTokens, right.unreadTokens)
-        >= link::notableTokens;
-}
-
-bool hasNotableFailures(const link::engine_status &left, const link::engine_status &right)
-{
-    return std::max(left.failing, right.failing) - std::min(left.failing, right.failing) >= notableFailures;
+    return difference(before.running + before.queued + before.wanted, now.running + now.queued + now.wanted)
+        >= notableLoadChange
+        || difference(before.unreadTokens, now.unreadTokens) >= link::notableTokens
+        || difference(before.failing, now.failing) >= notableFailures;
 }
 
 std::string_view toString(order_result result)
@@ -423,12 +414,11 @@
         const core::monotonic_time now = clock.now();
         link::engine_status status = statusOf(keeper, failures, now);
         for (const gateway_link &one : links) {
-            status.unreadTokens += one.lost ? 0 : one.unreadTokens;
+            status.load.unreadTokens += one.lost ? 0 : one.unreadTokens;
         }
         const link::engine_change change = changeBetween(published, status);
         const bool other = isOtherEngine(published, status);
-        const bool same = change.loaded.empty() && change.unloaded.empty() && !hasNotableLoadChange(published, status)
-            && !hasNotableFailures(published, status) && !hasNotableReading(published, status);
+        const bool same = change.loaded.empty() && change.unloaded.empty() && !isNotable(published.load, status.load);
         if (!other && same && now - publishedAt < heartbeat) {
             return;
         }
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -137,9 +137,9 @@
         for (const auto &[adapter, version] : status->adapters) {
             recent.add(adapter);
         }
-        known->agent = agent_status{status->engineUp, status->startedAtMs, status->models, status->adapters,
-                                    status->running,  status->queued,      status->wanted, now,
-                                    status->room,     std::move(recent),   status->failing};
+        known->agent = agent_status{status->engineUp,     status->startedAtMs, status->models,      status->adapters,
+                                    status->load.running, status->load.queued, status->load.wanted, now,
+                                    status->load.room,    std::move(recent),   status->load.failing};
         if (!found->second.connected) {
             found->second.connected = true;
             log::write(log::level::info, "agent link made", {{"replica", id}});
@@ -154,13 +154,14 @@
             known->agent->adapters.erase(adapter);
             known->agent->recent.add(adapter);
         }
-        known->agent->running = change->running;
-        known->agent->queued = change->queued;
-        known->agent->wanted = change->wanted;
-        known->agent->room = change->room;
-        takeFailing(*known, change->failing);
+        known->agent->running = change->load.running;
+        known->agent->queued = change->load.queued;
+        known->agent->wanted = change->load.wanted;
+        known->agent->room = change->load.room;
+        takeFailing(*known, change->load.failing);
         // What this process has told is a part of it.
-        known->agent->othersUnread = change->unreadTokens - std::min(change->unreadTokens, found->second.toldUnread);
+        known->agent->othersUnread =
+            change->load.unreadTokens - std::min(change->load.unreadTokens, found->second.toldUnread);
         known->agent->at = now;
     } else {
         return;
--- a/libs/link/include/medlarrack/link/messages.hpp
+++ b/libs/link/include/medlarrack/link/messages.hpp
@@ -61,13 +61,9 @@
     std::map<std::string, std::uint64_t, std::less<>> versions;
 };
 
-/// What an agent knows of its engine.
-struct engine_status
+/// What an engine has to do, as far as its agent knows.
+struct engine_load
 {
-    bool engineUp = false;
-    std::uint64_t startedAtMs = 0;
-    std::vector<std::string> models;
-    std::map<std::string, std::uint64_t, std::less<>> adapters;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     /// Adapters asked for and not on their way yet.
@@ -80,21 +76,23 @@
     std::uint64_t unreadTokens = 0;
 };
 
+/// What an agent knows of its engine.
+struct engine_status
+{
+    bool engineUp = false;
+    std::uint64_t startedAtMs = 0;
+    std::vector<std::string> models;
+    std::map<std::string, std::uint64_t, std::less<>> adapters;
+    engine_load load;
+};
+
 /// What has changed since the last engine_status or engine_change; also the heartbeat. Much smaller than a status:
 /// bytes between data centres are dear.
 struct engine_change
 {
     std::map<std::string, std::uint64_t, std::less<>> loaded;
     std::vector<std::string> unloaded;
-    std::uint32_t running = 0;
-    std::uint32_t queued = 0;
-    std::uint32_t wanted = 0;
-    /// Further adapters whose loads could begin at once.
-    std::uint32_t room = 0;
-    /// Recent requests of all gateways that failed, in hundredths.
-    std::uint32_t failing = 0;
-    /// Prompt tokens of all gateways' requests that have had no answer yet.
-    std::uint64_t unreadTokens = 0;
+    engine_load load;
 };
 
 /// Any message of a link.
--- a/libs/link/src/message_codec.cpp
+++ b/libs/link/src/message_codec.cpp
@@ -60,15 +60,15 @@
 auto fields(
     auto &value) requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, engine_status>
 {
-    return std::tie(value.engineUp, value.startedAtMs, value.models, value.adapters, value.running, value.queued,
-                    value.wanted, value.room, value.failing, value.unreadTokens);
+    return std::tie(value.engineUp, value.startedAtMs, value.models, value.adapters, value.load.running,
+                    value.load.queued, value.load.wanted, value.load.room, value.load.failing, value.load.unreadTokens);
 }
 
 auto fields(
     auto &value) requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, engine_change>
 {
-    return std::tie(value.loaded, value.unloaded, value.running, value.queued, value.wanted, value.room, value.failing,
-                    value.unreadTokens);
+    return std::tie(value.loaded, value.unloaded, value.load.running, value.load.queued, value.load.wanted,
+                    value.load.room, value.load.failing, value.load.unreadTokens);
 }
 
 using packer = msgpack::packer<msgpack::sbuffer>;
