Lint the fuzz drivers as part of the build

Change: medlarrack_fuzz compiles fuzz drivers as an object library, with the warnings of the build. Before: 'error: not part of the build in build/'. After: the file is linted and clean.

--- a/cmake/medlarrack_targets.cmake
+++ b/cmake/medlarrack_targets.cmake
@@ -39,3 +39,16 @@
     add_test(NAME ${ARG_NAME} COMMAND ${target} --log_level=test_suite --report_level=short)
     set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 900 LABELS "${ARG_LABELS}")
 endfunction()
+
+# medlarrack_fuzz(LIBRARY <name> SOURCES ...)
+# Compiles the drivers of scripts/fuzz with the warnings of the build, so that they are linted like the rest; the script
+# links them with clang's fuzzer.
+function(medlarrack_fuzz)
+    if(NOT MEDLARRACK_SCOPE STREQUAL "all")
+        return()
+    endif()
+    cmake_parse_arguments(ARG "" "LIBRARY" "SOURCES" ${ARGN})
+    set(target fuzz_${ARG_LIBRARY})
+    add_library(${target} OBJECT ${ARG_SOURCES})
+    target_link_libraries(${target} PRIVATE medlarrack_warnings medlarrack::${ARG_LIBRARY})
+endfunction()
