--- a/libs/peer/src/client_connection.hpp
+++ b/libs/peer/src/client_connection.hpp
@@ -127,6 +127,7 @@
     std::string m_closeDetail;
     std::atomic<std::size_t> m_active{0};
     std::atomic<std::chrono::steady_clock::duration::rep> m_lastUsed{0};
+    /// Nothing is sent on streams before the peer has shown a sign of life.
     bool m_verifying = false;
     bool m_draining = false;
 };
--- a/libs/peer/tests/test_connection_loss.cpp
+++ b/libs/peer/tests/test_connection_loss.cpp
@@ -1,8 +1,11 @@
 #include "peer_fixture.hpp"
 
+#include <asio/completion_condition.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <atomic>
 #include <optional>
 
@@ -107,6 +110,32 @@
     BOOST_TEST(client.connections() == 0U);
 }
 
+// A server that drains, or has all the connections it takes, closes new ones without a word.
+BOOST_AUTO_TEST_CASE(a_request_to_a_peer_that_closes_without_a_word_is_proven_not_processed)
+{
+    /// Bytes that a client sends before any request or ping: preface, settings, connection window.
+    constexpr std::size_t greetingBytes = 64;
+    worker_pool pool;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    client_limits limits;
+    limits.lossTimeout = 300ms;
+    client client(pool.context(), limits, [] {
+        return helloOf("entry-1");
+    });
+    stream_record record;
+    client.start({"127.0.0.1", acceptor.local_endpoint().port()}, requestWith(std::string(3'000, 'x')),
+                 record.callbacks());
+    {
+        auto socket = acceptor.accept();
+        std::array<char, 2 * greetingBytes> bytes{};
+        asio::error_code error;
+        asio::read(socket, asio::buffer(bytes), asio::transfer_at_least(greetingBytes + 1), error);
+    }
+    BOOST_REQUIRE(record.ended());
+    BOOST_TEST((record.end() == stream_end::not_processed), record.detail());
+}
+
 BOOST_AUTO_TEST_CASE(a_server_that_stops_in_the_middle_of_a_stream_breaks_it)
 {
     worker_pool pool;
