--- a/cmake/medlarrack_options.cmake
+++ b/cmake/medlarrack_options.cmake
@@ -9,6 +9,9 @@
     set(CMAKE_BUILD_TYPE RelWithDebInfo CACHE STRING "build type" FORCE)
 endif()
 
+# Line numbers of stack traces, without what only a debugger reads: a quarter of the time of compiling.
+set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1 -DNDEBUG")
+
 find_program(MEDLARRACK_CCACHE ccache)
 if(MEDLARRACK_CCACHE)
     set(CMAKE_CXX_COMPILER_LAUNCHER "${MEDLARRACK_CCACHE}")
@@ -17,8 +20,14 @@
 # One of: empty, "address,undefined", "thread".
 set(MEDLARRACK_SANITIZE "" CACHE STRING "sanitizers to build with")
 if(MEDLARRACK_SANITIZE)
-    # Less optimization and debug information than usual, so that these builds take half the time.
-    add_compile_options(-fsanitize=${MEDLARRACK_SANITIZE} -fno-omit-frame-pointer -fno-sanitize-recover=all -O1 -g1)
+    # The address sanitizer's checks are optimized at twice the time of compiling them.
+    if(MEDLARRACK_SANITIZE STREQUAL "thread")
+        set(sanitize_optimization -O1)
+    else()
+        set(sanitize_optimization -O0)
+    endif()
+    add_compile_options(-fsanitize=${MEDLARRACK_SANITIZE} -fno-omit-frame-pointer -fno-sanitize-recover=all
+        ${sanitize_optimization} -g1)
     add_link_options(-fsanitize=${MEDLARRACK_SANITIZE})
 endif()
 
--- a/cmake/medlarrack_targets.cmake
+++ b/cmake/medlarrack_targets.cmake
@@ -23,13 +23,17 @@
     target_compile_definitions(${ARG_NAME} PRIVATE MEDLARRACK_VERSION="${PROJECT_VERSION}")
 endfunction()
 
-# medlarrack_test(NAME <name> SOURCES ... [DEPENDS ...] [LINKS ...] [LABELS ...])
-# Sources hold Boost.Test cases without a main function.
+# All test programs, and those of them that start threads: what the sanitizers look at.
+add_custom_target(medlarrack_tests)
+add_custom_target(medlarrack_thread_tests)
+
+# medlarrack_test(NAME <name> SOURCES ... [DEPENDS ...] [LINKS ...] [LABELS ...] [THREADS])
+# Sources hold Boost.Test cases without a main function. THREADS: they start threads, so the thread sanitizer runs them.
 function(medlarrack_test)
     if(NOT MEDLARRACK_SCOPE STREQUAL "all")
         return()
     endif()
-    cmake_parse_arguments(ARG "" "NAME" "SOURCES;DEPENDS;LINKS;LABELS" ${ARGN})
+    cmake_parse_arguments(ARG "THREADS" "NAME" "SOURCES;DEPENDS;LINKS;LABELS" ${ARGN})
     set(target test_${ARG_NAME})
     add_executable(${target} ${PROJECT_SOURCE_DIR}/cmake/test_main.cpp ${ARG_SOURCES})
     list(TRANSFORM ARG_DEPENDS PREPEND medlarrack::)
@@ -37,6 +41,13 @@
     target_link_libraries(${target} PRIVATE medlarrack_warnings ${ARG_DEPENDS} ${ARG_LINKS}
         boost_unit_test_framework Threads::Threads)
     add_test(NAME ${ARG_NAME} COMMAND ${target} --log_level=test_suite --report_level=short)
+    add_dependencies(medlarrack_tests ${target})
+    if(ARG_THREADS)
+        list(APPEND ARG_LABELS threads)
+        add_dependencies(medlarrack_thread_tests ${target})
+    elseif(NOT MEDLARRACK_SANITIZE)
+        target_compile_definitions(${target} PRIVATE MEDLARRACK_TEST_SINGLE_THREADED)
+    endif()
     set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 900 LABELS "${ARG_LABELS}")
 endfunction()
 
--- a/libs/peer/src/client_connection.cpp
+++ b/libs/peer/src/client_connection.cpp
@@ -89,8 +89,8 @@
         close("connect_failed: " + error.message());
         return;
     }
-    // Streams wait until the peer has spoken: a peer that closes before (it drains, or has all the connections it takes)
-    // has then provably not been asked anything.
+    // Streams wait until the peer has spoken: a peer that closes before (it drains, or has all the connections it
+    // takes) has then provably not been asked anything.
     m_verifying = true;
     begin(0);
 }
