Fault matrix in code: docs/FAULTS.md is made from it and checked

Change: faults/ holds promises, faults and the test that shows each; medlarrack-faults writes the page; test_fault_matrix fails if a named test case is missing or the page isn't current. Conclusion: what isn't shown stands under each promise.

--- /dev/null
+++ b/faults/src/fault_matrix.cpp
@@ -0,0 +1,197 @@
+#include "fault_matrix.hpp"
+
+namespace medlarrack::faults {
+
+namespace {
+
+const std::vector<promise> &matrix()
+{
+    static const std::vector<promise> all{
+        {"A request that may run once runs at most once",
+         {
+             {"any sequence of breaks, pauses, losses and restarts of up to six replicas", "libs/once",
+              "no_key_runs_twice_in_long_explorations"},
+             {"a replica's answer to another process at its address", "libs/sidecar",
+              "a_seal_by_another_process_at_the_replicas_address_does_not_count"},
+             {"a pause between the permission and the run", "libs/sidecar",
+              "a_pause_between_seal_and_run_runs_nothing"},
+             {"the run broke", "libs/sidecar", "a_key_whose_run_broke_is_unknown_for_all_and_never_runs_again"},
+             {"a gateway's connection ends after the request has left", "libs/gateway",
+              "a_request_that_may_run_once_is_never_sent_again_after_it_may_have_run"},
+             {"a kept connection closes under a request", "libs/http1",
+              "a_kept_connection_that_closes_under_a_request_proves_nothing"},
+             {"a replica answers with an error", "platform",
+              "an_error_of_a_replica_passes_unchanged_where_it_may_not_run_again"},
+         },
+         "gateways and agents killed, frozen, stopped; connections reset, cut one way, silent; replicas that crash",
+         "handover of records on a planned stop isn't built"},
+        {"A refusal that says \"not run\" is true",
+         {
+             {"each point at which an attempt can break", "libs/entry", "the_final_answer_claims_only_what_is_proven"},
+             {"a broken attempt, then refusals", "libs/entry",
+              "a_broken_attempt_stays_in_doubt_when_later_ones_are_refused"},
+             {"the request waits again after it may have run", "platform",
+              "a_request_that_may_have_run_is_never_called_not_run_whatever_it_waits_for_then"},
+             {"a peer closes without a word", "libs/peer",
+              "a_request_to_a_peer_that_closes_without_a_word_is_proven_not_processed"},
+             {"a peer vanished while its connection was unused", "libs/peer",
+              "a_request_on_a_connection_whose_peer_vanished_while_unused_is_proven_not_processed"},
+             {"a server drains under load", "libs/peer", "a_drain_under_load_tells_the_truth_about_every_request"},
+             {"a connection is refused", "libs/http1", "a_refused_connection_proves_that_nothing_was_sent"},
+         },
+         "all faults of the soak",
+         ""},
+        {"An answer is whole, and its own request's",
+         {
+             {"a break anywhere in an answer", "libs/entry",
+              "an_idempotent_request_is_answered_whole_after_a_break_anywhere"},
+             {"late and crossed messages", "libs/entry", "late_and_crossed_messages_are_dropped"},
+             {"a second answer on a kept connection", "libs/http1", "bytes_after_an_answer_cost_the_connection"},
+             {"a late answer to another request", "platform",
+              "a_late_answer_to_another_request_never_reaches_a_caller"},
+             {"an answer before the request has been read", "libs/http1",
+              "an_early_answer_costs_the_connection_as_the_rest_of_the_request_may_be_taken_for_another"},
+             {"an answer without a length, cut by a reset", "libs/http1",
+              "an_answer_without_a_length_is_broken_when_the_server_resets"},
+             {"a stream breaks inside an event", "platform", "a_stream_that_ends_inside_an_event_is_broken"},
+             {"a stream that may be resumed breaks", "platform",
+              "a_broken_stream_goes_on_elsewhere_behind_its_last_whole_event"},
+             {"a caller hides a second request in the first", "platform", "a_smuggled_request_reaches_no_replica"},
+             {"an engine sends bytes of another answer", "libs/engine", "no_byte_of_another_answer_passes"},
+             {"random changes to valid messages of a link", "libs/link",
+              "changed_bytes_never_do_more_than_end_the_decoding"},
+         },
+         "replicas that cut, garble and repeat answers",
+         ""},
+        {"The adapter and the version named answer",
+         {
+             {"an engine answers for another model", "libs/engine", "no_byte_of_a_wrong_model_passes"},
+             {"an engine lost the adapter", "libs/sidecar", "an_adapter_that_the_engine_does_not_have_is_loaded_again"},
+             {"an older record of an adapter comes late", "libs/gateway", "an_adapters_version_never_goes_back"},
+             {"an engine holds an old version", "libs/gateway", "an_old_version_does_not_count_as_loaded"},
+             {"a newer version is published", "libs/agent", "an_old_version_is_replaced_once_a_newer_one_is_published"},
+         },
+         "new versions in quick succession",
+         "a change of version in the middle of a stream over real processes"},
+        {"Adapters in use are not evicted",
+         {
+             {"any sequence of cancels, failed loads and restarts", "libs/placement",
+              "no_sequence_of_events_evicts_an_adapter_in_use"},
+             {"loads compete for all slots", "libs/agent", "an_adapter_in_use_is_never_unloaded"},
+             {"an order stays without an answer", "libs/agent", "an_order_without_an_answer_takes_its_slot"},
+             {"reports of the engine lag", "libs/agent", "no_more_is_ordered_than_the_engine_holds_though_reports_lag"},
+         },
+         "engines that are slow, crash and come back empty",
+         ""},
+        {"A leaving replica gets no new work",
+         {
+             {"the replica says so itself, then older lists arrive", "libs/instances",
+              "leaving_said_by_the_instance_itself_is_not_taken_back_by_lists"},
+             {"a leaving replica, the others busy", "libs/gateway", "a_failing_leaving_or_tried_replica_gets_nothing"},
+             {"it is started anew", "libs/gateway", "a_leaving_replica_stays_so_until_it_is_started_anew"},
+             {"its address serves another service", "libs/gateway",
+              "an_address_taken_over_by_another_service_moves_the_replica"},
+         },
+         "replicas that leave while calm: nothing new after 2.5 s",
+         ""},
+        {"A planned stop cuts off nothing",
+         {
+             {"a peer drains", "libs/peer",
+              "after_a_drain_streams_in_progress_finish_and_new_ones_are_proven_not_processed"},
+             {"a sidecar drains", "libs/sidecar", "a_drain_takes_no_new_work_and_cuts_off_none"},
+             {"a gateway stops", "platform", "a_stopping_process_says_so_on_its_last_answer_and_closes"},
+         },
+         "gateways stopped while calm",
+         "1,000 requests in flight over repeated stops"},
+        {"Changes are in force in seconds and never revert",
+         {
+             {"tickets duplicated, skipped and out of order", "libs/tickets",
+              "any_order_with_duplicates_ends_in_the_same_state"},
+             {"a stale copy at one data centre", "libs/config",
+              "a_stale_copy_of_one_data_centre_delays_but_never_reverts"},
+             {"a data centre is cut off", "libs/config", "a_data_centre_cut_off_catches_up_after_the_partition"},
+             {"an older state is read", "libs/catalog", "an_older_state_is_never_taken"},
+             {"the store forgot its history", "platform", "a_store_that_forgot_its_history_is_read_whole_again"},
+             {"the store answers with something else", "platform",
+              "answers_that_are_no_documents_change_nothing_and_are_asked_for_again"},
+         },
+         "a store that refuses, resets, is silent, slow, forgets",
+         ""},
+        {"Orders to an engine have one holder",
+         {
+             {"a paused sidecar wakes", "libs/sidecar", "after_a_pause_nothing_from_before_it_is_started_or_ordered"},
+             {"a sidecar was superseded", "libs/sidecar", "a_sidecar_whose_order_is_refused_as_old_gives_no_more"},
+             {"the time of day was ahead before a restart", "libs/agent",
+              "fencing_climbs_past_a_token_of_a_time_of_day_that_was_ahead"},
+         },
+         "agents killed, frozen, started again",
+         "two live sidecars before one real engine"},
+        {"Requests that crash replicas are bounded",
+         {
+             {"a request crashes each target it reaches", "libs/entry",
+              "a_poison_request_crashes_two_targets_and_is_refused_then"},
+             {"an innocent ran beside it", "libs/entry", "an_innocent_that_ran_beside_a_crash_is_answered_and_cleared"},
+             {"a request reaches replicas of a gateway", "libs/gateway",
+              "an_idempotent_request_runs_on_no_more_replicas_than_its_route_allows"},
+         },
+         "",
+         "suspects aren't passed between processes; a gateway bounds only the attempts of one request"},
+        {"A replica that fails is noticed by what callers get",
+         {
+             {"it fails in a row, its status check says well", "libs/gateway",
+              "failures_in_a_row_take_a_replica_out_whatever_its_status_check_says"},
+             {"it fails four of ten", "libs/agent",
+              "an_engine_that_fails_four_of_ten_shows_within_half_a_second_of_what_all_gateways_send"},
+             {"it flaps", "libs/gateway", "each_failed_return_doubles_the_time_out_up_to_a_bound"},
+             {"it is slow", "libs/gateway", "a_slow_replica_gets_less"},
+             {"it takes requests and never answers", "platform",
+              "a_silent_replica_is_left_for_another_where_the_request_may_run_again"},
+         },
+         "replicas that are grey, slow, mute",
+         ""},
+        {"Load that can't be served is refused at once, with a time to return",
+         {
+             {"all engines come back empty", "libs/gateway",
+              "after_a_mass_restart_an_adapter_is_loaded_at_few_engines_whatever_each_process_sees"},
+             {"refused callers return", "libs/gateway", "callers_refused_together_return_spread"},
+             {"more is asked than the fleet holds", "libs/gateway", "a_crowded_fleet_is_refused_at_once"},
+             {"all replicas refuse", "platform", "proofs_from_all_replicas_make_a_refusal_that_says_when_to_return"},
+             {"no state was read yet", "platform", "a_request_is_refused_when_the_state_does_not_come"},
+         },
+         "",
+         ""},
+    };
+    return all;
+}
+
+} // namespace
+
+std::span<const promise> promises()
+{
+    return matrix();
+}
+
+std::string toMarkdown(std::span<const promise> matrix)
+{
+    std::string text =
+        "# What is shown under which fault\n\n"
+        "Made by `build/bin/medlarrack-faults` from faults/src/fault_matrix.cpp; `test_fault_matrix` checks "
+        "that each test\nnamed here exists and that this page is current. Real processes: [SOAK](SOAK.md), "
+        "[BENCH](BENCH.md).\n";
+    for (const promise &one : matrix) {
+        text += "\n## " + std::string(one.text) + "\n\n| fault | tests of | test case |\n|---|---|---|\n";
+        for (const proof &shown : one.proofs) {
+            text += "| " + std::string(shown.fault) + " | " + std::string(shown.folder) + " | `"
+                + std::string(shown.testCase) + "` |\n";
+        }
+        if (!one.soaked.empty()) {
+            text += "\nSoaked: " + std::string(one.soaked) + ".\n";
+        }
+        if (!one.missing.empty()) {
+            text += "\nNot shown yet: " + std::string(one.missing) + ".\n";
+        }
+    }
+    return text;
+}
+
+} // namespace medlarrack::faults
