medlarrackctl check-settings knows gateway and agent; an example of each

Change: check-settings takes agent, entry, gateway and sidecar from one table of the programs' own loaders; examples/ gateway.json and agent.json; a test holds every example against its program. Before: 'expected entry or sidecar'.

--- a/apps/medlarrackctl/src/arguments.cpp
+++ b/apps/medlarrackctl/src/arguments.cpp
@@ -18,7 +18,7 @@
 constexpr const char *usage = R"([--url URL]... [--log FILE]... [--salt TEXT] COMMAND ...
 
 Commands:
-  check-settings entry|sidecar FILE   check a settings file
+  check-settings PROGRAM FILE         check a settings file of agent, entry, gateway or sidecar
   check-ticket FILE...                check change tickets before they are published
   state URL                           show a daemon's state
   explain REQUEST-ID --url URL...     join what daemons know of a request into one time line
--- a/apps/medlarrackctl/src/check_settings.cpp
+++ b/apps/medlarrackctl/src/check_settings.cpp
@@ -2,32 +2,48 @@
 #include "fault_lines.hpp"
 #include "json_lines.hpp"
 
+#include <medlarrack/agent/agent_settings.hpp>
 #include <medlarrack/daemon/command_line.hpp>
 #include <medlarrack/entry/entry_settings.hpp>
-#include <medlarrack/settings/document.hpp>
+#include <medlarrack/gateway/gateway_settings.hpp>
 #include <medlarrack/sidecar/sidecar_settings.hpp>
 
+#include <algorithm>
+#include <array>
 #include <ostream>
 
 namespace medlarrack::ctl {
 
 namespace {
 
-/// Whether the document is the program's; faults say why not.
-bool parseAs(const std::string &program, const settings::document &document, settings::fault_list &faults)
+/// A program and whether a file holds its settings; faults say why not.
+struct checked_program
 {
-    if (program == "entry") {
-        return entry::parseSettings(document.root(), faults).has_value();
-    }
-    return sidecar::parseSettings(document.root(), faults).has_value();
+    std::string_view name;
+    bool (*holdsSettings)(const std::string &path, settings::fault_list &faults);
+};
+
+template<auto load>
+bool holdsSettings(const std::string &path, settings::fault_list &faults)
+{
+    return load(path, faults).has_value();
 }
 
+constexpr std::array<checked_program, 4> programs{{
+    {"agent", &holdsSettings<&agent::loadSettings>},
+    {"entry", &holdsSettings<&entry::loadSettings>},
+    {"gateway", &holdsSettings<&gateway::loadSettings>},
+    {"sidecar", &holdsSettings<&sidecar::loadSettings>},
+}};
+
 } // namespace
 
 int checkSettings(const std::string &program, const std::string &path, std::ostream &out, std::ostream &err)
 {
-    if (program != "entry" && program != "sidecar") {
-        err << "medlarrackctl: check-settings: expected entry or sidecar, found \"" << program << "\"\n";
+    const auto *const found = std::ranges::find(programs, program, &checked_program::name);
+    if (found == programs.end()) {
+        err << "medlarrackctl: check-settings: expected agent, entry, gateway or sidecar, found \"" << program
+            << "\"\n";
         return daemon::exitUsage;
     }
     const auto text = readFile(path, err);
@@ -39,8 +55,7 @@
         return daemon::exitSettings;
     }
     settings::fault_list faults;
-    const auto document = settings::document::parse(*text, faults);
-    const bool taken = document && parseAs(program, *document, faults) && faults.empty();
+    const bool taken = found->holdsSettings(path, faults) && faults.empty();
     for (const auto &fault : faults) {
         printFault(err, path, lines, fault.pointer, fault.message);
     }
--- a/apps/medlarrackctl/tests/test_checks.cpp
+++ b/apps/medlarrackctl/tests/test_checks.cpp
@@ -7,6 +7,9 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace medlarrack;
 using namespace medlarrack::ctl;
@@ -132,9 +135,39 @@
     BOOST_TEST(result.err.find("/nonexistent/ticket.json: ") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(the_example_settings_are_valid)
+{
+    const std::vector<std::pair<std::string, std::string>> examples{{"agent", "agent.json"},
+                                                                    {"entry", "entry.json"},
+                                                                    {"gateway", "gateway.json"},
+                                                                    {"sidecar", "sidecar-engine.json"},
+                                                                    {"sidecar", "sidecar-service.json"}};
+    for (const auto &[program, file] : examples) {
+        std::ostringstream out;
+        std::ostringstream err;
+        BOOST_TEST(checkSettings(program, MEDLARRACK_EXAMPLES "/" + file, out, err) == daemon::exitOk, err.str());
+        BOOST_TEST(err.str() == "");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(settings_of_an_unknown_program_are_a_usage_error)
+{
+    const auto result = checkText("engine", "{}");
+    BOOST_TEST(result.code == daemon::exitUsage);
+    BOOST_TEST(result.err.find("expected agent, entry, gateway or sidecar, found \"engine\"") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_wrong_address_of_a_gateway_is_told_with_line_and_pointer)
+{
+    const auto result = checkText("gateway", "{\n  \"name\": \"gateway-0\",\n  \"callers\": \"127.0.0.1\"\n}");
+    BOOST_TEST(result.code == daemon::exitSettings);
+    BOOST_TEST(result.err.find(":3: /callers: '127.0.0.1' is no IPv4 address with a port") != std::string::npos,
+               result.err);
+}
+
 BOOST_AUTO_TEST_CASE(faults_of_settings_are_told_with_line_and_pointer)
 {
-    for (const char *program : {"entry", "sidecar"}) {
+    for (const char *program : {"agent", "entry", "gateway", "sidecar"}) {
         const auto result = checkText(program, "// settings\n{\n  \"no_such_key\": 1\n}\n");
         BOOST_TEST(result.code == daemon::exitSettings);
         BOOST_TEST(result.err.find(":3: /no_such_key: ") != std::string::npos, result.err);
