--- a/cmake/medlarrack_options.cmake
+++ b/cmake/medlarrack_options.cmake
@@ -20,7 +20,7 @@
 # One of: empty, "address,undefined", "thread".
 set(MEDLARRACK_SANITIZE "" CACHE STRING "sanitizers to build with")
 if(MEDLARRACK_SANITIZE)
-    # The address sanitizer's checks are optimized at twice the time of compiling them.
+    # Optimizing the address sanitizer's checks would double the time of compiling.
     if(MEDLARRACK_SANITIZE STREQUAL "thread")
         set(sanitize_optimization -O1)
     else()
