--- a/cmake/medlarrack_targets.cmake
+++ b/cmake/medlarrack_targets.cmake
@@ -23,6 +23,14 @@
     target_compile_definitions(${ARG_NAME} PRIVATE MEDLARRACK_VERSION="${PROJECT_VERSION}")
 endfunction()
 
+# Optimizes what follows in this folder also for a sanitizer: the simulations of libs/once and libs/config, and what they
+# run through, take minutes otherwise.
+macro(medlarrack_optimize_with_sanitizers)
+    if(MEDLARRACK_SANITIZE)
+        add_compile_options(-O1)
+    endif()
+endmacro()
+
 # All test programs, and those of them that start threads: what the sanitizers look at.
 add_custom_target(medlarrack_tests)
 add_custom_target(medlarrack_thread_tests)
