--- a/faults/src/fault_matrix.cpp
+++ b/apps/medlarrack-faults/src/fault_matrix.cpp
@@ -175,7 +175,7 @@
 {
     std::string text =
         "# What is shown under which fault\n\n"
-        "Made by `build/bin/medlarrack-faults` from faults/src/fault_matrix.cpp; `test_fault_matrix` checks "
+        "Made by `build/bin/medlarrack-faults` from apps/medlarrack-faults; `test_fault_matrix` checks "
         "that each test\nnamed here exists and that this page is current. Real processes: [SOAK](SOAK.md), "
         "[BENCH](BENCH.md).\n";
     for (const promise &one : matrix) {
