--- a/apps/medlarrack-faults/src/fault_matrix.cpp
+++ b/apps/medlarrack-faults/src/fault_matrix.cpp
@@ -2,9 +2,7 @@
 
 namespace medlarrack::faults {
 
-namespace {
-
-const std::vector<promise> &matrix()
+std::span<const promise> promises()
 {
     static const std::vector<promise> all{
         {"A request that may run once runs at most once",
@@ -164,13 +162,6 @@
     return all;
 }
 
-} // namespace
-
-std::span<const promise> promises()
-{
-    return matrix();
-}
-
 std::string toMarkdown(std::span<const promise> matrix)
 {
     std::string text =
--- a/apps/medlarrackctl/src/check_settings.cpp
+++ b/apps/medlarrackctl/src/check_settings.cpp
@@ -6,6 +6,7 @@
 #include <medlarrack/daemon/command_line.hpp>
 #include <medlarrack/entry/entry_settings.hpp>
 #include <medlarrack/gateway/gateway_settings.hpp>
+#include <medlarrack/settings/document.hpp>
 #include <medlarrack/sidecar/sidecar_settings.hpp>
 
 #include <algorithm>
@@ -16,24 +17,24 @@
 
 namespace {
 
-/// A program and whether a file holds its settings; faults say why not.
+/// A program and whether a document holds its settings; faults say why not.
 struct checked_program
 {
     std::string_view name;
-    bool (*holdsSettings)(const std::string &path, settings::fault_list &faults);
+    bool (*holdsSettings)(const nlohmann::json &root, settings::fault_list &faults);
 };
 
-template<auto load>
-bool holdsSettings(const std::string &path, settings::fault_list &faults)
+template<auto parse>
+bool holdsSettings(const nlohmann::json &root, settings::fault_list &faults)
 {
-    return load(path, faults).has_value();
+    return parse(root, faults).has_value();
 }
 
 constexpr std::array<checked_program, 4> programs{{
-    {"agent", &holdsSettings<&agent::loadSettings>},
-    {"entry", &holdsSettings<&entry::loadSettings>},
-    {"gateway", &holdsSettings<&gateway::loadSettings>},
-    {"sidecar", &holdsSettings<&sidecar::loadSettings>},
+    {"agent", &holdsSettings<&agent::parseSettings>},
+    {"entry", &holdsSettings<&entry::parseSettings>},
+    {"gateway", &holdsSettings<&gateway::parseSettings>},
+    {"sidecar", &holdsSettings<&sidecar::parseSettings>},
 }};
 
 } // namespace
@@ -55,7 +56,8 @@
         return daemon::exitSettings;
     }
     settings::fault_list faults;
-    const bool taken = found->holdsSettings(path, faults) && faults.empty();
+    const auto document = settings::document::parse(*text, faults);
+    const bool taken = document && found->holdsSettings(document->root(), faults) && faults.empty();
     for (const auto &fault : faults) {
         printFault(err, path, lines, fault.pointer, fault.message);
     }
--- a/libs/agent/src/agent_settings.cpp
+++ b/libs/agent/src/agent_settings.cpp
@@ -28,6 +28,11 @@
 
 } // namespace
 
+std::optional<agent_settings> parseSettings(const nlohmann::json &root, settings::fault_list &faults)
+{
+    return settings::readSettings<agent_settings>(root, faults, read);
+}
+
 std::optional<agent_settings> loadSettings(const std::string &path, settings::fault_list &faults)
 {
     return settings::loadSettings<agent_settings>(path, faults, read);
--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -2,6 +2,8 @@
 
 #include <medlarrack/settings/fault.hpp>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -34,7 +36,9 @@
     std::string logLevel = "info";
 };
 
-/// Reads the settings file; every fault found is added.
+/// Reads the settings from the root of their document; every fault found is added.
+[[nodiscard]] std::optional<gateway_settings> parseSettings(const nlohmann::json &root, settings::fault_list &faults);
+/// The same from a file.
 [[nodiscard]] std::optional<gateway_settings> loadSettings(const std::string &path, settings::fault_list &faults);
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -43,6 +43,11 @@
 
 } // namespace
 
+std::optional<gateway_settings> parseSettings(const nlohmann::json &root, settings::fault_list &faults)
+{
+    return settings::readSettings<gateway_settings>(root, faults, read);
+}
+
 std::optional<gateway_settings> loadSettings(const std::string &path, settings::fault_list &faults)
 {
     return settings::loadSettings<gateway_settings>(path, faults, read);
--- a/libs/link/src/message_codec.cpp
+++ b/libs/link/src/message_codec.cpp
@@ -57,18 +57,23 @@
     return std::tie(value.versions);
 }
 
+/// Those of a load stand among the fields of the message that holds it.
+auto loadFields(auto &load)
+{
+    return std::tie(load.running, load.queued, load.wanted, load.room, load.failing, load.unreadTokens);
+}
+
 auto fields(
     auto &value) requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, engine_status>
 {
-    return std::tie(value.engineUp, value.startedAtMs, value.models, value.adapters, value.load.running,
-                    value.load.queued, value.load.wanted, value.load.room, value.load.failing, value.load.unreadTokens);
+    return std::tuple_cat(std::tie(value.engineUp, value.startedAtMs, value.models, value.adapters),
+                          loadFields(value.load));
 }
 
 auto fields(
     auto &value) requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, engine_change>
 {
-    return std::tie(value.loaded, value.unloaded, value.load.running, value.load.queued, value.load.wanted,
-                    value.load.room, value.load.failing, value.load.unreadTokens);
+    return std::tuple_cat(std::tie(value.loaded, value.unloaded), loadFields(value.load));
 }
 
 using packer = msgpack::packer<msgpack::sbuffer>;
