Gateway: logs tell one content's repeats from another's, and count lost runs

Lines of a request now bear a fingerprint of its content, 'run lost' names each run that ended without an answer, 'request sent on' the time that was given, and retries are counted by service. No decision changed.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -48,6 +48,11 @@
     return status >= 200 && status < 300;
 }
 
+std::uint64_t fingerprintOf(const http1::message_head &head, std::string_view body)
+{
+    return core::hash64({head.method, head.value("Host"), head.target, body});
+}
+
 std::int64_t inMilliseconds(std::chrono::nanoseconds time)
 {
     return std::chrono::duration_cast<milliseconds>(time).count();
@@ -61,6 +66,7 @@
     , m_request(std::move(head))
     , m_requestBody(std::move(body))
     , m_facts(services.format.readRequest(m_request))
+    , m_fingerprint(fingerprintOf(m_request, m_requestBody))
     , m_startedAt(services.clock.now())
 {
 }
@@ -246,7 +252,8 @@
     m_firstByte = {};
     send_options options;
     options.replicaId = to->record.id;
-    options.timeLeft = std::max(milliseconds(1), timeLeft(now) - wayBack);
+    m_timeGiven = std::max(milliseconds(1), timeLeft(now) - wayBack);
+    options.timeLeft = m_timeGiven;
     options.urgency = m_route->priority;
     options.lastEventId = m_cutter.lastId();
     std::string request;
@@ -418,6 +425,9 @@
 void exchange::attemptFailed(attempt_end end, std::string_view why)
 {
     m_target->failed(end == attempt_end::not_run, m_services.clock.now());
+    if (end == attempt_end::unknown) {
+        runLost(why);
+    }
     if (mayTryAgain(*m_route, end, m_history) && m_services.budgetOf(m_service).tryRetry(m_services.clock.now())) {
         tryAgain(why);
         return;
@@ -431,16 +441,31 @@
     }
 }
 
+void exchange::runLost(std::string_view why)
+{
+    log::write(log::level::info, "run lost",
+               {{"request_id", m_facts.id},
+                {"fingerprint", m_fingerprint},
+                {"replica", m_target->record.id},
+                {"why", why},
+                {"ran_ms", inMilliseconds(m_services.clock.now() - m_sentAt)}});
+    m_services.metrics.count("medlarrack_gateway_lost_runs_total", "Runs that ended without their replica's answer",
+                             {.service = m_service});
+}
+
 void exchange::tryAgain(std::string_view why)
 {
     log::write(log::level::info, "request sent on",
                {{"request_id", m_facts.id},
+                {"fingerprint", m_fingerprint},
                 {"replica", m_target->record.id},
                 {"why", why},
                 {"runs", m_history.runs},
                 {"rejections", m_history.rejections},
+                {"time_given_ms", m_timeGiven.count()},
                 {"last_event", m_cutter.lastId()}});
-    m_services.metrics.count("medlarrack_gateway_retries_total", "Requests sent to another replica", {});
+    m_services.metrics.count("medlarrack_gateway_retries_total", "Requests sent to another replica",
+                             {.service = m_service});
     release();
     next();
 }
@@ -478,6 +503,7 @@
         return;
     }
     if (now >= m_deadline + deadlineGrace) {
+        runLost("no whole answer by the deadline");
         dropConnection();
         release();
         constexpr int gatewayTimeout = 504;
@@ -487,9 +513,11 @@
     const auto patience = m_headSent ? gapPatience(*m_route) : answerPatience(*m_route);
     if (now - m_lastBytesAt >= patience && !m_paused && now < m_deadline
         && mayTryAgain(*m_route, attempt_end::unknown, m_history) && m_services.budgetOf(m_service).tryRetry(now)) {
+        constexpr std::string_view silent = "no answer for longer than is usual";
         m_target->failed(false, now);
+        runLost(silent);
         dropConnection();
-        tryAgain("no answer for longer than is usual");
+        tryAgain(silent);
     }
 }
 
@@ -539,6 +567,7 @@
     const core::monotonic_time now = m_services.clock.now();
     log::write(log::level::info, "request ended",
                {{"request_id", m_facts.id},
+                {"fingerprint", m_fingerprint},
                 {"route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view()},
                 {"adapter", m_facts.adapter},
                 {"replica", m_targetId},
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -61,6 +61,8 @@
     void completeStream();
     void rejected();
     void attemptFailed(attempt_end end, std::string_view why);
+    /// A run ended without the replica's answer: it may have crashed.
+    void runLost(std::string_view why);
     void tryAgain(std::string_view why);
     void deliver();
     /// Passes on a failure that was held; false if there is none.
@@ -82,6 +84,8 @@
     http1::message_head m_request;
     std::string m_requestBody;
     request_facts m_facts;
+    /// Of its content: a caller's retry has another id and the same fingerprint.
+    std::uint64_t m_fingerprint;
     std::shared_ptr<const catalog::route> m_route;
     std::string m_service;
     const core::monotonic_time m_startedAt;
@@ -95,6 +99,8 @@
     std::chrono::nanoseconds m_statusAge{0};
     connection_ptr m_connection;
     core::monotonic_time m_sentAt{};
+    /// Time that the replica was given.
+    std::chrono::milliseconds m_timeGiven{0};
     /// Until when the request may be held for its adapter, at whichever engines, or for an engine.
     core::monotonic_time m_waitEnd{};
     /// When a held request is looked at again.
--- a/libs/metrics/include/medlarrack/metrics/registry.hpp
+++ b/libs/metrics/include/medlarrack/metrics/registry.hpp
@@ -15,6 +15,8 @@
     std::string operatorName;
     /// Outcome or code, or empty.
     std::string code;
+    /// Service of the published state, or empty.
+    std::string service;
 };
 
 /// The metrics of one process, kept by prometheus-cpp. Thread-safe. A series appears at its first use.
--- a/libs/metrics/src/registry.cpp
+++ b/libs/metrics/src/registry.cpp
@@ -56,6 +56,9 @@
         if (!where.code.empty()) {
             named.emplace("code", where.code);
         }
+        if (!where.service.empty()) {
+            named.emplace("service", where.service);
+        }
         return named;
     }
 
