--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -8,6 +8,7 @@
 #include <medlarrack/link/link_connection.hpp>
 #include <medlarrack/log/log.hpp>
 #include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/suspects/suspect_table.hpp>
 
 #include <asio/ip/address_v4.hpp>
 #include <asio/ip/tcp.hpp>
@@ -190,6 +191,8 @@
                       static_cast<double>(keeper.waiting()));
         metrics.gauge("medlarrack_agent_failing_share", "Share of recent requests that failed", {},
                       failures.share(clock.now()));
+        metrics.gauge("medlarrack_agent_suspects", "Requests known to have crashed replicas", {},
+                      static_cast<double>(suspects.size()));
         metrics.gauge("medlarrack_agent_requests", "Requests running and queued at the engine", {},
                       report.running + report.queued);
         return {ok, "text/plain; version=0.0.4", metrics.text()};
@@ -226,6 +229,9 @@
         added->connection->start();
         // Changes build on what was published last.
         added->connection->send(published);
+        if (const core::crash_news known = {suspects.records(clock.now()), {}}; !known.empty()) {
+            added->connection->send(link::crash_report{known});
+        }
     }
 
     void loseLink(gateway_link &lost, std::string_view why)
@@ -295,6 +301,26 @@
         work();
     }
 
+    /// Gateways don't know of each other: agents pass on what one tells, and keep it for gateways that start anew.
+    void take(gateway_link &from, const link::crash_report &report)
+    {
+        const core::crash_news news = suspects.merge(report.news, clock.now());
+        if (news.empty()) {
+            return;
+        }
+        log::write(log::level::info, "crash news passed on",
+                   {{"from", from.name},
+                    {"crashes", static_cast<std::uint64_t>(news.crashes.size())},
+                    {"acquittals", static_cast<std::uint64_t>(news.acquittals.size())},
+                    {"suspects", static_cast<std::uint64_t>(suspects.size())}});
+        const std::string text = link::encode(link::crash_report{news});
+        for (gateway_link &one : links) {
+            if (!one.lost && &one != &from) {
+                one.connection->sendEncoded(text);
+            }
+        }
+    }
+
     // Only agents send these two; a gateway that does is harmless.
     void take(gateway_link &, const link::engine_status &)
     {
@@ -443,6 +469,7 @@
     metrics::registry metrics;
     slot_keeper keeper;
     failure_share failures;
+    suspects::suspect_table suspects{suspects::sharedLimits};
     fencing fence;
     std::list<gateway_link> links;
     link::engine_status published;
--- a/libs/gateway/include/medlarrack/gateway/return_advice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/return_advice.hpp
@@ -10,6 +10,8 @@
 
 /// What a request is refused for.
 enum class refusal_cause {
+    /// It crashes the replicas that run it.
+    crashes_replicas,
     /// No published state is known yet.
     starting,
     /// No replica of the service can take it.
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -1,5 +1,6 @@
 #include "agent_links.hpp"
 
+#include <medlarrack/core/hash.hpp>
 #include <medlarrack/log/log.hpp>
 
 #include <asio/ip/address_v4.hpp>
@@ -16,6 +17,8 @@
 constexpr std::chrono::milliseconds reconnectPause{250};
 /// Three heartbeats of an agent.
 constexpr std::chrono::milliseconds silenceLimit{1'500};
+/// Agents that are told of crashes: one of them passes them on though two are lost with their data centres.
+constexpr std::size_t agentsTold = 3;
 /// Change of the requests for one adapter that is told though the adapters are the same.
 constexpr std::uint32_t notableCountChange = 4;
 
@@ -44,7 +47,7 @@
 } // namespace
 
 agent_links::agent_links(asio::io_context &context, const core::clock &clock, std::string name, std::uint16_t agentPort,
-                         replica_table &replicas, const catalog::route_table &routes,
+                         replica_table &replicas, const catalog::route_table &routes, suspects::crash_watch &crashes,
                          std::function<void(const replica_ptr &)> onStatus)
     : m_context(context)
     , m_clock(clock)
@@ -52,6 +55,7 @@
     , m_agentPort(agentPort)
     , m_replicas(replicas)
     , m_routes(routes)
+    , m_crashes(crashes)
     , m_onStatus(std::move(onStatus))
 {
 }
@@ -76,6 +80,43 @@
     return true;
 }
 
+void agent_links::tell(const core::crash_news &news)
+{
+    if (news.empty()) {
+        return;
+    }
+    // The same agents for all gateways as long as these see the same ones; which they are doesn't matter.
+    std::vector<std::pair<std::uint64_t, link::link_connection *>> linked;
+    for (const auto &[id, one] : m_links) {
+        if (one.connected) {
+            linked.emplace_back(core::hash64(id), one.connection.get());
+        }
+    }
+    const std::size_t told = std::min(agentsTold, linked.size());
+    std::partial_sort(linked.begin(), linked.begin() + static_cast<std::ptrdiff_t>(told), linked.end());
+    const std::string text = link::encode(link::crash_report{news});
+    for (std::size_t index = 0; index < told; ++index) {
+        linked[index].second->sendEncoded(text);
+    }
+    log::write(log::level::info, "crash news told",
+               {{"crashes", static_cast<std::uint64_t>(news.crashes.size())},
+                {"acquittals", static_cast<std::uint64_t>(news.acquittals.size())},
+                {"agents", static_cast<std::uint64_t>(told)}});
+}
+
+void agent_links::takeNews(const std::string &from, const core::crash_news &told)
+{
+    const core::monotonic_time now = m_clock.now();
+    for (const core::crash_record &one : m_crashes.merge(told, now).crashes) {
+        log::write(log::level::info, "crash told by another gateway",
+                   {{"fingerprint", one.fingerprint},
+                    {"age_ms", one.age.count()},
+                    {"ran_ms", one.ran.count()},
+                    {"by_agent", from},
+                    {"refused", m_crashes.standingOf(one.fingerprint, now) == suspects::standing::refused}});
+    }
+}
+
 void agent_links::tick()
 {
     const core::monotonic_time now = m_clock.now();
@@ -133,6 +174,9 @@
     found->second.heardAt = now;
     if (const auto *status = std::get_if<link::engine_status>(&message)) {
         const bool sameStart = known->agent && known->agent->startedAtMs == status->startedAtMs;
+        if (known->agent && known->agent->engineUp && (!sameStart || !status->engineUp)) {
+            m_crashes.targetEnded(id, now);
+        }
         recent_adapters recent = sameStart ? std::move(known->agent->recent) : recent_adapters();
         for (const auto &[adapter, version] : status->adapters) {
             recent.add(adapter);
@@ -143,6 +187,10 @@
         if (!found->second.connected) {
             found->second.connected = true;
             log::write(log::level::info, "agent link made", {{"replica", id}});
+            // The agent may have started anew.
+            if (const core::crash_news all = m_crashes.all(now); !all.empty()) {
+                found->second.connection->send(link::crash_report{all});
+            }
             feed(*known, found->second);
         }
     } else if (const auto *change = std::get_if<link::engine_change>(&message); change != nullptr && known->agent) {
@@ -163,6 +211,9 @@
         known->agent->othersUnread =
             change->load.unreadTokens - std::min(change->load.unreadTokens, found->second.toldUnread);
         known->agent->at = now;
+    } else if (const auto *report = std::get_if<link::crash_report>(&message)) {
+        takeNews(id, report->news);
+        return;
     } else {
         return;
     }
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -4,6 +4,7 @@
 #include <medlarrack/core/clock.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/link/link_connection.hpp>
+#include <medlarrack/suspects/crash_watch.hpp>
 
 #include <asio/io_context.hpp>
 
@@ -22,12 +23,14 @@
 public:
     /// All references must outlive the links. The handler is called after each change of what is known of an engine.
     agent_links(asio::io_context &context, const core::clock &clock, std::string name, std::uint16_t agentPort,
-                replica_table &replicas, const catalog::route_table &routes,
+                replica_table &replicas, const catalog::route_table &routes, suspects::crash_watch &crashes,
                 std::function<void(const replica_ptr &)> onStatus);
     ~agent_links();
 
     /// Asks for an adapter at an engine. False if its agent isn't reached.
     bool want(const replica_ptr &at, std::string_view adapter);
+    /// Tells other gateways, by way of some agents.
+    void tell(const core::crash_news &news);
     /// Makes, drops and feeds links; called at a steady pace.
     void tick();
 
@@ -46,6 +49,7 @@
 
     void open(const replica_ptr &to, agent_link &one);
     void take(const std::string &id, const link::message &message);
+    void takeNews(const std::string &from, const core::crash_news &told);
     void lose(const std::string &id, std::string_view why);
     void feed(replica &of, agent_link &one);
 
@@ -55,6 +59,7 @@
     std::uint16_t m_agentPort;
     replica_table &m_replicas;
     const catalog::route_table &m_routes;
+    suspects::crash_watch &m_crashes;
     std::function<void(const replica_ptr &)> m_onStatus;
     std::map<std::string, agent_link, std::less<>> m_links;
 };
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -151,6 +151,9 @@
         }
         return;
     }
+    if (refuseCrashing()) {
+        return;
+    }
     const catalog::service *service = m_services.routes.findService(m_service);
     const bool hasEngine = service != nullptr && service->engine && !m_facts.model.empty();
     choice_query asked;
@@ -222,7 +225,9 @@
     m_waiting = false;
     const replica_ptr target = m_target;
     release();
-    send(target);
+    if (!refuseCrashing()) {
+        send(target);
+    }
 }
 
 void exchange::engineLost()
@@ -246,6 +251,7 @@
     m_tried.push_back(to->record.id);
     m_connection = m_services.connections.take(*to, catalog::mayRunAgain(*m_route) ? idleForAny : idleForOnce);
     m_sentAt = now;
+    m_targetStart = to->agent ? to->agent->startedAtMs : to->record.startedAtMs;
     m_lastBytesAt = now;
     m_answerBody.clear();
     m_unfinishedEvent = 0;
@@ -271,6 +277,7 @@
         return http1::head_verdict::skip;
     }
     const core::monotonic_time now = m_services.clock.now();
+    m_services.crashes.targetAnswered(m_targetId, m_sentAt);
     m_firstByte = now - m_sentAt;
     m_lastBytesAt = now;
     if (facts.load) {
@@ -382,6 +389,7 @@
     if (m_caller->takesChunks()) {
         m_caller->write("0\r\n\r\n");
     }
+    m_services.crashes.answered(m_fingerprint, m_services.clock.now());
     finish("ran", m_answer.status, m_choiceWhy);
 }
 
@@ -416,6 +424,7 @@
     m_connection = nullptr;
     const bool notSent = progress == http1::call_progress::not_sent;
     if (notSent) {
+        m_services.crashes.targetEnded(m_targetId, m_services.clock.now());
         --m_history.runs;
         ++m_history.rejections;
     }
@@ -426,7 +435,7 @@
 {
     m_target->failed(end == attempt_end::not_run, m_services.clock.now());
     if (end == attempt_end::unknown) {
-        runLost(why);
+        runLost(why, true);
     }
     if (mayTryAgain(*m_route, end, m_history) && m_services.budgetOf(m_service).tryRetry(m_services.clock.now())) {
         tryAgain(why);
@@ -441,8 +450,21 @@
     }
 }
 
-void exchange::runLost(std::string_view why)
+bool exchange::refuseCrashing()
+{
+    if (m_services.crashes.standingOf(m_fingerprint, m_services.clock.now()) != suspects::standing::refused) {
+        return false;
+    }
+    m_services.metrics.count("medlarrack_gateway_crashing_requests_total",
+                             "Requests not sent because they crash replicas", {.service = m_service});
+    refuse(refusal_cause::crashes_replicas, "suspected_crash", "the request crashed the replicas that ran it");
+    return true;
+}
+
+void exchange::runLost(std::string_view why, bool disconnected)
 {
+    m_services.crashes.runLost({m_fingerprint, {m_targetId, m_targetStart}, m_sentAt, disconnected},
+                               m_services.clock.now());
     log::write(log::level::info, "run lost",
                {{"request_id", m_facts.id},
                 {"fingerprint", m_fingerprint},
@@ -474,6 +496,10 @@
 {
     m_caller = nullptr;
     if (!m_done) {
+        if (m_connection != nullptr) {
+            m_services.crashes.runLost({m_fingerprint, {m_targetId, m_targetStart}, m_sentAt, false},
+                                       m_services.clock.now());
+        }
         finish("caller_gone", 0, m_connection == nullptr ? "while it waited" : "while it ran");
     }
 }
@@ -503,7 +529,7 @@
         return;
     }
     if (now >= m_deadline + deadlineGrace) {
-        runLost("no whole answer by the deadline");
+        runLost("no whole answer by the deadline", false);
         dropConnection();
         release();
         constexpr int gatewayTimeout = 504;
@@ -515,7 +541,7 @@
         && mayTryAgain(*m_route, attempt_end::unknown, m_history) && m_services.budgetOf(m_service).tryRetry(now)) {
         constexpr std::string_view silent = "no answer for longer than is usual";
         m_target->failed(false, now);
-        runLost(silent);
+        runLost(silent, false);
         dropConnection();
         tryAgain(silent);
     }
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -62,7 +62,9 @@
     void rejected();
     void attemptFailed(attempt_end end, std::string_view why);
     /// A run ended without the replica's answer: it may have crashed.
-    void runLost(std::string_view why);
+    void runLost(std::string_view why, bool disconnected);
+    /// Refuses the request if it crashes the replicas that run it.
+    bool refuseCrashing();
     void tryAgain(std::string_view why);
     void deliver();
     /// Passes on a failure that was held; false if there is none.
@@ -95,6 +97,8 @@
     replica_ptr m_target;
     /// Its id, also after it was left.
     std::string m_targetId;
+    /// When it was started, in Unix milliseconds, as known when the request was sent there.
+    std::uint64_t m_targetStart = 0;
     /// Age of what its agent had said when it was chosen.
     std::chrono::nanoseconds m_statusAge{0};
     connection_ptr m_connection;
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -12,6 +12,7 @@
 #include <medlarrack/gateway/returning_callers.hpp>
 #include <medlarrack/metrics/registry.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
+#include <medlarrack/suspects/crash_watch.hpp>
 
 #include <chrono>
 #include <functional>
@@ -32,6 +33,7 @@
     adapter_waiters &waiters;
     adapter_demand &demand;
     returning_callers &returning;
+    suspects::crash_watch &crashes;
     metrics::registry &metrics;
     /// The retry budget of a service.
     std::function<overload::retry_budget &(std::string_view service)> budgetOf;
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -9,6 +9,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace medlarrack::gateway {
@@ -47,7 +48,7 @@
         , clock(time)
         , replicas(given.dataCentre)
         , connections(owner, time)
-        , agents(owner, time, given.name, given.agentPort, replicas, routes,
+        , agents(owner, time, given.name, given.agentPort, replicas, routes, crashes,
                  [this](const replica_ptr &changed) {
                      waiters.engineChanged(replicas, *changed);
                  })
@@ -61,6 +62,7 @@
                    waiters,
                    demand,
                    returning,
+                   crashes,
                    metrics,
                    [this](std::string_view service) -> overload::retry_budget & {
                        return budgetOf(service);
@@ -183,6 +185,7 @@
         replicas.expire(now);
         callers.tick(now);
         agents.tick();
+        judgeLostRuns(now);
         if (now >= trimAt) {
             trimAt = now + trimInterval;
             connections.trim();
@@ -202,6 +205,33 @@
         });
     }
 
+    void judgeLostRuns(core::monotonic_time now)
+    {
+        crashes.settle(now, [this](const core::instance_ref &target) {
+            return lives(target);
+        });
+        for (const suspects::believed_crash &one : crashes.takeBelieved()) {
+            log::write(log::level::info, "run crashed its replica",
+                       {{"fingerprint", one.fingerprint},
+                        {"replica", one.target},
+                        {"ran_ms", std::chrono::duration_cast<milliseconds>(one.ran).count()},
+                        {"why", one.why},
+                        {"crashes", static_cast<std::uint64_t>(one.crashes)}});
+        }
+        agents.tell(crashes.takeNews(now));
+    }
+
+    /// Whether a replica is known to run as the same incarnation. Only agents tell that.
+    [[nodiscard]] std::optional<bool> lives(const core::instance_ref &target) const
+    {
+        const replica_ptr known = replicas.find(target.id);
+        // An agent that has just started knows no start of its engine yet.
+        if (known == nullptr || !known->agent || known->agent->startedAtMs == 0) {
+            return std::nullopt;
+        }
+        return known->agent->engineUp && known->agent->startedAtMs == target.incarnation;
+    }
+
     void drain(std::function<void()> onDone)
     {
         draining = true;
@@ -240,6 +270,8 @@
                           static_cast<double>(routes.version()));
             metrics.gauge("medlarrack_gateway_replicas", "Replicas listed", {},
                           static_cast<double>(replicas.all().size()));
+            metrics.gauge("medlarrack_gateway_suspects", "Requests known to have crashed replicas", {},
+                          static_cast<double>(crashes.size()));
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callers.busy()));
             return {ok, "text/plain; version=0.0.4", metrics.text()};
@@ -257,6 +289,7 @@
     adapter_waiters waiters;
     adapter_demand demand;
     returning_callers returning;
+    suspects::crash_watch crashes;
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> budgets;
--- a/libs/gateway/src/return_advice.cpp
+++ b/libs/gateway/src/return_advice.cpp
@@ -1,4 +1,5 @@
 #include <medlarrack/gateway/return_advice.hpp>
+#include <medlarrack/suspects/suspect_table.hpp>
 
 #include <algorithm>
 
@@ -44,6 +45,8 @@
 milliseconds expectedTime(refusal_cause cause, const replica_table &table, std::string_view service)
 {
     switch (cause) {
+    case refusal_cause::crashes_replicas:
+        return suspects::sharedLimits.fadeAfter;
     case refusal_cause::starting:
         return startTime;
     case refusal_cause::no_replica:
--- a/libs/link/include/medlarrack/link/messages.hpp
+++ b/libs/link/include/medlarrack/link/messages.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <medlarrack/core/crash_record.hpp>
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -13,7 +15,7 @@
 struct greeting
 {
     /// Version of these messages; a peer of another one is refused.
-    std::uint32_t protocol = 2;
+    std::uint32_t protocol = 3;
     std::string name;
 };
 
@@ -95,8 +97,14 @@
     engine_load load;
 };
 
+/// Requests that crash targets, both ways: a gateway tells what it saw, agents pass on to all gateways what is new.
+struct crash_report
+{
+    core::crash_news news;
+};
+
 /// Any message of a link.
 using message = std::variant<greeting, load_request, adapters_in_use, service_facts, adapter_releases, engine_status,
-                             engine_change>;
+                             engine_change, crash_report>;
 
 } // namespace medlarrack::link
--- a/libs/link/src/message_codec.cpp
+++ b/libs/link/src/message_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <cstring>
 #include <tuple>
 
@@ -19,6 +21,8 @@
 constexpr std::size_t maxTextBytes = 4'096;
 /// A message holds a list of models, each a list of fields.
 constexpr std::size_t maxDepth = 4;
+/// Longest duration that is told; what is older is forgotten anyway.
+constexpr std::chrono::milliseconds longestDuration{86'400'000};
 
 // Each message as a tuple of its fields: the form in which it is written and read.
 
@@ -76,6 +80,16 @@
     return std::tuple_cat(std::tie(value.loaded, value.unloaded), loadFields(value.load));
 }
 
+auto fields(
+    auto &value) requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, crash_report>
+{
+    return std::tie(value.news.crashes, value.news.acquittals);
+}
+
+/// Durations go as whole milliseconds.
+using crash_fields = std::tuple<std::uint64_t, std::uint64_t, std::int64_t, std::int64_t>;
+using acquittal_fields = std::tuple<std::uint64_t, std::int64_t>;
+
 using packer = msgpack::packer<msgpack::sbuffer>;
 
 void packField(packer &out, const auto &value)
@@ -91,6 +105,22 @@
     }
 }
 
+void packField(packer &out, const std::vector<core::crash_record> &crashes)
+{
+    out.pack_array(static_cast<std::uint32_t>(crashes.size()));
+    for (const core::crash_record &one : crashes) {
+        out.pack(crash_fields(one.fingerprint, one.target, one.age.count(), one.ran.count()));
+    }
+}
+
+void packField(packer &out, const std::vector<core::acquittal> &acquittals)
+{
+    out.pack_array(static_cast<std::uint32_t>(acquittals.size()));
+    for (const core::acquittal &one : acquittals) {
+        out.pack(acquittal_fields(one.fingerprint, one.age.count()));
+    }
+}
+
 void readField(const msgpack::object &from, auto &value)
 {
     from.convert(value);
@@ -106,6 +136,26 @@
     }
 }
 
+/// A duration that a peer tells; one out of range would overflow where it is reckoned with.
+std::chrono::milliseconds readDuration(std::int64_t milliseconds)
+{
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, longestDuration.count()));
+}
+
+void readField(const msgpack::object &from, std::vector<core::crash_record> &crashes)
+{
+    for (const auto &[fingerprint, target, age, ran] : from.as<std::vector<crash_fields>>()) {
+        crashes.push_back({fingerprint, target, readDuration(age), readDuration(ran)});
+    }
+}
+
+void readField(const msgpack::object &from, std::vector<core::acquittal> &acquittals)
+{
+    for (const auto &[fingerprint, age] : from.as<std::vector<acquittal_fields>>()) {
+        acquittals.push_back({fingerprint, readDuration(age)});
+    }
+}
+
 template<std::size_t Index = 0>
 std::optional<message> readBody(std::size_t index, std::span<const msgpack::object> items)
 {
--- a/libs/link/tests/test_message_codec.cpp
+++ b/libs/link/tests/test_message_codec.cpp
@@ -6,6 +6,7 @@
 
 using namespace medlarrack;
 using namespace medlarrack::link;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -17,7 +18,8 @@
             service_facts{7, "llm", {{"m", 72'700, 66}}, 75'200, 15},
             adapter_releases{{{"m/a1", 3}}},
             engine_status{true, 77, {"m"}, {{"m/a1", 2}}, 12, 1, 4, 2, 30, 9'190},
-            engine_change{{{"m/a2", 1}}, {"m/a1"}, 3, 0, 1, 3, 40, 646}};
+            engine_change{{{"m/a2", 1}}, {"m/a1"}, 3, 0, 1, 3, 40, 646},
+            crash_report{{{{0xfeed, 0xbeef, 1'200ms, 30ms}, {2, 3, 0ms, 0ms}}, {{0xfeed, 5ms}}}}};
 }
 
 std::vector<message> decodeAll(message_decoder &decoder)
@@ -56,6 +58,21 @@
     }
     BOOST_TEST(std::get<service_facts>(decoded[3]).models.at(0).name == "m");
     BOOST_TEST(std::get<engine_status>(decoded[5]).adapters.at("m/a1") == 2U);
+    BOOST_TEST(std::get<crash_report>(decoded[7]).news.crashes.at(0).ran.count() == 30);
+}
+
+BOOST_AUTO_TEST_CASE(durations_out_of_range_are_cut)
+{
+    message_decoder decoder;
+    core::reason why;
+    const auto most = std::chrono::milliseconds::max();
+    decoder.feed(encode(crash_report{{{{1, 2, most, -5ms}}, {{1, most}}}}));
+    const auto read = decoder.next(why);
+    BOOST_REQUIRE(read.has_value());
+    const core::crash_news &news = std::get<crash_report>(*read).news;
+    BOOST_TEST(news.crashes.at(0).age.count() == 86'400'000);
+    BOOST_TEST(news.crashes.at(0).ran.count() == 0);
+    BOOST_TEST(news.acquittals.at(0).age.count() == 86'400'000);
 }
 
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_end_the_decoding)
--- /dev/null
+++ b/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <medlarrack/core/clock.hpp>
+#include <medlarrack/core/crash_record.hpp>
+#include <medlarrack/core/instance_ref.hpp>
+#include <medlarrack/suspects/suspect_table.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace medlarrack::suspects {
+
+/// A run that ended without an answer.
+struct lost_run
+{
+    std::uint64_t fingerprint = 0;
+    core::instance_ref target;
+    core::monotonic_time startedAt{};
+    /// The target ended the connection. Otherwise it was silent, or nobody waited any longer.
+    bool disconnected = false;
+};
+
+/// A crash that is believed now.
+struct believed_crash
+{
+    std::uint64_t fingerprint = 0;
+    std::string target;
+    std::chrono::nanoseconds ran{0};
+    /// What shows it.
+    std::string_view why;
+    /// Crashes of the request that are known with this one.
+    std::size_t crashes = 0;
+};
+
+/// Decides which lost runs ended because their target crashed, and what to tell other processes of that. A run is lost
+/// in many ways; it speaks against its request only if the target has gone. Answers the pattern of one request that
+/// crashes each target that runs it and whose caller comes again anywhere, beside many that were merely there; also of
+/// one content that many callers send, which runs on each target that crashes and is answered all the while. Not
+/// thread-safe.
+class crash_watch
+{
+public:
+    explicit crash_watch(suspect_limits limits = sharedLimits);
+
+    /// How a request is to be treated now. Lost runs of which nothing more is known yet count as crashes.
+    [[nodiscard]] standing standingOf(std::uint64_t fingerprint, core::monotonic_time now) const;
+
+    void runLost(const lost_run &run, core::monotonic_time now);
+    /// A target answered something that was sent to it at a time.
+    void targetAnswered(std::string_view id, core::monotonic_time sentAt);
+    /// A target is known to have ended about now.
+    void targetEnded(std::string_view id, core::monotonic_time now);
+    /// A run of a request ended with an answer.
+    void answered(std::uint64_t fingerprint, core::monotonic_time now);
+
+    /// Judges lost runs of which nothing was heard for the time in which a living target shows itself. `lives` says
+    /// whether a target is known to run as the same incarnation; nothing if it isn't known.
+    void settle(core::monotonic_time now, const std::function<std::optional<bool>(const core::instance_ref &)> &lives);
+
+    /// Crashes believed since the last call.
+    [[nodiscard]] std::vector<believed_crash> takeBelieved();
+    /// What others are to be told since the last call.
+    [[nodiscard]] core::crash_news takeNews(core::monotonic_time now);
+    /// All that is known, for a process that has just been met.
+    [[nodiscard]] core::crash_news all(core::monotonic_time now) const;
+    /// Takes what another process told; returns what of that was new.
+    core::crash_news merge(const core::crash_news &told, core::monotonic_time now);
+
+    /// Fingerprints kept.
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    struct open_run
+    {
+        lost_run run;
+        core::monotonic_time lostAt{};
+    };
+
+    struct answer
+    {
+        std::uint64_t fingerprint = 0;
+        core::monotonic_time at{};
+    };
+
+    struct untold_crash
+    {
+        std::uint64_t fingerprint = 0;
+        crash what;
+    };
+
+    void believe(const open_run &run, std::string_view why, core::monotonic_time now);
+    void close(const open_run &run);
+    void remember(const answer &given);
+    /// Whether a request had an answer after a time, as far as remembered.
+    [[nodiscard]] bool answeredSince(std::uint64_t fingerprint, core::monotonic_time since) const;
+    /// Removes the open runs of a target that a condition holds for, and hands them over.
+    std::vector<open_run> take(std::string_view target, const std::function<bool(const open_run &)> &condition);
+
+    suspect_limits m_limits;
+    suspect_table m_table;
+    /// By target.
+    std::map<std::string, std::vector<open_run>, std::less<>> m_open;
+    std::unordered_map<std::uint64_t, std::size_t> m_openRuns;
+    std::size_t m_openCount = 0;
+    /// When targets were known to have ended, as long as runs there may yet be found lost.
+    std::map<std::string, core::monotonic_time, std::less<>> m_ended;
+    std::vector<believed_crash> m_believed;
+    std::vector<untold_crash> m_untold;
+    /// Requests answered lately, by when; and the same in the order of the answers.
+    std::unordered_map<std::uint64_t, core::monotonic_time> m_answered;
+    std::deque<answer> m_answers;
+    std::vector<answer> m_acquitted;
+};
+
+} // namespace medlarrack::suspects
--- a/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
+++ b/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <medlarrack/core/clock.hpp>
+#include <medlarrack/core/crash_record.hpp>
 #include <medlarrack/core/instance_ref.hpp>
 
 #include <chrono>
@@ -23,23 +24,18 @@
     refused,
 };
 
-/// A crash of a target, in a form that can be passed on: durations hold between processes, monotonic times don't.
-struct crash_record
+/// A crash of a target during a run of a request.
+struct crash
 {
     /// Hash of the target's instance and incarnation.
     std::uint64_t target = 0;
-    /// Time since the crash.
-    std::chrono::milliseconds age{0};
+    core::monotonic_time at{};
+    /// For how long the request had run.
+    std::chrono::nanoseconds ran{0};
 };
 
-/// What is known of one fingerprint, in a form that can be passed on to another process.
-struct suspect_record
-{
-    /// Hash of operator, adapter and body.
-    std::uint64_t fingerprint = 0;
-    /// Crashes of targets during a run of the request.
-    std::vector<crash_record> crashes;
-};
+/// Hash of a target's instance and incarnation.
+[[nodiscard]] std::uint64_t targetHash(const core::instance_ref &target);
 
 /// Bounds of a suspect table.
 struct suspect_limits
@@ -52,9 +48,17 @@
     std::size_t maxFingerprints = 4096;
     /// Crashes of one target closer to each other than this are one crash, told by several.
     std::chrono::milliseconds sameCrash{3'000};
+    /// A run that began this much before another crash may be one that followed it: clocks of processes differ by the
+    /// way of a message.
+    std::chrono::milliseconds overlap{50};
 };
 
-/// Remembers which requests ran on targets when those crashed. Not thread-safe.
+/// Limits of processes that share what they know. Two lost runs of one request also come by chance while replicas go
+/// down and up by turns, and a command that is refused wrongly is refused everywhere.
+inline constexpr suspect_limits sharedLimits{.crashesToRefuse = 3};
+
+/// Remembers which requests ran on targets when those crashed. Only runs that began after the crash before count:
+/// copies of one request that run everywhere when many targets go at once speak against none of them. Not thread-safe.
 class suspect_table
 {
 public:
@@ -64,27 +68,30 @@
     [[nodiscard]] standing standingOf(std::uint64_t fingerprint, core::monotonic_time now) const;
     /// Number of targets that the request is known to have crashed and that isn't forgotten yet.
     [[nodiscard]] std::size_t crashes(std::uint64_t fingerprint, core::monotonic_time now) const;
+    /// The same if these, which aren't certain, were crashes too.
+    [[nodiscard]] std::size_t crashesWith(std::uint64_t fingerprint, std::span<const crash> possible,
+                                          core::monotonic_time now) const;
 
-    /// A target crashed while the request ran there. The same crash told twice counts once.
-    void crashed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now);
+    /// A target crashed while the request ran there. The same crash told twice counts once. Says whether it counts.
+    bool crashed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now,
+                 std::chrono::nanoseconds ran = {});
     /// A run of the request ended with an answer: the suspicion was wrong and is dropped, unless it is refused already.
-    void answered(std::uint64_t fingerprint, core::monotonic_time now);
+    /// Says whether there was one.
+    bool answered(std::uint64_t fingerprint, core::monotonic_time now);
+
+    /// A run of the request ended with an answer at a time: crashes up to then don't speak against it, also if it is
+    /// refused by now. Says whether there were any.
+    bool acquit(std::uint64_t fingerprint, core::monotonic_time answeredAt, core::monotonic_time now);
 
     /// What is known now, for passing on.
-    [[nodiscard]] std::vector<suspect_record> records(core::monotonic_time now) const;
-    /// Adds what another process knows; crashes known already count once.
-    void merge(std::span<const suspect_record> others, core::monotonic_time now);
+    [[nodiscard]] std::vector<core::crash_record> records(core::monotonic_time now) const;
+    /// Adds what another process knows, and returns what of that was new; crashes known already count once.
+    core::crash_news merge(const core::crash_news &told, core::monotonic_time now);
 
     /// Fingerprints kept.
     [[nodiscard]] std::size_t size() const;
 
 private:
-    struct crash
-    {
-        std::uint64_t target = 0;
-        core::monotonic_time at{};
-    };
-
     struct entry
     {
         std::vector<crash> crashes;
@@ -93,8 +100,10 @@
 
     [[nodiscard]] const entry *find(std::uint64_t fingerprint, core::monotonic_time now) const;
     entry &findOrAdd(std::uint64_t fingerprint, core::monotonic_time now);
-    void addCrash(entry &to, crash added) const;
+    bool add(std::uint64_t fingerprint, const crash &added, core::monotonic_time now);
     [[nodiscard]] bool isSame(const crash &first, const crash &second) const;
+    [[nodiscard]] std::size_t inSequence(std::vector<crash> crashes) const;
+    void drop(std::uint64_t fingerprint);
 
     suspect_limits m_limits;
     std::unordered_map<std::uint64_t, entry> m_entries;
--- /dev/null
+++ b/libs/suspects/src/crash_watch.cpp
@@ -0,0 +1,259 @@
+#include <medlarrack/suspects/crash_watch.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarrack::suspects {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A living target has answered, or its agent has reported it, by then: a report may wait 500 ms for its answer and
+/// comes each 650 ms at the latest.
+constexpr milliseconds settleTime{1'500};
+/// A request that lost one run is mostly answered at another target within this; nobody need hear of it then.
+constexpr milliseconds tellAfter{1'000};
+/// Runs at a target that has ended are found lost within this: callers' longest waits are shorter.
+constexpr milliseconds endMemory{15'000};
+/// Lost runs under judgement; the runs of a whole data centre's engines.
+constexpr std::size_t maxOpen = 8'192;
+/// Answers remembered: what other processes say of crashes is compared with them for this long.
+constexpr milliseconds answerMemory{10'000};
+constexpr std::size_t maxAnswers = 16'384;
+/// Crashes of one request from which it is told at once.
+constexpr std::size_t crashesToTell = 2;
+/// Crashes told at once; more wait for the next time.
+constexpr std::size_t maxNews = 512;
+
+milliseconds since(core::monotonic_time then, core::monotonic_time now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - then);
+}
+
+} // namespace
+
+crash_watch::crash_watch(suspect_limits limits)
+    : m_limits(limits)
+    , m_table(limits)
+{
+}
+
+standing crash_watch::standingOf(std::uint64_t fingerprint, core::monotonic_time now) const
+{
+    if (!m_openRuns.contains(fingerprint)) {
+        return m_table.standingOf(fingerprint, now);
+    }
+    std::vector<crash> possible;
+    for (const auto &[target, runs] : m_open) {
+        for (const open_run &one : runs) {
+            if (one.run.fingerprint == fingerprint) {
+                possible.push_back({targetHash(one.run.target), one.lostAt, one.lostAt - one.run.startedAt});
+            }
+        }
+    }
+    return m_table.crashesWith(fingerprint, possible, now) >= m_limits.crashesToRefuse ? standing::refused
+                                                                                       : standing::suspect;
+}
+
+void crash_watch::runLost(const lost_run &run, core::monotonic_time now)
+{
+    const open_run lost{run, now};
+    const auto ended = m_ended.find(run.target.id);
+    if (ended != m_ended.end() && ended->second >= run.startedAt) {
+        believe(lost, "the target had ended", now);
+        return;
+    }
+    if (m_openCount >= maxOpen) {
+        return;
+    }
+    m_open[run.target.id].push_back(lost);
+    ++m_openRuns[run.fingerprint];
+    ++m_openCount;
+}
+
+void crash_watch::targetAnswered(std::string_view id, core::monotonic_time sentAt)
+{
+    if (m_openCount > 0) {
+        take(id, [sentAt](const open_run &one) {
+            return one.lostAt <= sentAt;
+        });
+    }
+}
+
+void crash_watch::targetEnded(std::string_view id, core::monotonic_time now)
+{
+    m_ended.insert_or_assign(std::string(id), now);
+    for (const open_run &one : take(id, [](const open_run &) {
+             return true;
+         })) {
+        believe(one, "the target ended", now);
+    }
+}
+
+void crash_watch::answered(std::uint64_t fingerprint, core::monotonic_time now)
+{
+    if (m_openRuns.contains(fingerprint)) {
+        std::vector<std::string> targets;
+        for (const auto &[target, runs] : m_open) {
+            targets.push_back(target);
+        }
+        for (const std::string &target : targets) {
+            take(target, [fingerprint](const open_run &one) {
+                return one.run.fingerprint == fingerprint;
+            });
+        }
+    }
+    remember({fingerprint, now});
+    if (!m_table.acquit(fingerprint, now, now)) {
+        return;
+    }
+    const auto untold = std::erase_if(m_untold, [fingerprint](const untold_crash &one) {
+        return one.fingerprint == fingerprint;
+    });
+    if (untold == 0) {
+        m_acquitted.push_back({fingerprint, now});
+    }
+}
+
+void crash_watch::settle(core::monotonic_time now,
+                         const std::function<std::optional<bool>(const core::instance_ref &)> &lives)
+{
+    std::erase_if(m_ended, [now](const auto &entry) {
+        return now - entry.second > endMemory;
+    });
+    if (m_openCount == 0) {
+        return;
+    }
+    std::vector<std::string> targets;
+    for (const auto &[target, runs] : m_open) {
+        targets.push_back(target);
+    }
+    for (const std::string &target : targets) {
+        for (const open_run &one : take(target, [now](const open_run &run) {
+                 return now - run.lostAt >= settleTime;
+             })) {
+            const std::optional<bool> alive = lives(one.run.target);
+            if (alive == false) {
+                believe(one, "the target has gone", now);
+            } else if (!alive && one.run.disconnected) {
+                believe(one, "the target ended the connection and was not heard of since", now);
+            }
+        }
+    }
+}
+
+std::vector<believed_crash> crash_watch::takeBelieved()
+{
+    return std::exchange(m_believed, {});
+}
+
+core::crash_news crash_watch::takeNews(core::monotonic_time now)
+{
+    core::crash_news news;
+    std::vector<untold_crash> later;
+    for (const untold_crash &one : m_untold) {
+        const bool due = now - one.what.at >= tellAfter || m_table.crashes(one.fingerprint, now) >= crashesToTell;
+        if (due && news.crashes.size() < maxNews) {
+            news.crashes.push_back({one.fingerprint, one.what.target, since(one.what.at, now),
+                                    std::chrono::duration_cast<milliseconds>(one.what.ran)});
+        } else {
+            later.push_back(one);
+        }
+    }
+    m_untold = std::move(later);
+    for (const auto &[fingerprint, at] : std::exchange(m_acquitted, {})) {
+        news.acquittals.push_back({fingerprint, since(at, now)});
+    }
+    return news;
+}
+
+core::crash_news crash_watch::all(core::monotonic_time now) const
+{
+    return {m_table.records(now), {}};
+}
+
+core::crash_news crash_watch::merge(const core::crash_news &told, core::monotonic_time now)
+{
+    core::crash_news credible{{}, told.acquittals};
+    for (const core::crash_record &one : told.crashes) {
+        if (!answeredSince(one.fingerprint, now - one.age)) {
+            credible.crashes.push_back(one);
+        } else if (m_acquitted.empty() || m_acquitted.back().fingerprint != one.fingerprint) {
+            m_acquitted.push_back({one.fingerprint, m_answered.at(one.fingerprint)});
+        }
+    }
+    return m_table.merge(credible, now);
+}
+
+std::size_t crash_watch::size() const
+{
+    return m_table.size();
+}
+
+void crash_watch::believe(const open_run &run, std::string_view why, core::monotonic_time now)
+{
+    if (answeredSince(run.run.fingerprint, run.lostAt)) {
+        return;
+    }
+    const crash what{targetHash(run.run.target), run.lostAt, run.lostAt - run.run.startedAt};
+    if (!m_table.crashed(run.run.fingerprint, run.run.target, run.lostAt, what.ran)) {
+        return;
+    }
+    m_untold.push_back({run.run.fingerprint, what});
+    m_believed.push_back(
+        {run.run.fingerprint, run.run.target.id, what.ran, why, m_table.crashes(run.run.fingerprint, now)});
+}
+
+void crash_watch::close(const open_run &run)
+{
+    --m_openCount;
+    const auto found = m_openRuns.find(run.run.fingerprint);
+    if (--found->second == 0) {
+        m_openRuns.erase(found);
+    }
+}
+
+void crash_watch::remember(const answer &given)
+{
+    m_answered.insert_or_assign(given.fingerprint, given.at);
+    m_answers.push_back(given);
+    while (m_answers.size() > maxAnswers || given.at - m_answers.front().at > answerMemory) {
+        const answer oldest = m_answers.front();
+        m_answers.pop_front();
+        const auto found = m_answered.find(oldest.fingerprint);
+        if (found != m_answered.end() && found->second <= oldest.at) {
+            m_answered.erase(found);
+        }
+    }
+}
+
+bool crash_watch::answeredSince(std::uint64_t fingerprint, core::monotonic_time since) const
+{
+    const auto found = m_answered.find(fingerprint);
+    return found != m_answered.end() && found->second >= since;
+}
+
+std::vector<crash_watch::open_run> crash_watch::take(std::string_view target,
+                                                     const std::function<bool(const open_run &)> &condition)
+{
+    std::vector<open_run> taken;
+    const auto found = m_open.find(target);
+    if (found == m_open.end()) {
+        return taken;
+    }
+    std::erase_if(found->second, [&](const open_run &one) {
+        if (!condition(one)) {
+            return false;
+        }
+        taken.push_back(one);
+        close(one);
+        return true;
+    });
+    if (found->second.empty()) {
+        m_open.erase(found);
+    }
+    return taken;
+}
+
+} // namespace medlarrack::suspects
--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -6,15 +6,11 @@
 
 namespace medlarrack::suspects {
 
-namespace {
-
 std::uint64_t targetHash(const core::instance_ref &target)
 {
     return core::hash64(target.id, target.incarnation);
 }
 
-} // namespace
-
 suspect_table::suspect_table(suspect_limits limits)
     : m_limits(limits)
 {
@@ -32,53 +28,83 @@
 }
 
 std::size_t suspect_table::crashes(std::uint64_t fingerprint, core::monotonic_time now) const
+{
+    return crashesWith(fingerprint, {}, now);
+}
+
+std::size_t suspect_table::crashesWith(std::uint64_t fingerprint, std::span<const crash> possible,
+                                       core::monotonic_time now) const
 {
     const entry *found = find(fingerprint, now);
-    return found == nullptr ? 0 : found->crashes.size();
+    std::vector<crash> all = found == nullptr ? std::vector<crash>() : found->crashes;
+    all.insert(all.end(), possible.begin(), possible.end());
+    return inSequence(std::move(all));
 }
 
-void suspect_table::crashed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now)
+bool suspect_table::crashed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now,
+                            std::chrono::nanoseconds ran)
 {
-    addCrash(findOrAdd(fingerprint, now), {targetHash(target), now});
+    return add(fingerprint, {targetHash(target), now, ran}, now);
 }
 
-void suspect_table::answered(std::uint64_t fingerprint, core::monotonic_time now)
+bool suspect_table::answered(std::uint64_t fingerprint, core::monotonic_time now)
 {
-    if (standingOf(fingerprint, now) == standing::suspect) {
-        m_entries.erase(fingerprint);
-        std::erase(m_order, fingerprint);
+    if (standingOf(fingerprint, now) != standing::suspect) {
+        return false;
     }
+    drop(fingerprint);
+    return true;
 }
 
-std::vector<suspect_record> suspect_table::records(core::monotonic_time now) const
+bool suspect_table::acquit(std::uint64_t fingerprint, core::monotonic_time answeredAt, core::monotonic_time now)
 {
-    std::vector<suspect_record> result;
+    if (find(fingerprint, now) == nullptr) {
+        return false;
+    }
+    std::vector<crash> &crashes = findOrAdd(fingerprint, now).crashes;
+    const auto dropped = std::erase_if(crashes, [answeredAt](const crash &one) {
+        return one.at <= answeredAt;
+    });
+    if (crashes.empty()) {
+        drop(fingerprint);
+    }
+    return dropped > 0;
+}
+
+std::vector<core::crash_record> suspect_table::records(core::monotonic_time now) const
+{
+    const auto since = [](std::chrono::nanoseconds time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+    };
+    std::vector<core::crash_record> result;
     for (const std::uint64_t fingerprint : m_order) {
-        const entry *found = find(fingerprint, now);
-        if (found == nullptr) {
-            continue;
-        }
-        suspect_record &record = result.emplace_back();
-        record.fingerprint = fingerprint;
-        for (const crash &known : found->crashes) {
-            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known.at);
-            record.crashes.push_back({known.target, age});
+        if (const entry *found = find(fingerprint, now)) {
+            for (const crash &known : found->crashes) {
+                result.push_back({fingerprint, known.target, since(now - known.at), since(known.ran)});
+            }
         }
     }
     return result;
 }
 
-void suspect_table::merge(std::span<const suspect_record> others, core::monotonic_time now)
+core::crash_news suspect_table::merge(const core::crash_news &told, core::monotonic_time now)
 {
-    for (const suspect_record &other : others) {
-        for (const crash_record &told : other.crashes) {
-            // A negative age would keep a suspicion for ever.
-            const auto age = std::max(told.age, std::chrono::milliseconds(0));
-            if (age < m_limits.fadeAfter) {
-                addCrash(findOrAdd(other.fingerprint, now), {told.target, now - age});
-            }
+    constexpr std::chrono::milliseconds none{0};
+    core::crash_news news;
+    for (const core::crash_record &one : told.crashes) {
+        // A negative age would keep a suspicion for ever.
+        const auto age = std::max(one.age, none);
+        const crash added{one.target, now - age, std::max(one.ran, none)};
+        if (age < m_limits.fadeAfter && add(one.fingerprint, added, now)) {
+            news.crashes.push_back(one);
+        }
+    }
+    for (const core::acquittal &one : told.acquittals) {
+        if (acquit(one.fingerprint, now - std::max(one.age, none), now)) {
+            news.acquittals.push_back(one);
         }
     }
+    return news;
 }
 
 std::size_t suspect_table::size() const
@@ -112,16 +138,20 @@
     return m_entries[fingerprint];
 }
 
-void suspect_table::addCrash(entry &to, crash added) const
+bool suspect_table::add(std::uint64_t fingerprint, const crash &added, core::monotonic_time now)
 {
+    entry &to = findOrAdd(fingerprint, now);
     to.lastCrash = to.crashes.empty() ? added.at : std::max(to.lastCrash, added.at);
     const bool known = std::any_of(to.crashes.begin(), to.crashes.end(), [&](const crash &other) {
         return isSame(other, added);
     });
-    // More crashes than suffice for a refusal change nothing.
-    if (!known && to.crashes.size() < m_limits.crashesToRefuse) {
-        to.crashes.push_back(added);
+    // More crashes than suffice for a refusal change nothing, nor do those that speak against nobody.
+    if (known || to.crashes.size() >= m_limits.crashesToRefuse
+        || crashesWith(fingerprint, {&added, 1}, now) <= to.crashes.size()) {
+        return false;
     }
+    to.crashes.push_back(added);
+    return true;
 }
 
 bool suspect_table::isSame(const crash &first, const crash &second) const
@@ -130,4 +160,26 @@
     return first.target == second.target && apart < m_limits.sameCrash;
 }
 
+std::size_t suspect_table::inSequence(std::vector<crash> crashes) const
+{
+    std::sort(crashes.begin(), crashes.end(), [](const crash &left, const crash &right) {
+        return left.at < right.at;
+    });
+    std::size_t count = 0;
+    core::monotonic_time last{};
+    for (const crash &one : crashes) {
+        if (count == 0 || one.at - one.ran + m_limits.overlap >= last) {
+            ++count;
+            last = one.at;
+        }
+    }
+    return count;
+}
+
+void suspect_table::drop(std::uint64_t fingerprint)
+{
+    m_entries.erase(fingerprint);
+    std::erase(m_order, fingerprint);
+}
+
 } // namespace medlarrack::suspects
--- /dev/null
+++ b/libs/suspects/tests/test_crash_watch.cpp
@@ -0,0 +1,200 @@
+#include <medlarrack/suspects/crash_watch.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace medlarrack;
+using namespace std::chrono_literals;
+using suspects::crash_watch;
+using suspects::standing;
+
+namespace {
+
+constexpr std::uint64_t poison = 17;
+constexpr core::monotonic_time start{1h};
+
+std::optional<bool> nobodyKnows(const core::instance_ref &)
+{
+    return std::nullopt;
+}
+
+std::optional<bool> itLives(const core::instance_ref &)
+{
+    return true;
+}
+
+suspects::lost_run runAt(const std::string &target, core::monotonic_time startedAt, bool disconnected = true)
+{
+    return {poison, {target, 1}, startedAt, disconnected};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(crash_watch_suite)
+
+BOOST_AUTO_TEST_CASE(three_runs_lost_one_after_the_other_refuse_a_request_at_once)
+{
+    crash_watch watch;
+    watch.runLost(runAt("e-1", start), start + 10ms);
+    BOOST_TEST((watch.standingOf(poison, start + 10ms) == standing::suspect));
+    watch.runLost(runAt("e-2", start + 11ms), start + 20ms);
+    BOOST_TEST((watch.standingOf(poison, start + 20ms) == standing::suspect));
+    watch.runLost(runAt("e-3", start + 21ms), start + 30ms);
+    BOOST_TEST((watch.standingOf(poison, start + 30ms) == standing::refused));
+    BOOST_TEST((watch.standingOf(18, start + 30ms) == standing::clear));
+}
+
+// Guards against a mass crash that takes a popular request from all its callers.
+BOOST_AUTO_TEST_CASE(copies_of_a_request_that_ran_everywhere_when_targets_went_at_once_do_not_refuse_it)
+{
+    crash_watch watch;
+    for (int target = 0; target < 6; ++target) {
+        watch.runLost(runAt("e-" + std::to_string(target), start), start + 300ms);
+        watch.targetEnded("e-" + std::to_string(target), start + 310ms);
+    }
+    BOOST_TEST((watch.standingOf(poison, start + 310ms) == standing::suspect));
+    BOOST_TEST(watch.takeBelieved().size() == 1U);
+    watch.answered(poison, start + 600ms);
+    BOOST_TEST((watch.standingOf(poison, start + 600ms) == standing::clear));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_answers_later_requests_has_not_crashed)
+{
+    crash_watch watch;
+    watch.runLost(runAt("e-1", start), start + 10ms);
+    // This one may have been answered before the run was lost.
+    watch.targetAnswered("e-1", start + 5ms);
+    BOOST_TEST((watch.standingOf(poison, start + 20ms) == standing::suspect));
+    watch.targetAnswered("e-1", start + 15ms);
+    BOOST_TEST((watch.standingOf(poison, start + 20ms) == standing::clear));
+}
+
+BOOST_AUTO_TEST_CASE(silence_confirms_only_what_the_target_disconnected)
+{
+    crash_watch watch;
+    watch.runLost(runAt("e-1", start), start);
+    watch.runLost({18, {"e-1", 1}, start, false}, start);
+    watch.settle(start + 1s, nobodyKnows);
+    BOOST_TEST(watch.takeBelieved().empty());
+    watch.settle(start + 2s, nobodyKnows);
+    BOOST_TEST(watch.takeBelieved().size() == 1U);
+    BOOST_TEST((watch.standingOf(poison, start + 2s) == standing::suspect));
+    BOOST_TEST((watch.standingOf(18, start + 2s) == standing::clear));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_is_known_to_live_clears_what_was_lost_there)
+{
+    crash_watch watch;
+    watch.runLost(runAt("e-1", start), start);
+    watch.settle(start + 2s, itLives);
+    BOOST_TEST((watch.standingOf(poison, start + 2s) == standing::clear));
+    BOOST_TEST(watch.takeNews(start + 5s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_run_found_lost_after_its_target_was_known_to_have_ended_speaks_against_the_request)
+{
+    crash_watch watch;
+    watch.targetEnded("e-1", start + 100ms);
+    watch.runLost(runAt("e-1", start, false), start + 1'600ms);
+    BOOST_TEST(watch.takeBelieved().size() == 1U);
+    // The next incarnation lost no run by that end.
+    watch.runLost({18, {"e-1", 2}, start + 5s, false}, start + 6s);
+    BOOST_TEST(watch.takeBelieved().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_second_crash_is_told_at_once_and_a_single_one_only_if_no_answer_follows)
+{
+    crash_watch watch;
+    watch.runLost(runAt("e-1", start), start);
+    watch.targetEnded("e-1", start);
+    BOOST_TEST(watch.takeNews(start + 500ms).empty());
+    watch.runLost(runAt("e-2", start + 500ms), start + 600ms);
+    watch.targetEnded("e-2", start + 600ms);
+    BOOST_TEST(watch.takeNews(start + 600ms).crashes.size() == 2U);
+    BOOST_TEST(watch.takeNews(start + 5s).empty());
+
+    watch.runLost({18, {"e-3", 1}, start, true}, start);
+    watch.targetEnded("e-3", start);
+    watch.answered(18, start + 900ms);
+    BOOST_TEST(watch.takeNews(start + 5s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_after_a_crash_was_told_is_told_too)
+{
+    crash_watch watch;
+    watch.runLost(runAt("e-1", start), start);
+    watch.targetEnded("e-1", start);
+    BOOST_TEST(watch.takeNews(start + 1s).crashes.size() == 1U);
+    watch.answered(poison, start + 2s);
+    const core::crash_news news = watch.takeNews(start + 2s);
+    BOOST_TEST(news.crashes.empty());
+    BOOST_TEST(news.acquittals.size() == 1U);
+}
+
+// Guards against a popular request that is refused because it runs on each replica that crashes by another's fault.
+BOOST_AUTO_TEST_CASE(a_request_that_is_answered_between_crashes_is_not_refused)
+{
+    crash_watch here;
+    crash_watch there;
+    for (int round = 0; round < 6; ++round) {
+        const core::monotonic_time at = start + round * 100ms;
+        here.runLost(runAt("e-" + std::to_string(round), at), at + 20ms);
+        here.targetEnded("e-" + std::to_string(round), at + 20ms);
+        // Another process sees the answers.
+        there.answered(poison, at + 50ms);
+        there.merge(here.takeNews(at + 60ms), at + 60ms);
+        here.merge(there.takeNews(at + 70ms), at + 70ms);
+        BOOST_TEST((here.standingOf(poison, at + 70ms) != standing::refused));
+        BOOST_TEST((there.standingOf(poison, at + 70ms) != standing::refused));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_takes_back_a_refusal_by_crashes_before_it)
+{
+    crash_watch watch;
+    for (int round = 0; round < 3; ++round) {
+        watch.runLost(runAt("e-" + std::to_string(round), start + round * 100ms), start + round * 100ms + 20ms);
+        watch.targetEnded("e-" + std::to_string(round), start + round * 100ms + 20ms);
+    }
+    BOOST_TEST((watch.standingOf(poison, start + 300ms) == standing::refused));
+    watch.merge({{}, {{poison, 150ms}}}, start + 300ms);
+    BOOST_TEST((watch.standingOf(poison, start + 300ms) == standing::suspect));
+}
+
+BOOST_AUTO_TEST_CASE(answers_are_remembered_within_bounds)
+{
+    crash_watch watch;
+    for (std::uint64_t fingerprint = 0; fingerprint < 40'000; ++fingerprint) {
+        watch.answered(fingerprint, start);
+    }
+    const core::crash_news old = {{{1, 7, 1s, 0ms}}, {}};
+    const core::crash_news recent = {{{39'999, 7, 1s, 0ms}}, {}};
+    watch.merge(old, start + 500ms);
+    watch.merge(recent, start + 500ms);
+    BOOST_TEST((watch.standingOf(1, start + 500ms) == standing::suspect));
+    BOOST_TEST((watch.standingOf(39'999, start + 500ms) == standing::clear));
+}
+
+// Guards against a request that crashes a replica for each process that it is sent through.
+BOOST_AUTO_TEST_CASE(what_one_process_learnt_refuses_the_request_at_another_and_at_one_started_later)
+{
+    crash_watch seen;
+    crash_watch other;
+    crash_watch later;
+    seen.runLost(runAt("e-1", start), start);
+    seen.targetEnded("e-1", start);
+    seen.runLost(runAt("e-2", start + 1ms), start + 10ms);
+    seen.targetEnded("e-2", start + 10ms);
+    other.merge(seen.takeNews(start + 20ms), start + 25ms);
+    BOOST_TEST((other.standingOf(poison, start + 25ms) == standing::suspect));
+    other.runLost(runAt("e-3", start + 30ms), start + 40ms);
+    other.targetEnded("e-3", start + 40ms);
+    seen.merge(other.takeNews(start + 40ms), start + 45ms);
+    BOOST_TEST((seen.standingOf(poison, start + 45ms) == standing::refused));
+    BOOST_TEST((other.standingOf(poison, start + 45ms) == standing::refused));
+    later.merge(other.all(start + 1min), start + 1min);
+    BOOST_TEST((later.standingOf(poison, start + 1min) == standing::refused));
+    // Told back, it is no news.
+    BOOST_TEST(seen.merge(other.all(start + 1min), start + 1min).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/suspects/tests/test_suspects.cpp
+++ b/libs/suspects/tests/test_suspects.cpp
@@ -82,11 +82,12 @@
     suspects::suspect_table there;
     here.crashed(poison, first, start);
     there.crashed(poison, first, start);
-    here.merge(there.records(start), start);
+    BOOST_TEST(here.merge({there.records(start), {}}, start).empty());
     BOOST_TEST((here.standingOf(poison, start) == standing::suspect));
 
     there.crashed(poison, second, start + 1s);
-    here.merge(there.records(start + 5s), start + 5s);
+    const core::crash_news news = here.merge({there.records(start + 5s), {}}, start + 5s);
+    BOOST_TEST(news.crashes.size() == 1U);
     BOOST_TEST((here.standingOf(poison, start + 5s) == standing::refused));
     BOOST_TEST((here.standingOf(poison, start + 1s + 10min) == standing::clear));
 }
@@ -94,12 +95,29 @@
 BOOST_AUTO_TEST_CASE(faded_empty_and_future_records_of_peers_do_no_harm)
 {
     suspects::suspect_table table;
-    const std::vector<suspects::suspect_record> records = {
-        {1, {{7, 11min}}},
-        {2, {}},
-        {3, {{7, -24h}}},
-    };
-    table.merge(records, start);
+    const core::crash_news told = {{{1, 7, 11min, 0ms}, {3, 7, -24h, 0ms}, {4, 7, 1s, -24h}}, {{2, 0ms}, {4, -24h}}};
+    table.merge(told, start);
     BOOST_TEST(table.size() == 1U);
     BOOST_TEST((table.standingOf(3, start + 10min) == standing::clear));
 }
+
+BOOST_AUTO_TEST_CASE(copies_that_run_at_once_when_many_targets_go_count_once)
+{
+    suspects::suspect_table table;
+    table.crashed(poison, first, start, 400ms);
+    table.crashed(poison, second, start + 200ms, 500ms);
+    BOOST_TEST((table.standingOf(poison, start + 200ms) == standing::suspect));
+    // This one began after both were gone.
+    table.crashed(poison, {"e-3", 100}, start + 900ms, 300ms);
+    BOOST_TEST((table.standingOf(poison, start + 900ms) == standing::refused));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_a_peer_saw_clears_crashes_before_it_only)
+{
+    suspects::suspect_table table;
+    table.crashed(poison, first, start);
+    BOOST_TEST(table.merge({{}, {{poison, 5s}}}, start + 2s).empty());
+    BOOST_TEST((table.standingOf(poison, start + 2s) == standing::suspect));
+    BOOST_TEST(table.merge({{}, {{poison, 1s}}}, start + 2s).acquittals.size() == 1U);
+    BOOST_TEST((table.standingOf(poison, start + 2s) == standing::clear));
+}
