Retry budgets of all gateways together stay within the users' bound

What callers saw: nothing yet.

Cause: a budget saved up to 20 retries in quiet times and had 0.5 a second beside its share, in each gateway.

Change: a budget counts both in a sliding window of the users' length and saves nothing beyond it. The share comes from the deployment's own bound (nine tenths of it); settings retry_ratio and retry_window_s replace retry_share and retries_per_second. Shares of windows add up over any number of gateways, and a burst may use its window's share at once.

--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <medlarrack/overload/retry_budget.hpp>
 #include <medlarrack/settings/fault.hpp>
 
 #include <nlohmann/json_fwd.hpp>
@@ -30,12 +31,16 @@
     std::chrono::milliseconds changeBound{2'000};
     /// Time for running requests after a request to stop.
     std::chrono::milliseconds drainTime{7'000};
-    /// Share of the requests of a service that may be sent once more, and those allowed besides each second.
-    double retryShare = 0.15;
-    double retriesPerSecond = 0.5;
+    /// Bound of the retries of a service over all gateways, as a share of its requests in a time.
+    double retryRatio = 0.2;
+    std::chrono::seconds retryWindow{10};
     std::string logLevel = "info";
 };
 
+/// A gateway's part of the bound on a service's retries. Gateways don't count each other's: each keeps to the share of
+/// its own requests.
+[[nodiscard]] overload::retry_budget makeRetryBudget(const gateway_settings &settings);
+
 /// Reads the settings from the root of their document; every fault found is added.
 [[nodiscard]] std::optional<gateway_settings> parseSettings(const nlohmann::json &root, settings::fault_list &faults);
 /// The same from a file.
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -29,8 +29,6 @@
 constexpr int storeShare = 38;
 /// Replicas that the store dropped while it was away are listed again within about two seconds of its return.
 constexpr milliseconds removalGrace{2'200};
-/// Most retries that a service saves up in quiet times.
-constexpr double maxSavedRetries = 20;
 constexpr int ok = 200;
 constexpr int notReady = 503;
 constexpr int notFound = 404;
@@ -106,11 +104,7 @@
         if (found != budgets.end()) {
             return found->second;
         }
-        return budgets
-            .emplace(
-                std::string(service),
-                overload::retry_budget(settings.retryShare, maxSavedRetries, settings.retriesPerSecond, clock.now()))
-            .first->second;
+        return budgets.emplace(std::string(service), makeRetryBudget(settings)).first->second;
     }
 
     void takeNews(const store_news &news)
@@ -326,8 +320,8 @@
 
 void gateway_service::reload(const gateway_settings &settings)
 {
-    m_impl->settings.retryShare = settings.retryShare;
-    m_impl->settings.retriesPerSecond = settings.retriesPerSecond;
+    m_impl->settings.retryRatio = settings.retryRatio;
+    m_impl->settings.retryWindow = settings.retryWindow;
     m_impl->settings.drainTime = settings.drainTime;
 }
 
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -12,7 +12,13 @@
 constexpr milliseconds shortestChangeBound{100};
 constexpr milliseconds longestChangeBound{60'000};
 constexpr milliseconds longestDrainTime{600'000};
-constexpr double mostRetriesPerSecond = 1'000;
+constexpr std::chrono::seconds shortestRetryWindow{1};
+constexpr std::chrono::seconds longestRetryWindow{3'600};
+/// Part of the allowed share that is used: what gateways count and what their replicas see lies up to half a second
+/// apart.
+constexpr double usedShare = 0.9;
+/// Retries of a gateway in a window besides its share, so that one with few requests retries too.
+constexpr std::uint32_t retriesBeside = 1;
 
 void readEndpoint(settings::object_reader &reader, std::string_view key, std::string &value)
 {
@@ -36,13 +42,20 @@
     reader.integer("agent_port", value.agentPort, 1, highestPort);
     reader.duration("change_bound_ms", value.changeBound, shortestChangeBound, longestChangeBound);
     reader.duration("drain_time_ms", value.drainTime, milliseconds(0), longestDrainTime);
-    reader.number("retry_share", value.retryShare, 0, 1);
-    reader.number("retries_per_second", value.retriesPerSecond, 0, mostRetriesPerSecond);
+    reader.number("retry_ratio", value.retryRatio, 0, 1);
+    std::int64_t retryWindow = value.retryWindow.count();
+    reader.integer("retry_window_s", retryWindow, shortestRetryWindow.count(), longestRetryWindow.count());
+    value.retryWindow = std::chrono::seconds(retryWindow);
     reader.word("log_level", value.logLevel, {"debug", "info", "warning", "error"});
 }
 
 } // namespace
 
+overload::retry_budget makeRetryBudget(const gateway_settings &settings)
+{
+    return {settings.retryRatio * usedShare, retriesBeside, settings.retryWindow};
+}
+
 std::optional<gateway_settings> parseSettings(const nlohmann::json &root, settings::fault_list &faults)
 {
     return settings::readSettings<gateway_settings>(root, faults, read);
--- a/libs/overload/tests/test_budgets.cpp
+++ b/libs/overload/tests/test_budgets.cpp
@@ -3,6 +3,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <random>
+#include <vector>
+
 using namespace medlarrack;
 using namespace std::chrono_literals;
 
@@ -41,14 +45,42 @@
 
 BOOST_AUTO_TEST_CASE(retries_stay_a_share_of_first_attempts)
 {
-    overload::retry_budget budget(0.1, 5, 1, start);
-    BOOST_TEST(budget.tryRetry(start)); // the free one
+    overload::retry_budget budget(0.1, 1, 10s);
+    BOOST_TEST(budget.tryRetry(start)); // the one beside
     BOOST_TEST(!budget.tryRetry(start));
     for (int i = 0; i < 25; ++i) {
-        budget.onFirstAttempt();
+        budget.onFirstAttempt(start);
     }
     BOOST_TEST(budget.tryRetry(start));
     BOOST_TEST(budget.tryRetry(start));
     BOOST_TEST(!budget.tryRetry(start));
-    BOOST_TEST(budget.tryRetry(start + 1s));
+    BOOST_TEST(!budget.tryRetry(start + 9s));
+    BOOST_TEST(budget.tryRetry(start + 11s));
+    BOOST_TEST(!budget.tryRetry(start + 11s));
+}
+
+BOOST_AUTO_TEST_CASE(no_window_has_more_retries_than_its_share_whatever_comes)
+{
+    constexpr unsigned seed = 20'261'204;
+    BOOST_TEST_MESSAGE("seed " << seed);
+    std::mt19937 random(seed);
+    overload::retry_budget budget(0.2, 3, 10s);
+    core::monotonic_time now = start;
+    std::vector<core::monotonic_time> firsts;
+    std::vector<core::monotonic_time> retries;
+    for (int event = 0; event < 20'000; ++event) {
+        // Quiet and busy times by turns.
+        now += std::chrono::milliseconds(random() % (event / 2'000 % 2 == 0 ? 5 : 200));
+        if (random() % 2 == 0) {
+            budget.onFirstAttempt(now);
+            firsts.push_back(now);
+        } else if (budget.tryRetry(now)) {
+            retries.push_back(now);
+            const auto within = [&](const std::vector<core::monotonic_time> &times) {
+                return static_cast<double>(times.end() - std::upper_bound(times.begin(), times.end(), now - 10s));
+            };
+            BOOST_TEST_REQUIRE(within(retries) <= 0.2 * within(firsts) + 3);
+        }
+    }
+    BOOST_TEST(retries.size() > 1'000U);
 }
