Suspicion of crashing replicas spares requests that were merely there

Cause: a service of two replicas was down again and again. Runs that began after its replicas had gone, on connections that were made and reset at once, counted as three crashes in sequence; nobody could see an answer in between, and a refusal could only fade.

Change: a replica that has lost a run and hasn't answered since isn't known to live, and what is lost there later says nothing. A refused request is run once more, as a probe, when no replica has crashed for 1.5 s and 2 to 5 s after its last crash; the next probe waits 20 s, the one after 200 s. A probe is told as a crash before it is sent, so that gateways don't probe together and one that starts anew knows of it; an answer acquits. Fleet test: 2 probes in a minute over six gateways, of which one starts anew each 7 s; the users allow 3 retries.

--- a/libs/core/include/medlarrack/core/crash_record.hpp
+++ b/libs/core/include/medlarrack/core/crash_record.hpp
@@ -18,6 +18,8 @@
     std::chrono::milliseconds age{0};
     /// For how long the request had run.
     std::chrono::milliseconds ran{0};
+    /// A refused request was run once more: counts as a crash until an answer is told.
+    bool probe = false;
 };
 
 /// An answer to a request that was suspected of crashing targets.
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -112,6 +112,7 @@
                    {{"fingerprint", one.fingerprint},
                     {"age_ms", one.age.count()},
                     {"ran_ms", one.ran.count()},
+                    {"probe", one.probe},
                     {"by_agent", from},
                     {"refused", m_crashes.standingOf(one.fingerprint, now) == suspects::standing::refused}});
     }
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -253,6 +253,11 @@
     m_sentAt = now;
     m_targetStart = to->agent ? to->agent->startedAtMs : to->record.startedAtMs;
     m_lastBytesAt = now;
+    if (std::exchange(m_isProbe, false)) {
+        m_services.crashes.probed(m_fingerprint, {m_targetId, m_targetStart}, now);
+        log::write(log::level::info, "refused request probed",
+                   {{"request_id", m_facts.id}, {"fingerprint", m_fingerprint}, {"replica", m_targetId}});
+    }
     m_answerBody.clear();
     m_unfinishedEvent = 0;
     m_firstByte = {};
@@ -452,7 +457,12 @@
 
 bool exchange::refuseCrashing()
 {
-    if (m_services.crashes.standingOf(m_fingerprint, m_services.clock.now()) != suspects::standing::refused) {
+    const core::monotonic_time now = m_services.clock.now();
+    if (m_services.crashes.standingOf(m_fingerprint, now) != suspects::standing::refused) {
+        return false;
+    }
+    m_isProbe = m_history.runs == 0 && m_services.crashes.mayProbe(m_fingerprint, now);
+    if (m_isProbe) {
         return false;
     }
     m_services.metrics.count("medlarrack_gateway_crashing_requests_total",
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -110,6 +110,8 @@
     /// When a held request is looked at again.
     std::optional<core::monotonic_time> m_lookAgainAt;
     bool m_holdLogged = false;
+    /// It crashed replicas and is to run once more all the same.
+    bool m_isProbe = false;
     /// The caller has come before; a refusal would be its last.
     bool m_returning = false;
     double m_demand = 0;
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -1,6 +1,7 @@
 #include "front.hpp"
 #include "store_reader.hpp"
 
+#include <medlarrack/core/hash.hpp>
 #include <medlarrack/gateway/gateway_service.hpp>
 #include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/page_server.hpp>
@@ -283,7 +284,7 @@
     adapter_waiters waiters;
     adapter_demand demand;
     returning_callers returning;
-    suspects::crash_watch crashes;
+    suspects::crash_watch crashes{suspects::sharedLimits, core::hash64(settings.name)};
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> budgets;
--- a/libs/link/src/message_codec.cpp
+++ b/libs/link/src/message_codec.cpp
@@ -87,7 +87,7 @@
 }
 
 /// Durations go as whole milliseconds.
-using crash_fields = std::tuple<std::uint64_t, std::uint64_t, std::int64_t, std::int64_t>;
+using crash_fields = std::tuple<std::uint64_t, std::uint64_t, std::int64_t, std::int64_t, bool>;
 using acquittal_fields = std::tuple<std::uint64_t, std::int64_t>;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
@@ -109,7 +109,7 @@
 {
     out.pack_array(static_cast<std::uint32_t>(crashes.size()));
     for (const core::crash_record &one : crashes) {
-        out.pack(crash_fields(one.fingerprint, one.target, one.age.count(), one.ran.count()));
+        out.pack(crash_fields(one.fingerprint, one.target, one.age.count(), one.ran.count(), one.probe));
     }
 }
 
@@ -144,8 +144,8 @@
 
 void readField(const msgpack::object &from, std::vector<core::crash_record> &crashes)
 {
-    for (const auto &[fingerprint, target, age, ran] : from.as<std::vector<crash_fields>>()) {
-        crashes.push_back({fingerprint, target, readDuration(age), readDuration(ran)});
+    for (const auto &[fingerprint, target, age, ran, probe] : from.as<std::vector<crash_fields>>()) {
+        crashes.push_back({fingerprint, target, readDuration(age), readDuration(ran), probe});
     }
 }
 
--- a/libs/link/tests/test_message_codec.cpp
+++ b/libs/link/tests/test_message_codec.cpp
@@ -19,7 +19,7 @@
             adapter_releases{{{"m/a1", 3}}},
             engine_status{true, 77, {"m"}, {{"m/a1", 2}}, 12, 1, 4, 2, 30, 9'190},
             engine_change{{{"m/a2", 1}}, {"m/a1"}, 3, 0, 1, 3, 40, 646},
-            crash_report{{{{0xfeed, 0xbeef, 1'200ms, 30ms}, {2, 3, 0ms, 0ms}}, {{0xfeed, 5ms}}}}};
+            crash_report{{{{0xfeed, 0xbeef, 1'200ms, 30ms}, {2, 3, 0ms, 0ms, true}}, {{0xfeed, 5ms}}}}};
 }
 
 std::vector<message> decodeAll(message_decoder &decoder)
@@ -59,6 +59,8 @@
     BOOST_TEST(std::get<service_facts>(decoded[3]).models.at(0).name == "m");
     BOOST_TEST(std::get<engine_status>(decoded[5]).adapters.at("m/a1") == 2U);
     BOOST_TEST(std::get<crash_report>(decoded[7]).news.crashes.at(0).ran.count() == 30);
+    BOOST_TEST(!std::get<crash_report>(decoded[7]).news.crashes.at(0).probe);
+    BOOST_TEST(std::get<crash_report>(decoded[7]).news.crashes.at(1).probe);
 }
 
 BOOST_AUTO_TEST_CASE(durations_out_of_range_are_cut)
--- a/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
@@ -49,11 +49,18 @@
 class crash_watch
 {
 public:
-    explicit crash_watch(suspect_limits limits = sharedLimits);
+    /// Processes with different seeds probe at different times.
+    explicit crash_watch(suspect_limits limits = sharedLimits, std::uint64_t seed = 0);
 
     /// How a request is to be treated now. Lost runs of which nothing more is known yet count as crashes.
     [[nodiscard]] standing standingOf(std::uint64_t fingerprint, core::monotonic_time now) const;
 
+    /// Whether a refused request is to be run all the same, as a probe: once the fleet is calm, and then rarely, so
+    /// that one that was merely there when others crashed their targets comes back by its answer.
+    [[nodiscard]] bool mayProbe(std::uint64_t fingerprint, core::monotonic_time now) const;
+    /// A refused request is sent to a target as a probe: it counts as a crash, and is told so, until it is answered.
+    void probed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now);
+
     void runLost(const lost_run &run, core::monotonic_time now);
     /// A target answered something that was sent to it at a time.
     void targetAnswered(std::string_view id, core::monotonic_time sentAt);
@@ -85,6 +92,12 @@
         core::monotonic_time lostAt{};
     };
 
+    struct first_loss
+    {
+        std::uint64_t incarnation = 0;
+        core::monotonic_time at{};
+    };
+
     struct answer
     {
         std::uint64_t fingerprint = 0;
@@ -111,6 +124,10 @@
     std::map<std::string, std::vector<open_run>, std::less<>> m_open;
     std::unordered_map<std::uint64_t, std::size_t> m_openRuns;
     std::size_t m_openCount = 0;
+    /// When a target first lost a run since it last answered: what is lost there later may not have reached it.
+    std::map<std::string, first_loss, std::less<>> m_firstLoss;
+    core::monotonic_time m_lastCrash{};
+    std::uint64_t m_seed;
     /// When targets were known to have ended, as long as runs there may yet be found lost.
     std::map<std::string, core::monotonic_time, std::less<>> m_ended;
     std::vector<believed_crash> m_believed;
--- a/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
+++ b/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
@@ -32,6 +32,8 @@
     core::monotonic_time at{};
     /// For how long the request had run.
     std::chrono::nanoseconds ran{0};
+    /// A run of a refused request that has no answer yet.
+    bool probe = false;
 };
 
 /// Hash of a target's instance and incarnation.
@@ -72,6 +74,10 @@
     [[nodiscard]] std::size_t crashesWith(std::uint64_t fingerprint, std::span<const crash> possible,
                                           core::monotonic_time now) const;
 
+    /// The crashes of a request that are kept: as many as suffice for a refusal, the last ones.
+    [[nodiscard]] std::span<const crash> crashesOf(std::uint64_t fingerprint, core::monotonic_time now) const;
+    /// A refused request is run once more at a target.
+    void probed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now);
     /// A target crashed while the request ran there. The same crash told twice counts once. Says whether it counts.
     bool crashed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now,
                  std::chrono::nanoseconds ran = {});
--- a/libs/suspects/src/crash_watch.cpp
+++ b/libs/suspects/src/crash_watch.cpp
@@ -18,6 +18,14 @@
 constexpr milliseconds endMemory{15'000};
 /// Lost runs under judgement; the runs of a whole data centre's engines.
 constexpr std::size_t maxOpen = 8'192;
+/// A refused request is probed this long after its last crash, and up to the spread later, so that the first process
+/// that does so has told the others before they do. Each probe without an answer makes the next one wait longer; after
+/// three there is none.
+constexpr milliseconds firstProbeAfter{2'000};
+constexpr std::uint64_t probeSpread = 3'000;
+constexpr int probePauseFactor = 10;
+/// No request is probed while targets crash: it would be lost with another's.
+constexpr milliseconds calmBeforeProbe{1'500};
 /// Answers remembered: what other processes say of crashes is compared with them for this long.
 constexpr milliseconds answerMemory{10'000};
 constexpr std::size_t maxAnswers = 16'384;
@@ -33,9 +41,10 @@
 
 } // namespace
 
-crash_watch::crash_watch(suspect_limits limits)
+crash_watch::crash_watch(suspect_limits limits, std::uint64_t seed)
     : m_limits(limits)
     , m_table(limits)
+    , m_seed(seed)
 {
 }
 
@@ -56,8 +65,41 @@
                                                                                        : standing::suspect;
 }
 
+bool crash_watch::mayProbe(std::uint64_t fingerprint, core::monotonic_time now) const
+{
+    const std::span<const crash> crashes = m_table.crashesOf(fingerprint, now);
+    if (crashes.empty() || m_openRuns.contains(fingerprint) || now - m_lastCrash < calmBeforeProbe) {
+        return false;
+    }
+    milliseconds wait = firstProbeAfter;
+    core::monotonic_time last = crashes.front().at;
+    std::size_t probes = 0;
+    for (const crash &one : crashes) {
+        last = std::max(last, one.at);
+        if (one.probe) {
+            ++probes;
+            wait *= probePauseFactor;
+        }
+    }
+    const auto spread = milliseconds((fingerprint ^ m_seed) % probeSpread);
+    return probes < m_limits.crashesToRefuse && now - last >= wait + spread;
+}
+
+void crash_watch::probed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now)
+{
+    m_table.probed(fingerprint, target, now);
+    m_untold.push_back({fingerprint, {targetHash(target), now, {}, true}});
+}
+
 void crash_watch::runLost(const lost_run &run, core::monotonic_time now)
 {
+    first_loss &first = m_firstLoss.try_emplace(run.target.id, first_loss{run.target.incarnation, now}).first->second;
+    if (first.incarnation != run.target.incarnation) {
+        first = {run.target.incarnation, now};
+    }
+    if (run.startedAt > first.at) {
+        return;
+    }
     const open_run lost{run, now};
     const auto ended = m_ended.find(run.target.id);
     if (ended != m_ended.end() && ended->second >= run.startedAt) {
@@ -74,6 +116,9 @@
 
 void crash_watch::targetAnswered(std::string_view id, core::monotonic_time sentAt)
 {
+    if (const auto loss = m_firstLoss.find(id); loss != m_firstLoss.end() && loss->second.at <= sentAt) {
+        m_firstLoss.erase(loss);
+    }
     if (m_openCount > 0) {
         take(id, [sentAt](const open_run &one) {
             return one.lostAt <= sentAt;
@@ -122,6 +167,9 @@
     std::erase_if(m_ended, [now](const auto &entry) {
         return now - entry.second > endMemory;
     });
+    std::erase_if(m_firstLoss, [now](const auto &entry) {
+        return now - entry.second.at > endMemory;
+    });
     if (m_openCount == 0) {
         return;
     }
@@ -156,7 +204,7 @@
         const bool due = now - one.what.at >= tellAfter || m_table.crashes(one.fingerprint, now) >= crashesToTell;
         if (due && news.crashes.size() < maxNews) {
             news.crashes.push_back({one.fingerprint, one.what.target, since(one.what.at, now),
-                                    std::chrono::duration_cast<milliseconds>(one.what.ran)});
+                                    std::chrono::duration_cast<milliseconds>(one.what.ran), one.what.probe});
         } else {
             later.push_back(one);
         }
@@ -177,6 +225,7 @@
 {
     core::crash_news credible{{}, told.acquittals};
     for (const core::crash_record &one : told.crashes) {
+        m_lastCrash = std::max(m_lastCrash, now - one.age);
         if (!answeredSince(one.fingerprint, now - one.age)) {
             credible.crashes.push_back(one);
         } else if (m_acquitted.empty() || m_acquitted.back().fingerprint != one.fingerprint) {
@@ -197,6 +246,7 @@
         return;
     }
     const crash what{targetHash(run.run.target), run.lostAt, run.lostAt - run.run.startedAt};
+    m_lastCrash = std::max(m_lastCrash, run.lostAt);
     if (!m_table.crashed(run.run.fingerprint, run.run.target, run.lostAt, what.ran)) {
         return;
     }
--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -41,6 +41,17 @@
     return inSequence(std::move(all));
 }
 
+std::span<const crash> suspect_table::crashesOf(std::uint64_t fingerprint, core::monotonic_time now) const
+{
+    const entry *found = find(fingerprint, now);
+    return found == nullptr ? std::span<const crash>() : std::span<const crash>(found->crashes);
+}
+
+void suspect_table::probed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now)
+{
+    add(fingerprint, {targetHash(target), now, {}, true}, now);
+}
+
 bool suspect_table::crashed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now,
                             std::chrono::nanoseconds ran)
 {
@@ -80,7 +91,7 @@
     for (const std::uint64_t fingerprint : m_order) {
         if (const entry *found = find(fingerprint, now)) {
             for (const crash &known : found->crashes) {
-                result.push_back({fingerprint, known.target, since(now - known.at), since(known.ran)});
+                result.push_back({fingerprint, known.target, since(now - known.at), since(known.ran), known.probe});
             }
         }
     }
@@ -94,7 +105,7 @@
     for (const core::crash_record &one : told.crashes) {
         // A negative age would keep a suspicion for ever.
         const auto age = std::max(one.age, none);
-        const crash added{one.target, now - age, std::max(one.ran, none)};
+        const crash added{one.target, now - age, std::max(one.ran, none), one.probe};
         if (age < m_limits.fadeAfter && add(one.fingerprint, added, now)) {
             news.crashes.push_back(one);
         }
@@ -145,12 +156,22 @@
     const bool known = std::any_of(to.crashes.begin(), to.crashes.end(), [&](const crash &other) {
         return isSame(other, added);
     });
-    // More crashes than suffice for a refusal change nothing, nor do those that speak against nobody.
-    if (known || to.crashes.size() >= m_limits.crashesToRefuse
-        || crashesWith(fingerprint, {&added, 1}, now) <= to.crashes.size()) {
+    if (known) {
+        return false;
+    }
+    std::vector<crash> all = to.crashes;
+    all.push_back(added);
+    if (all.size() > m_limits.crashesToRefuse) {
+        // The last ones are kept.
+        all.erase(std::min_element(all.begin(), all.end(), [](const crash &left, const crash &right) {
+            return left.at < right.at;
+        }));
+    }
+    // Those that speak against nobody change nothing.
+    if (inSequence(all) < all.size()) {
         return false;
     }
-    to.crashes.push_back(added);
+    to.crashes = std::move(all);
     return true;
 }
 
--- a/libs/suspects/tests/test_crash_watch.cpp
+++ b/libs/suspects/tests/test_crash_watch.cpp
@@ -174,6 +174,84 @@
     BOOST_TEST((watch.standingOf(39'999, start + 500ms) == standing::clear));
 }
 
+// Guards against requests that find a target dead and are taken for the cause of it.
+BOOST_AUTO_TEST_CASE(runs_that_began_after_a_target_lost_one_say_nothing_until_it_answers)
+{
+    crash_watch watch;
+    watch.runLost({18, {"e-1", 1}, start, true}, start + 10ms);
+    watch.runLost(runAt("e-1", start + 20ms), start + 21ms);
+    watch.settle(start + 3s, nobodyKnows);
+    BOOST_TEST((watch.standingOf(18, start + 3s) == standing::suspect));
+    BOOST_TEST((watch.standingOf(poison, start + 3s) == standing::clear));
+    watch.targetAnswered("e-1", start + 4s);
+    watch.runLost(runAt("e-1", start + 5s), start + 5s + 10ms);
+    watch.settle(start + 8s, nobodyKnows);
+    BOOST_TEST((watch.standingOf(poison, start + 8s) == standing::suspect));
+}
+
+// Guards against a refusal of ten minutes by crashes that another request caused.
+BOOST_AUTO_TEST_CASE(a_refused_request_is_probed_once_when_all_is_calm_and_comes_back_by_its_answer)
+{
+    crash_watch watch;
+    for (int round = 0; round < 3; ++round) {
+        watch.runLost(runAt("e-" + std::to_string(round), start + round * 100ms), start + round * 100ms + 20ms);
+        watch.targetEnded("e-" + std::to_string(round), start + round * 100ms + 20ms);
+    }
+    BOOST_TEST(!watch.mayProbe(poison, start + 1s));
+    // Another request's crash, told by another process.
+    watch.merge({{{18, 7, 0ms, 0ms}}, {}}, start + 7s);
+    BOOST_TEST(!watch.mayProbe(poison, start + 8s));
+    BOOST_TEST(watch.mayProbe(poison, start + 9s));
+    watch.probed(poison, {"e-9", 1}, start + 9s);
+    BOOST_TEST(!watch.mayProbe(poison, start + 9s));
+    BOOST_TEST((watch.standingOf(poison, start + 9s) == standing::refused));
+    watch.answered(poison, start + 10s);
+    BOOST_TEST((watch.standingOf(poison, start + 10s) == standing::clear));
+}
+
+// Guards against probes that crash a replica for each gateway.
+BOOST_AUTO_TEST_CASE(probes_of_all_processes_together_are_few_also_of_ones_that_start_anew)
+{
+    std::vector<crash_watch> processes;
+    for (std::uint64_t seed = 0; seed < 6; ++seed) {
+        processes.emplace_back(suspects::sharedLimits, seed * 1'000);
+    }
+    suspects::suspect_table agent(suspects::sharedLimits);
+    const auto tell = [&](core::monotonic_time at) {
+        for (crash_watch &from : processes) {
+            const core::crash_news news = agent.merge(from.takeNews(at), at);
+            for (crash_watch &to : processes) {
+                to.merge(news, at);
+            }
+        }
+    };
+    for (int round = 0; round < 3; ++round) {
+        const auto at = start + round * 100ms;
+        processes[0].runLost(runAt("e-" + std::to_string(round), at), at + 20ms);
+        processes[0].targetEnded("e-" + std::to_string(round), at + 20ms);
+    }
+    std::size_t probes = 0;
+    for (auto at = start + 1s; at < start + 60s; at += 50ms) {
+        tell(at);
+        if ((at - start) % 7s == 0s) {
+            processes[2] = crash_watch(suspects::sharedLimits, 2'000);
+            processes[2].merge({agent.records(at), {}}, at);
+        }
+        for (crash_watch &one : processes) {
+            BOOST_TEST_REQUIRE((one.standingOf(poison, at) == standing::refused));
+            if (one.mayProbe(poison, at)) {
+                const std::string target = "p-" + std::to_string(++probes);
+                one.probed(poison, {target, 1}, at);
+                one.runLost(runAt(target, at), at + 10ms);
+                tell(at + 10ms);
+            }
+            one.settle(at + 10ms, nobodyKnows);
+        }
+    }
+    // The users allow three.
+    BOOST_TEST(probes == 2U);
+}
+
 // Guards against a request that crashes a replica for each process that it is sent through.
 BOOST_AUTO_TEST_CASE(what_one_process_learnt_refuses_the_request_at_another_and_at_one_started_later)
 {
