Gateway heeds what replicas say in answers: that they leave, and for how long they want nothing

Leaving is one belief with one owner, the replica table: told by the store or by any answer, for that start of the replica, also when older records come later or it is listed anew. Quiet is a time of the replica, never shortened, ended by a new start. Both take the replica out of every choice, wake what waits for an adapter there, and leave kept connections unused. When all are quiet, callers are refused at once and told the first end, spread over a second. Slots of a replica that was quiet open evenly over a second.

When a third of six replicas closes, the most loaded other one goes from 3 to 5 requests of 18 (test); the retry budget pays for the rejections alone.

--- a/libs/gateway/include/medlarrack/gateway/caller_format.hpp
+++ b/libs/gateway/include/medlarrack/gateway/caller_format.hpp
@@ -59,6 +59,12 @@
     bool isEncoded = false;
     bool isEventStream = false;
     std::optional<replica_load> load;
+    /// The replica is leaving.
+    bool isLeaving = false;
+    /// The replica turned the request away and wants no other for this time.
+    std::optional<std::chrono::milliseconds> quietTime;
+    /// What it said instead of a time that can be read; empty if all is well.
+    std::string unreadQuietTime;
 };
 
 /// An answer of our own.
--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -5,6 +5,8 @@
 #include <medlarrack/gateway/recent_adapters.hpp>
 #include <medlarrack/gateway/replica_health.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -17,6 +19,9 @@
 /// Failing requests of an engine, in hundredths, from which it counts as failing: some sound services fail 14.
 inline constexpr std::uint32_t failingTooOften = 25;
 
+/// Slots of a replica that was quiet open evenly over this time.
+inline constexpr std::chrono::milliseconds reopeningTime{1'000};
+
 /// How requests ended, as far as it speaks for or against a replica.
 struct request_ends
 {
@@ -57,6 +62,8 @@
     /// Not in the instance list any more, or soon if the store was away when it vanished.
     bool removed = false;
     std::optional<core::monotonic_time> removalDue;
+    /// It turned a request away and wanted none before this; nothing if it never did.
+    std::optional<core::monotonic_time> quietUntil;
     /// When this process learnt of it.
     core::monotonic_time listedAt{};
 
@@ -96,6 +103,28 @@
         health.failed(notReached, now);
     }
 
+    /// It turned a request away and wants nothing for a time. A later word never shortens an earlier one.
+    void askedForQuiet(std::chrono::milliseconds time, core::monotonic_time now)
+    {
+        quietUntil = std::max(quietUntil.value_or(now), now + time);
+    }
+
+    [[nodiscard]] bool isQuiet(core::monotonic_time now) const
+    {
+        return quietUntil && now < *quietUntil;
+    }
+
+    /// Whether work that comes back after a quiet time leaves room for one more request: its slots open evenly over a
+    /// second, so that all that was held back doesn't arrive at once.
+    [[nodiscard]] bool mayReopen(core::monotonic_time now) const
+    {
+        if (!quietUntil) {
+            return true;
+        }
+        const auto open = now - *quietUntil;
+        return open >= reopeningTime || outstanding * reopeningTime <= open * std::max(1U, record.slots);
+    }
+
     /// Prompt tokens that the engine has yet to read: it reads prompts in turn, so that all first events wait for them.
     [[nodiscard]] std::uint64_t unreadTokens() const
     {
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -55,6 +55,9 @@
 [[nodiscard]] replica_choice chooseEngine(const replica_table &table, const choice_query &asked,
                                           core::monotonic_time now);
 
+/// Whether the replica takes requests at all: it neither leaves nor has asked for quiet.
+[[nodiscard]] bool mayReceive(const replica &one, core::monotonic_time now);
+
 /// Whether the adapter is loaded at a replica in its newest published version.
 [[nodiscard]] bool holdsAdapter(const replica_table &table, const replica &at, std::string_view adapter);
 
--- a/libs/gateway/include/medlarrack/gateway/replica_table.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_table.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <span>
@@ -29,6 +30,9 @@
     void remove(std::string_view id, std::chrono::milliseconds grace, core::monotonic_time now);
     /// Removes all replicas that a whole list doesn't name.
     void keepOnly(std::span<const std::string> ids, std::chrono::milliseconds grace, core::monotonic_time now);
+    /// A replica itself said that the start of it which had a request is leaving; later records of that start don't
+    /// take it back. False if that was known.
+    bool saidLeaving(std::string_view id, std::uint64_t startedAtMs);
     /// Carries out removals that are due.
     void expire(core::monotonic_time now);
 
@@ -49,12 +53,16 @@
     bool replaceAtAddress(const catalog::replica_record &record);
     void drop(std::string_view id);
     void addToService(const replica_ptr &added);
+    [[nodiscard]] bool hasLeft(const catalog::replica_record &record) const;
 
     std::string m_dataCentre;
     std::map<std::string, replica_ptr, std::less<>> m_replicas;
     std::map<std::string, std::vector<replica_ptr>, std::less<>> m_services;
     catalog::adapter_versions m_releases;
     std::uint64_t m_releaseCount = 0;
+    /// Starts that said themselves that they leave, also of replicas not listed now; and in the order of being told.
+    std::map<std::string, std::uint64_t, std::less<>> m_left;
+    std::deque<std::string> m_leftOrder;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/include/medlarrack/gateway/return_advice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/return_advice.hpp
@@ -10,6 +10,8 @@
 
 /// What a request is refused for.
 enum class refusal_cause {
+    /// All replicas that there are have asked for quiet.
+    quiet,
     /// It crashes the replicas that run it.
     crashes_replicas,
     /// No published state is known yet.
@@ -25,6 +27,10 @@
 /// When a refused caller is to return: at the time at which a place is expected, spread so that callers don't return
 /// together. Callers return only once or twice, so that too early is as bad as too late.
 [[nodiscard]] std::chrono::milliseconds returnAfter(refusal_cause cause, const replica_table &table,
-                                                    std::string_view service, std::uint32_t random);
+                                                    std::string_view service, core::monotonic_time now,
+                                                    std::uint32_t random);
+
+/// Whether a service has replicas that would take requests, but for the quiet that they all have asked for.
+[[nodiscard]] bool allAreQuiet(const replica_table &table, std::string_view service, core::monotonic_time now);
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/adapter_waiters.cpp
+++ b/libs/gateway/src/adapter_waiters.cpp
@@ -24,6 +24,18 @@
     }
 }
 
+void adapter_waiters::engineClosed(const replica &at)
+{
+    std::vector<key> waitedFor;
+    for (auto entry = m_waiters.lower_bound({at.record.id, ""});
+         entry != m_waiters.end() && entry->first.first == at.record.id; ++entry) {
+        waitedFor.push_back(entry->first);
+    }
+    for (const key &one : waitedFor) {
+        wake(one, &adapter_waiter::engineLost);
+    }
+}
+
 void adapter_waiters::dropRemoved(const replica_table &table)
 {
     std::vector<key> gone;
@@ -41,6 +53,9 @@
 void adapter_waiters::wake(const key &waitsFor, void (adapter_waiter::*how)())
 {
     const auto found = m_waiters.find(waitsFor);
+    if (found == m_waiters.end()) {
+        return;
+    }
     const auto waiters = std::move(found->second);
     m_waiters.erase(found);
     for (const auto &weak : waiters) {
--- a/libs/gateway/src/adapter_waiters.hpp
+++ b/libs/gateway/src/adapter_waiters.hpp
@@ -32,6 +32,8 @@
     void add(const replica &at, std::string_view adapter, std::weak_ptr<adapter_waiter> waiter);
     /// Wakes those whose adapter an engine holds now, or all of them if it is lost.
     void engineChanged(const replica_table &table, const replica &at);
+    /// Wakes all that wait at an engine that takes no requests any more.
+    void engineClosed(const replica &at);
     /// Wakes those whose engine has left the list.
     void dropRemoved(const replica_table &table);
 
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -282,6 +282,7 @@
         return http1::head_verdict::skip;
     }
     const core::monotonic_time now = m_services.clock.now();
+    heed(facts);
     m_services.crashes.targetAnswered(m_targetId, m_sentAt);
     m_firstByte = now - m_sentAt;
     m_lastBytesAt = now;
@@ -297,6 +298,42 @@
     return http1::head_verdict::take;
 }
 
+void exchange::heed(const answer_facts &facts)
+{
+    const core::monotonic_time now = m_services.clock.now();
+    bool closed = false;
+    if (facts.isLeaving && m_services.replicas.saidLeaving(m_targetId, m_targetStart)) {
+        closed = true;
+        log::write(log::level::info, "replica leaves",
+                   {{"replica", m_targetId},
+                    {"source", "answer"},
+                    {"request_id", m_facts.id},
+                    {"started_at_ms", m_targetStart},
+                    {"sent_ms_ago", inMilliseconds(now - m_sentAt)}});
+        m_services.metrics.count("medlarrack_gateway_leaving_replicas_total",
+                                 "Replicas that said in an answer they leave", {.service = m_service});
+    }
+    if (!facts.unreadQuietTime.empty()) {
+        log::write(log::level::warning, "quiet time not read",
+                   {{"replica", m_targetId}, {"request_id", m_facts.id}, {"retry_after", facts.unreadQuietTime}});
+    }
+    if (facts.quietTime) {
+        closed = true;
+        m_target->askedForQuiet(*facts.quietTime, now);
+        log::write(log::level::info, "replica asks for quiet",
+                   {{"replica", m_targetId},
+                    {"request_id", m_facts.id},
+                    {"for_ms", facts.quietTime->count()},
+                    {"until_ms", inMilliseconds(*m_target->quietUntil - now)},
+                    {"sent_ms_ago", inMilliseconds(now - m_sentAt)}});
+        m_services.metrics.count("medlarrack_gateway_quiet_replicas_total", "Answers of replicas that asked for quiet",
+                                 {.service = m_service});
+    }
+    if (closed) {
+        m_services.waiters.engineClosed(*m_target);
+    }
+}
+
 void exchange::onBody(std::string &body)
 {
     m_lastBytesAt = m_services.clock.now();
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -48,6 +48,8 @@
     void onComplete() override;
     void onFailed(http1::call_progress progress, std::string_view why) override;
 
+    /// What an answer says of its replica besides.
+    void heed(const answer_facts &facts);
     /// Goes on from where it is held, or from the start.
     void proceed();
     bool findRoute();
--- a/libs/gateway/src/exchange_answers.cpp
+++ b/libs/gateway/src/exchange_answers.cpp
@@ -41,12 +41,19 @@
         answerOwn(badGateway, code, why);
         return;
     }
+    const bool quiet =
+        cause != refusal_cause::crashes_replicas && allAreQuiet(m_services.replicas, m_service, m_services.clock.now());
+    if (quiet) {
+        cause = refusal_cause::quiet;
+        code = "replicas_quiet";
+        why = "all replicas asked for quiet";
+    }
     own_answer answer;
     answer.status = unavailable;
     answer.code = code;
     answer.message = why;
-    answer.retryAfter =
-        returnAfter(cause, m_services.replicas, m_service, static_cast<std::uint32_t>(m_services.random()));
+    answer.retryAfter = returnAfter(cause, m_services.replicas, m_service, m_services.clock.now(),
+                                    static_cast<std::uint32_t>(m_services.random()));
     giveOwn(answer, "not_run");
 }
 
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -59,7 +59,7 @@
 
 bool isUsable(const replica &one, core::monotonic_time now)
 {
-    if (one.removed || one.record.leaving || !one.health.mayServe(one.outstanding, now)) {
+    if (!mayReceive(one, now) || !one.mayReopen(now) || !one.health.mayServe(one.outstanding, now)) {
         return false;
     }
     return !one.agent || one.agent->engineUp;
@@ -105,7 +105,7 @@
 /// Whether the engine is about to hold the model: its agent loads it, or has not told yet.
 bool isExpected(const replica &one, std::string_view model, core::monotonic_time now)
 {
-    if (one.removed || one.record.leaving) {
+    if (!mayReceive(one, now)) {
         return false;
     }
     return isUnknown(one, now) || (one.agent && one.agent->engineUp && !holdsModel(one, model));
@@ -291,6 +291,11 @@
 
 } // namespace
 
+bool mayReceive(const replica &one, core::monotonic_time now)
+{
+    return !one.removed && !one.record.leaving && !one.isQuiet(now);
+}
+
 bool holdsAdapter(const replica_table &table, const replica &at, std::string_view adapter)
 {
     const auto &held = at.agent ? at.agent->adapters : at.record.adapters;
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -6,6 +6,13 @@
 
 namespace medlarrack::gateway {
 
+namespace {
+
+/// Leaving replicas remembered; ids are mostly new with each start.
+constexpr std::size_t maxLeft = 4'096;
+
+} // namespace
+
 replica_table::replica_table(std::string dataCentre)
     : m_dataCentre(std::move(dataCentre))
 {
@@ -16,6 +23,7 @@
     if (!replaceAtAddress(record)) {
         return false;
     }
+    record.leaving = record.leaving || hasLeft(record);
     const auto found = m_replicas.find(record.id);
     if (found == m_replicas.end()) {
         auto added = std::make_shared<replica>();
@@ -37,6 +45,7 @@
     known.removalDue.reset();
     if (restarted) {
         known.health.reset();
+        known.quietUntil.reset();
         known.othersLoad = 0;
         if (known.agent && known.agent->startedAtMs < record.startedAtMs) {
             known.agent->models = record.models;
@@ -85,6 +94,27 @@
     }
 }
 
+bool replica_table::saidLeaving(std::string_view id, std::uint64_t startedAtMs)
+{
+    const auto told = m_left.find(id);
+    if (told != m_left.end() && told->second >= startedAtMs) {
+        return false;
+    }
+    if (told == m_left.end()) {
+        if (m_left.size() >= maxLeft) {
+            m_left.erase(m_leftOrder.front());
+            m_leftOrder.pop_front();
+        }
+        m_leftOrder.emplace_back(id);
+    }
+    m_left.insert_or_assign(std::string(id), startedAtMs);
+    const replica_ptr known = find(id);
+    if (known == nullptr || !hasLeft(known->record)) {
+        return false;
+    }
+    return !std::exchange(known->record.leaving, true);
+}
+
 void replica_table::expire(core::monotonic_time now)
 {
     std::vector<std::string> due;
@@ -173,6 +203,12 @@
     m_replicas.erase(found);
 }
 
+bool replica_table::hasLeft(const catalog::replica_record &record) const
+{
+    const auto told = m_left.find(record.id);
+    return told != m_left.end() && record.startedAtMs <= told->second;
+}
+
 void replica_table::addToService(const replica_ptr &added)
 {
     m_services[added->record.service].push_back(added);
--- a/libs/gateway/src/return_advice.cpp
+++ b/libs/gateway/src/return_advice.cpp
@@ -1,3 +1,4 @@
+#include <medlarrack/gateway/replica.hpp>
 #include <medlarrack/gateway/return_advice.hpp>
 #include <medlarrack/suspects/suspect_table.hpp>
 
@@ -42,7 +43,20 @@
     return shortest;
 }
 
-milliseconds expectedTime(refusal_cause cause, const replica_table &table, std::string_view service)
+/// Until the first replica that asked for quiet may be asked again.
+milliseconds quietTime(const replica_table &table, std::string_view service, core::monotonic_time now)
+{
+    std::chrono::nanoseconds shortest = std::chrono::nanoseconds::max();
+    for (const replica_ptr &one : table.ofService(service)) {
+        if (one->isQuiet(now) && !one->record.leaving) {
+            shortest = std::min(shortest, *one->quietUntil - now);
+        }
+    }
+    return std::chrono::ceil<milliseconds>(shortest);
+}
+
+milliseconds expectedTime(refusal_cause cause, const replica_table &table, std::string_view service,
+                          core::monotonic_time now)
 {
     switch (cause) {
     case refusal_cause::crashes_replicas:
@@ -53,6 +67,8 @@
         return anyHoldsModel(table, service) ? leftOutTime : modelTime;
     case refusal_cause::adapter_backlog:
         return std::min(longestBacklogTime, placeTime + loadTime * shortestBacklog(table, service));
+    case refusal_cause::quiet:
+        return allAreQuiet(table, service, now) ? quietTime(table, service, now) : placeTime;
     case refusal_cause::rejected:
         break;
     }
@@ -62,11 +78,25 @@
 } // namespace
 
 std::chrono::milliseconds returnAfter(refusal_cause cause, const replica_table &table, std::string_view service,
-                                      std::uint32_t random)
+                                      core::monotonic_time now, std::uint32_t random)
 {
-    const milliseconds expected = expectedTime(cause, table, service);
-    // Spread over half of the time again.
-    return expected + milliseconds(random % (expected.count() / 2 + 1));
+    const milliseconds expected = expectedTime(cause, table, service, now);
+    // Spread over half of the time again; replicas that were quiet open over a second.
+    const milliseconds spread = cause == refusal_cause::quiet ? std::max(reopeningTime, expected / 2) : expected / 2;
+    return expected + milliseconds(random % (spread.count() + 1));
+}
+
+bool allAreQuiet(const replica_table &table, std::string_view service, core::monotonic_time now)
+{
+    bool any = false;
+    for (const replica_ptr &one : table.ofService(service)) {
+        const bool closed = one->record.leaving || one->health.isLeftOut(now) || (one->agent && !one->agent->engineUp);
+        if (!closed && !one->isQuiet(now)) {
+            return false;
+        }
+        any = any || (one->isQuiet(now) && !one->record.leaving);
+    }
+    return any;
 }
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -432,4 +432,70 @@
     BOOST_TEST(coldLoads <= asked.size() + asked.size() / 10);
 }
 
+// Guards against requests to replicas that asked for quiet, while others are left and when none is.
+BOOST_AUTO_TEST_CASE(a_quiet_replica_gets_nothing_also_as_the_last_one)
+{
+    const replica_ptr first = add("p0", "dc1", "plain", 6);
+    const replica_ptr second = add("p1", "dc1", "plain", 6);
+    first->askedForQuiet(std::chrono::milliseconds(2'000), clock.now());
+    BOOST_TEST(choosePlainOne().target == second);
+    second->askedForQuiet(std::chrono::milliseconds(1'000), clock.now());
+    BOOST_TEST(choosePlainOne().target == nullptr);
+    clock.advance(std::chrono::milliseconds(1'000));
+    BOOST_TEST(choosePlainOne().target == second);
+
+    addEngines(3);
+    for (int index = 0; index < 3; ++index) {
+        table.find("e" + std::to_string(index))->askedForQuiet(std::chrono::milliseconds(500), clock.now());
+    }
+    const replica_choice none = choose("m/a1");
+    BOOST_TEST(none.target == nullptr);
+    BOOST_TEST(!none.expected);
+}
+
+// The pattern: all that was held back for a replica comes at the end of its quiet time.
+BOOST_AUTO_TEST_CASE(work_comes_back_gradually_after_a_quiet_time)
+{
+    const replica_ptr one = add("p0", "dc1", "plain", 6);
+    one->askedForQuiet(std::chrono::milliseconds(2'000), clock.now());
+    clock.advance(std::chrono::milliseconds(2'000));
+    std::vector<std::uint32_t> taken;
+    for (int tenth = 0; tenth <= 10; ++tenth) {
+        while (choosePlainOne().target != nullptr && one->outstanding < 100) {
+            ++one->outstanding;
+        }
+        taken.push_back(one->outstanding);
+        clock.advance(std::chrono::milliseconds(100));
+    }
+    const std::vector<std::uint32_t> expected = {1, 1, 2, 2, 3, 4, 4, 5, 5, 6, 100};
+    BOOST_TEST(taken == expected, boost::test_tools::per_element());
+}
+
+// A third of the replicas closes for 2 s: what the others get more is their share, and no retry is needed for it.
+BOOST_AUTO_TEST_CASE(the_load_of_replicas_that_close_spreads_over_the_others)
+{
+    for (int index = 0; index < 6; ++index) {
+        add("p" + std::to_string(index), "dc1", "plain", 6);
+    }
+    const auto spread = [&] {
+        for (const auto &[id, one] : table.all()) {
+            one->outstanding = 0;
+        }
+        for (int request = 0; request < 18; ++request) {
+            ++choosePlainOne().target->outstanding;
+        }
+        std::uint32_t most = 0;
+        for (const auto &[id, one] : table.all()) {
+            most = std::max(most, one->outstanding);
+        }
+        return most;
+    };
+    BOOST_TEST(spread() == 3U);
+    table.find("p0")->askedForQuiet(std::chrono::milliseconds(2'000), clock.now());
+    table.find("p1")->askedForQuiet(std::chrono::milliseconds(2'000), clock.now());
+    BOOST_TEST(spread() == 5U);
+    BOOST_TEST(table.find("p0")->outstanding == 0U);
+    BOOST_TEST(table.find("p1")->outstanding == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/tests/test_replica_table.cpp
+++ b/libs/gateway/tests/test_replica_table.cpp
@@ -40,6 +40,74 @@
     BOOST_TEST(!one->record.leaving);
 }
 
+// Guards against an older list or report that takes back what a replica said itself.
+BOOST_AUTO_TEST_CASE(a_replica_that_said_it_leaves_stays_leaving_whatever_later_records_of_that_start_say)
+{
+    const replica_ptr one = add("r");
+    BOOST_TEST(table.saidLeaving("r", 1));
+    BOOST_TEST(one->record.leaving);
+    BOOST_TEST(!table.saidLeaving("r", 1));
+    catalog::replica_record record = one->record;
+    record.leaving = false;
+    record.sequence = 7;
+    BOOST_TEST(table.take(record, clock.now()));
+    BOOST_TEST(one->record.leaving);
+    // Also after it has gone from the list and come back, and at another address.
+    table.remove("r", milliseconds(0), clock.now());
+    BOOST_TEST(table.take(record, clock.now()));
+    BOOST_TEST(table.find("r")->record.leaving);
+    record.port = 999;
+    BOOST_TEST(table.take(record, clock.now()));
+    BOOST_TEST(table.find("r")->record.leaving);
+    record.startedAtMs = 2;
+    BOOST_TEST(table.take(record, clock.now()));
+    BOOST_TEST(!table.find("r")->record.leaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_answer_of_an_earlier_start_does_not_make_the_new_one_leave)
+{
+    const replica_ptr one = add("r");
+    one->record.startedAtMs = 5;
+    BOOST_TEST(!table.saidLeaving("r", 4));
+    BOOST_TEST(!one->record.leaving);
+    // A start that its agent told before the list did.
+    BOOST_TEST(table.saidLeaving("r", 9));
+    catalog::replica_record record = one->record;
+    record.leaving = false;
+    record.startedAtMs = 9;
+    BOOST_TEST(table.take(record, clock.now()));
+    BOOST_TEST(one->record.leaving);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_replicas_are_remembered_within_bounds)
+{
+    for (int index = 0; index < 10'000; ++index) {
+        table.saidLeaving("gone-" + std::to_string(index), 1);
+    }
+    catalog::replica_record record = add("r")->record;
+    record.id = "gone-9999";
+    record.port = 999;
+    BOOST_TEST(table.take(record, clock.now()));
+    BOOST_TEST(table.find("gone-9999")->record.leaving);
+    record.id = "gone-0";
+    record.port = 998;
+    BOOST_TEST(table.take(record, clock.now()));
+    BOOST_TEST(!table.find("gone-0")->record.leaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_quiet_time_is_never_shortened_and_ends_with_a_new_start)
+{
+    const replica_ptr one = add("r");
+    one->askedForQuiet(milliseconds(2'000), clock.now());
+    one->askedForQuiet(milliseconds(100), clock.now());
+    clock.advance(milliseconds(1'999));
+    BOOST_TEST(one->isQuiet(clock.now()));
+    catalog::replica_record record = one->record;
+    record.startedAtMs = 2;
+    BOOST_TEST(table.take(record, clock.now()));
+    BOOST_TEST(!one->isQuiet(clock.now()));
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_replica_holds_nothing_of_before)
 {
     const replica_ptr one = add("r");
--- a/libs/gateway/tests/test_return_advice.cpp
+++ b/libs/gateway/tests/test_return_advice.cpp
@@ -14,7 +14,7 @@
 {
     long advice(refusal_cause cause, std::uint32_t random = 0)
     {
-        return returnAfter(cause, table, "llm", random).count();
+        return returnAfter(cause, table, "llm", clock.now(), random).count();
     }
 };
 
@@ -60,4 +60,26 @@
     BOOST_TEST(*times.rbegin() - *times.begin() <= 100);
 }
 
+BOOST_AUTO_TEST_CASE(callers_return_spread_after_the_first_replica_of_all_that_are_quiet_may_be_asked_again)
+{
+    addEngines(3);
+    using std::chrono::milliseconds;
+    table.find("e0")->askedForQuiet(milliseconds(2'000), clock.now());
+    table.find("e1")->askedForQuiet(milliseconds(900), clock.now());
+    BOOST_TEST(!allAreQuiet(table, "llm", clock.now()));
+    // One that has failed or leaves is no hope either.
+    table.find("e2")->agent->engineUp = false;
+    BOOST_TEST(allAreQuiet(table, "llm", clock.now()));
+    std::set<long> times;
+    for (std::uint32_t random = 0; random < 5'000; random += 50) {
+        times.insert(advice(refusal_cause::quiet, random));
+    }
+    BOOST_TEST(*times.begin() == 900);
+    BOOST_TEST(*times.rbegin() >= 1'800);
+    BOOST_TEST(*times.rbegin() <= 1'900);
+    clock.advance(milliseconds(900));
+    BOOST_TEST(!allAreQuiet(table, "llm", clock.now()));
+    BOOST_TEST(!allAreQuiet(table, "no such service", clock.now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
