Programs hold signals back until they can take them

What operators saw: a gateway that is told to reload in the first milliseconds of its life ends.

Cause: SIGHUP and SIGTERM were taken once the service had started; before that, and after the program listened already, their default ended the process.

Change: the first statement of each program holds SIGTERM, SIGINT and SIGHUP back; they are released once handlers are set, so that none is lost.

--- a/libs/daemon/include/medlarrack/daemon/run_program.hpp
+++ b/libs/daemon/include/medlarrack/daemon/run_program.hpp
@@ -2,6 +2,7 @@
 
 #include <medlarrack/daemon/command_line.hpp>
 #include <medlarrack/daemon/heap.hpp>
+#include <medlarrack/daemon/signals.hpp>
 #include <medlarrack/settings/fault.hpp>
 
 #include <iostream>
@@ -17,6 +18,7 @@
                              std::optional<Settings> (*load)(const std::string &, settings::fault_list &),
                              int (*serve)(const command_line &, const Settings &))
 {
+    holdSignals();
     shareHeaps();
     int exitCode = exitOk;
     const auto options = parseCommandLine(argumentCount, arguments, program, MEDLARRACK_VERSION, exitCode);
--- a/libs/daemon/include/medlarrack/daemon/signals.hpp
+++ b/libs/daemon/include/medlarrack/daemon/signals.hpp
@@ -7,8 +7,12 @@
 
 namespace medlarrack::daemon {
 
-/// Calls back once at the first SIGTERM or SIGINT; further ones are ignored. With a second callback, calls it at each
-/// SIGHUP, which otherwise ends the process. SIGPIPE is ignored throughout.
+/// Holds SIGTERM, SIGINT and SIGHUP back until they are taken: by default they would end a process that starts. To be
+/// called first in main, before other threads.
+void holdSignals();
+
+/// Takes signals, also those held back. Calls back once at the first SIGTERM or SIGINT; further ones are ignored. With
+/// a second callback, calls it at each SIGHUP, which otherwise ends the process. SIGPIPE is ignored throughout.
 class signals
 {
 public:
--- a/libs/daemon/src/signals.cpp
+++ b/libs/daemon/src/signals.cpp
@@ -3,10 +3,31 @@
 #include <asio/signal_set.hpp>
 
 #include <csignal>
+#include <pthread.h>
 #include <utility>
 
 namespace medlarrack::daemon {
 
+namespace {
+
+sigset_t heldSignals()
+{
+    sigset_t held;
+    sigemptyset(&held);
+    sigaddset(&held, SIGTERM);
+    sigaddset(&held, SIGINT);
+    sigaddset(&held, SIGHUP);
+    return held;
+}
+
+} // namespace
+
+void holdSignals()
+{
+    const sigset_t held = heldSignals();
+    pthread_sigmask(SIG_BLOCK, &held, nullptr);
+}
+
 class signals::impl : public std::enable_shared_from_this<impl>
 {
 public:
@@ -55,6 +76,8 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     m_impl->wait();
+    const sigset_t held = heldSignals();
+    pthread_sigmask(SIG_UNBLOCK, &held, nullptr);
 }
 
 signals::~signals()
