Crash watch: runs that nobody waited for hide no crash; an answer is told if any crash was

Found by reading. A caller that leaves counted as a target's first loss, and the crash of a request sent just after it went unnoticed at that gateway until the target had answered another. An answer after one crash that was told and one that was not kept the first from being taken back elsewhere. Both tests fail on the code of before.

--- a/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
@@ -110,6 +110,8 @@
         crash what;
     };
 
+    /// Whether the target had ended a run's connection before this run began, and not answered since. Notes the loss.
+    bool isAfterFirstLoss(const lost_run &run, core::monotonic_time now);
     void believe(const open_run &run, std::string_view why, core::monotonic_time now);
     void close(const open_run &run);
     void remember(const answer &given);
@@ -124,7 +126,8 @@
     std::map<std::string, std::vector<open_run>, std::less<>> m_open;
     std::unordered_map<std::uint64_t, std::size_t> m_openRuns;
     std::size_t m_openCount = 0;
-    /// When a target first lost a run since it last answered: what is lost there later may not have reached it.
+    /// When a target first ended a run's connection since it last answered: what is lost there later may not have
+    /// reached it.
     std::map<std::string, first_loss, std::less<>> m_firstLoss;
     core::monotonic_time m_lastCrash{};
     std::uint64_t m_seed;
--- a/libs/suspects/src/crash_watch.cpp
+++ b/libs/suspects/src/crash_watch.cpp
@@ -93,11 +93,7 @@
 
 void crash_watch::runLost(const lost_run &run, core::monotonic_time now)
 {
-    first_loss &first = m_firstLoss.try_emplace(run.target.id, first_loss{run.target.incarnation, now}).first->second;
-    if (first.incarnation != run.target.incarnation) {
-        first = {run.target.incarnation, now};
-    }
-    if (run.startedAt > first.at) {
+    if (run.disconnected && isAfterFirstLoss(run, now)) {
         return;
     }
     const open_run lost{run, now};
@@ -114,6 +110,15 @@
     ++m_openCount;
 }
 
+bool crash_watch::isAfterFirstLoss(const lost_run &run, core::monotonic_time now)
+{
+    first_loss &first = m_firstLoss.try_emplace(run.target.id, first_loss{run.target.incarnation, now}).first->second;
+    if (first.incarnation != run.target.incarnation) {
+        first = {run.target.incarnation, now};
+    }
+    return run.startedAt > first.at;
+}
+
 void crash_watch::targetAnswered(std::string_view id, core::monotonic_time sentAt)
 {
     if (const auto loss = m_firstLoss.find(id); loss != m_firstLoss.end() && loss->second.at <= sentAt) {
@@ -150,13 +155,14 @@
         }
     }
     remember({fingerprint, now});
+    const std::size_t known = m_table.crashesOf(fingerprint, now).size();
     if (!m_table.acquit(fingerprint, now, now)) {
         return;
     }
     const auto untold = std::erase_if(m_untold, [fingerprint](const untold_crash &one) {
         return one.fingerprint == fingerprint;
     });
-    if (untold == 0) {
+    if (untold < known) {
         m_acquitted.push_back({fingerprint, now});
     }
 }
--- a/libs/suspects/tests/test_crash_watch.cpp
+++ b/libs/suspects/tests/test_crash_watch.cpp
@@ -189,6 +189,28 @@
     BOOST_TEST((watch.standingOf(poison, start + 8s) == standing::suspect));
 }
 
+// Guards against callers that leave and hide the crash of the next request.
+BOOST_AUTO_TEST_CASE(runs_that_nobody_waited_for_do_not_hide_a_crash)
+{
+    crash_watch watch;
+    watch.runLost({18, {"e-1", 1}, start, false}, start + 10ms);
+    watch.runLost(runAt("e-1", start + 20ms), start + 30ms);
+    watch.targetEnded("e-1", start + 40ms);
+    BOOST_TEST((watch.standingOf(poison, start + 40ms) == standing::suspect));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_is_told_if_any_crash_before_it_was)
+{
+    crash_watch watch;
+    watch.runLost(runAt("e-1", start), start);
+    watch.targetEnded("e-1", start);
+    BOOST_TEST(watch.takeNews(start + 1s).crashes.size() == 1U);
+    watch.runLost(runAt("e-2", start + 2s), start + 2s + 10ms);
+    watch.targetEnded("e-2", start + 2s + 10ms);
+    watch.answered(poison, start + 3s);
+    BOOST_TEST(watch.takeNews(start + 3s).acquittals.size() == 1U);
+}
+
 // Guards against a refusal of ten minutes by crashes that another request caused.
 BOOST_AUTO_TEST_CASE(a_refused_request_is_probed_once_when_all_is_calm_and_comes_back_by_its_answer)
 {
