Crash watch: a replica that answers as a new start had crashed; the second probe waits 80 s

Found by reading. A replica that is back within 1.5 s under the same id took the suspicion of its crash away with its first answer; its start tells now (test fails before). Copies of a request that run at once count as one crash, so that two probes within half a minute beside them could come to more than the users' three retries: the second waits 80 s after the first, the third does not come before the crash fades.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -283,7 +283,7 @@
     }
     const core::monotonic_time now = m_services.clock.now();
     heed(facts);
-    m_services.crashes.targetAnswered(m_targetId, m_sentAt);
+    m_services.crashes.targetAnswered({m_targetId, m_targetStart}, m_sentAt, now);
     m_firstByte = now - m_sentAt;
     m_lastBytesAt = now;
     if (facts.load) {
--- a/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
@@ -62,8 +62,8 @@
     void probed(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now);
 
     void runLost(const lost_run &run, core::monotonic_time now);
-    /// A target answered something that was sent to it at a time.
-    void targetAnswered(std::string_view id, core::monotonic_time sentAt);
+    /// A target answered something that was sent to it at a time, as the incarnation that was known then.
+    void targetAnswered(const core::instance_ref &target, core::monotonic_time sentAt, core::monotonic_time now);
     /// A target is known to have ended about now.
     void targetEnded(std::string_view id, core::monotonic_time now);
     /// A run of a request ended with an answer.
--- a/libs/suspects/src/crash_watch.cpp
+++ b/libs/suspects/src/crash_watch.cpp
@@ -23,7 +23,7 @@
 /// three there is none.
 constexpr milliseconds firstProbeAfter{2'000};
 constexpr std::uint64_t probeSpread = 3'000;
-constexpr int probePauseFactor = 10;
+constexpr int probePauseFactor = 40;
 /// No request is probed while targets crash: it would be lost with another's.
 constexpr milliseconds calmBeforeProbe{1'500};
 /// Answers remembered: what other processes say of crashes is compared with them for this long.
@@ -119,15 +119,21 @@
     return run.startedAt > first.at;
 }
 
-void crash_watch::targetAnswered(std::string_view id, core::monotonic_time sentAt)
+void crash_watch::targetAnswered(const core::instance_ref &target, core::monotonic_time sentAt,
+                                 core::monotonic_time now)
 {
-    if (const auto loss = m_firstLoss.find(id); loss != m_firstLoss.end() && loss->second.at <= sentAt) {
+    if (const auto loss = m_firstLoss.find(target.id); loss != m_firstLoss.end() && loss->second.at <= sentAt) {
         m_firstLoss.erase(loss);
     }
-    if (m_openCount > 0) {
-        take(id, [sentAt](const open_run &one) {
-            return one.lostAt <= sentAt;
-        });
+    if (m_openCount == 0) {
+        return;
+    }
+    for (const open_run &one : take(target.id, [sentAt](const open_run &run) {
+             return run.lostAt <= sentAt;
+         })) {
+        if (one.run.target.incarnation != target.incarnation) {
+            believe(one, "the target was started anew", now);
+        }
     }
 }
 
--- a/libs/suspects/tests/test_crash_watch.cpp
+++ b/libs/suspects/tests/test_crash_watch.cpp
@@ -62,12 +62,21 @@
     crash_watch watch;
     watch.runLost(runAt("e-1", start), start + 10ms);
     // This one may have been answered before the run was lost.
-    watch.targetAnswered("e-1", start + 5ms);
+    watch.targetAnswered({"e-1", 1}, start + 5ms, start + 20ms);
     BOOST_TEST((watch.standingOf(poison, start + 20ms) == standing::suspect));
-    watch.targetAnswered("e-1", start + 15ms);
+    watch.targetAnswered({"e-1", 1}, start + 15ms, start + 20ms);
     BOOST_TEST((watch.standingOf(poison, start + 20ms) == standing::clear));
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_answers_as_another_incarnation_had_crashed)
+{
+    crash_watch watch;
+    watch.runLost(runAt("e-1", start), start + 10ms);
+    watch.targetAnswered({"e-1", 2}, start + 900ms, start + 920ms);
+    BOOST_TEST(watch.takeBelieved().size() == 1U);
+    BOOST_TEST((watch.standingOf(poison, start + 1s) == standing::suspect));
+}
+
 BOOST_AUTO_TEST_CASE(silence_confirms_only_what_the_target_disconnected)
 {
     crash_watch watch;
@@ -183,7 +192,7 @@
     watch.settle(start + 3s, nobodyKnows);
     BOOST_TEST((watch.standingOf(18, start + 3s) == standing::suspect));
     BOOST_TEST((watch.standingOf(poison, start + 3s) == standing::clear));
-    watch.targetAnswered("e-1", start + 4s);
+    watch.targetAnswered({"e-1", 1}, start + 4s, start + 4s);
     watch.runLost(runAt("e-1", start + 5s), start + 5s + 10ms);
     watch.settle(start + 8s, nobodyKnows);
     BOOST_TEST((watch.standingOf(poison, start + 8s) == standing::suspect));
@@ -253,7 +262,7 @@
         processes[0].targetEnded("e-" + std::to_string(round), at + 20ms);
     }
     std::size_t probes = 0;
-    for (auto at = start + 1s; at < start + 60s; at += 50ms) {
+    for (auto at = start + 1s; at < start + 150s; at += 50ms) {
         tell(at);
         if ((at - start) % 7s == 0s) {
             processes[2] = crash_watch(suspects::sharedLimits, 2'000);
