--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -283,7 +283,10 @@
     }
     const core::monotonic_time now = m_services.clock.now();
     heed(facts);
-    m_services.crashes.targetAnswered({m_targetId, m_targetStart}, m_sentAt, now);
+    // An answer that another replica may have given says nothing of this one.
+    if (!facts.misdirected) {
+        m_services.crashes.targetAnswered({m_targetId, m_targetStart}, m_sentAt, now);
+    }
     m_firstByte = now - m_sentAt;
     m_lastBytesAt = now;
     if (facts.load) {
