Suspects: one walk over open runs, one way to drop crashes

Read again: crash_watch walked all targets twice with the same loop; suspect_table::answered was acquit() with a condition; crashes() sorted a list that is kept in sequence, on each request.

--- a/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
@@ -119,6 +119,8 @@
     [[nodiscard]] bool answeredSince(std::uint64_t fingerprint, core::monotonic_time since) const;
     /// Removes the open runs of a target that a condition holds for, and hands them over.
     std::vector<open_run> take(std::string_view target, const std::function<bool(const open_run &)> &condition);
+    /// The same of all targets.
+    std::vector<open_run> takeAnywhere(const std::function<bool(const open_run &)> &condition);
 
     suspect_limits m_limits;
     suspect_table m_table;
--- a/libs/suspects/src/crash_watch.cpp
+++ b/libs/suspects/src/crash_watch.cpp
@@ -1,6 +1,7 @@
 #include <medlarrack/suspects/crash_watch.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace medlarrack::suspects {
@@ -125,9 +126,6 @@
     if (const auto loss = m_firstLoss.find(target.id); loss != m_firstLoss.end() && loss->second.at <= sentAt) {
         m_firstLoss.erase(loss);
     }
-    if (m_openCount == 0) {
-        return;
-    }
     for (const open_run &one : take(target.id, [sentAt](const open_run &run) {
              return run.lostAt <= sentAt;
          })) {
@@ -150,18 +148,12 @@
 void crash_watch::answered(std::uint64_t fingerprint, core::monotonic_time now)
 {
     if (m_openRuns.contains(fingerprint)) {
-        std::vector<std::string> targets;
-        for (const auto &[target, runs] : m_open) {
-            targets.push_back(target);
-        }
-        for (const std::string &target : targets) {
-            take(target, [fingerprint](const open_run &one) {
-                return one.run.fingerprint == fingerprint;
-            });
-        }
+        takeAnywhere([fingerprint](const open_run &one) {
+            return one.run.fingerprint == fingerprint;
+        });
     }
     remember({fingerprint, now});
-    const std::size_t known = m_table.crashesOf(fingerprint, now).size();
+    const std::size_t known = m_table.crashes(fingerprint, now);
     if (!m_table.acquit(fingerprint, now, now)) {
         return;
     }
@@ -182,23 +174,14 @@
     std::erase_if(m_firstLoss, [now](const auto &entry) {
         return now - entry.second.at > endMemory;
     });
-    if (m_openCount == 0) {
-        return;
-    }
-    std::vector<std::string> targets;
-    for (const auto &[target, runs] : m_open) {
-        targets.push_back(target);
-    }
-    for (const std::string &target : targets) {
-        for (const open_run &one : take(target, [now](const open_run &run) {
-                 return now - run.lostAt >= settleTime;
-             })) {
-            const std::optional<bool> alive = lives(one.run.target);
-            if (alive == false) {
-                believe(one, "the target has gone", now);
-            } else if (!alive && one.run.disconnected) {
-                believe(one, "the target ended the connection and was not heard of since", now);
-            }
+    for (const open_run &one : takeAnywhere([now](const open_run &run) {
+             return now - run.lostAt >= settleTime;
+         })) {
+        const std::optional<bool> alive = lives(one.run.target);
+        if (alive == false) {
+            believe(one, "the target has gone", now);
+        } else if (!alive && one.run.disconnected) {
+            believe(one, "the target ended the connection and was not heard of since", now);
         }
     }
 }
@@ -296,6 +279,19 @@
     return found != m_answered.end() && found->second >= since;
 }
 
+std::vector<crash_watch::open_run> crash_watch::takeAnywhere(const std::function<bool(const open_run &)> &condition)
+{
+    std::vector<std::string> targets;
+    for (const auto &[target, runs] : m_open) {
+        targets.push_back(target);
+    }
+    std::vector<open_run> taken;
+    for (const std::string &target : targets) {
+        std::ranges::move(take(target, condition), std::back_inserter(taken));
+    }
+    return taken;
+}
+
 std::vector<crash_watch::open_run> crash_watch::take(std::string_view target,
                                                      const std::function<bool(const open_run &)> &condition)
 {
--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -29,14 +29,15 @@
 
 std::size_t suspect_table::crashes(std::uint64_t fingerprint, core::monotonic_time now) const
 {
-    return crashesWith(fingerprint, {}, now);
+    // What is kept is in sequence.
+    return crashesOf(fingerprint, now).size();
 }
 
 std::size_t suspect_table::crashesWith(std::uint64_t fingerprint, std::span<const crash> possible,
                                        core::monotonic_time now) const
 {
-    const entry *found = find(fingerprint, now);
-    std::vector<crash> all = found == nullptr ? std::vector<crash>() : found->crashes;
+    const std::span<const crash> known = crashesOf(fingerprint, now);
+    std::vector<crash> all(known.begin(), known.end());
     all.insert(all.end(), possible.begin(), possible.end());
     return inSequence(std::move(all));
 }
@@ -60,11 +61,7 @@
 
 bool suspect_table::answered(std::uint64_t fingerprint, core::monotonic_time now)
 {
-    if (standingOf(fingerprint, now) != standing::suspect) {
-        return false;
-    }
-    drop(fingerprint);
-    return true;
+    return standingOf(fingerprint, now) == standing::suspect && acquit(fingerprint, now, now);
 }
 
 bool suspect_table::acquit(std::uint64_t fingerprint, core::monotonic_time answeredAt, core::monotonic_time now)
