--- a/libs/gateway/src/adapter_waiters.cpp
+++ b/libs/gateway/src/adapter_waiters.cpp
@@ -11,27 +11,22 @@
 
 void adapter_waiters::engineChanged(const replica_table &table, const replica &at)
 {
-    const bool lost = !at.agent || !at.agent->engineUp || at.removed || at.record.leaving;
-    std::vector<key> ready;
-    for (auto entry = m_waiters.lower_bound({at.record.id, ""});
-         entry != m_waiters.end() && entry->first.first == at.record.id; ++entry) {
-        if (lost || holdsAdapter(table, at, entry->first.second)) {
-            ready.push_back(entry->first);
-        }
+    if (!at.agent || !at.agent->engineUp || at.removed || at.record.leaving) {
+        engineClosed(at);
+        return;
     }
-    for (const key &one : ready) {
-        wake(one, lost ? &adapter_waiter::engineLost : &adapter_waiter::adapterLoaded);
+    std::vector<key> loaded = waitedForAt(at);
+    std::erase_if(loaded, [&](const key &one) {
+        return !holdsAdapter(table, at, one.second);
+    });
+    for (const key &one : loaded) {
+        wake(one, &adapter_waiter::adapterLoaded);
     }
 }
 
 void adapter_waiters::engineClosed(const replica &at)
 {
-    std::vector<key> waitedFor;
-    for (auto entry = m_waiters.lower_bound({at.record.id, ""});
-         entry != m_waiters.end() && entry->first.first == at.record.id; ++entry) {
-        waitedFor.push_back(entry->first);
-    }
-    for (const key &one : waitedFor) {
+    for (const key &one : waitedForAt(at)) {
         wake(one, &adapter_waiter::engineLost);
     }
 }
@@ -50,6 +45,16 @@
     }
 }
 
+std::vector<adapter_waiters::key> adapter_waiters::waitedForAt(const replica &at) const
+{
+    std::vector<key> found;
+    for (auto entry = m_waiters.lower_bound({at.record.id, ""});
+         entry != m_waiters.end() && entry->first.first == at.record.id; ++entry) {
+        found.push_back(entry->first);
+    }
+    return found;
+}
+
 void adapter_waiters::wake(const key &waitsFor, void (adapter_waiter::*how)())
 {
     const auto found = m_waiters.find(waitsFor);
--- a/libs/gateway/src/adapter_waiters.hpp
+++ b/libs/gateway/src/adapter_waiters.hpp
@@ -40,6 +40,7 @@
 private:
     using key = std::pair<std::string, std::string>;
 
+    [[nodiscard]] std::vector<key> waitedForAt(const replica &at) const;
     void wake(const key &waitsFor, void (adapter_waiter::*how)());
 
     std::map<key, std::vector<std::weak_ptr<adapter_waiter>>> m_waiters;
