--- a/libs/gateway/src/return_advice.cpp
+++ b/libs/gateway/src/return_advice.cpp
@@ -3,6 +3,7 @@
 #include <medlarrack/suspects/suspect_table.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace medlarrack::gateway {
 
@@ -43,16 +44,21 @@
     return shortest;
 }
 
-/// Until the first replica that asked for quiet may be asked again.
-milliseconds quietTime(const replica_table &table, std::string_view service, core::monotonic_time now)
+/// If all replicas that would take requests have asked for quiet, the time until the first of these ends.
+std::optional<milliseconds> quietTime(const replica_table &table, std::string_view service, core::monotonic_time now)
 {
-    std::chrono::nanoseconds shortest = std::chrono::nanoseconds::max();
+    std::optional<std::chrono::nanoseconds> shortest;
     for (const replica_ptr &one : table.ofService(service)) {
+        const bool closed = one->record.leaving || one->health.isLeftOut(now) || (one->agent && !one->agent->engineUp);
+        if (!closed && !one->isQuiet(now)) {
+            return std::nullopt;
+        }
         if (one->isQuiet(now) && !one->record.leaving) {
-            shortest = std::min(shortest, *one->quietUntil - now);
+            const auto left = *one->quietUntil - now;
+            shortest = std::min(shortest.value_or(left), left);
         }
     }
-    return std::chrono::ceil<milliseconds>(shortest);
+    return shortest ? std::optional(std::chrono::ceil<milliseconds>(*shortest)) : std::nullopt;
 }
 
 milliseconds expectedTime(refusal_cause cause, const replica_table &table, std::string_view service,
@@ -68,7 +74,7 @@
     case refusal_cause::adapter_backlog:
         return std::min(longestBacklogTime, placeTime + loadTime * shortestBacklog(table, service));
     case refusal_cause::quiet:
-        return allAreQuiet(table, service, now) ? quietTime(table, service, now) : placeTime;
+        return quietTime(table, service, now).value_or(placeTime);
     case refusal_cause::rejected:
         break;
     }
@@ -88,15 +94,7 @@
 
 bool allAreQuiet(const replica_table &table, std::string_view service, core::monotonic_time now)
 {
-    bool any = false;
-    for (const replica_ptr &one : table.ofService(service)) {
-        const bool closed = one->record.leaving || one->health.isLeftOut(now) || (one->agent && !one->agent->engineUp);
-        if (!closed && !one->isQuiet(now)) {
-            return false;
-        }
-        any = any || (one->isQuiet(now) && !one->record.leaving);
-    }
-    return any;
+    return quietTime(table, service, now).has_value();
 }
 
 } // namespace medlarrack::gateway
