--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -63,6 +63,7 @@
     void completeStream();
     void rejected();
     void attemptFailed(attempt_end end, std::string_view why);
+    [[nodiscard]] suspects::lost_run lostRun(bool disconnected) const;
     /// A run ended without the replica's answer: it may have crashed.
     void runLost(std::string_view why, bool disconnected);
     /// Refuses the request if it crashes the replicas that run it.
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -1,4 +1,5 @@
 #include "front.hpp"
+#include "milliseconds.hpp"
 #include "store_reader.hpp"
 
 #include <medlarrack/core/hash.hpp>
@@ -209,7 +210,7 @@
             log::write(log::level::info, "run crashed its replica",
                        {{"fingerprint", one.fingerprint},
                         {"replica", one.target},
-                        {"ran_ms", std::chrono::duration_cast<milliseconds>(one.ran).count()},
+                        {"ran_ms", inMilliseconds(one.ran)},
                         {"why", one.why},
                         {"crashes", static_cast<std::uint64_t>(one.crashes)}});
         }
