An agent that missed an answer is told of it by each gateway that knows better

Cause: answers are told to three agents.

Change: merge() tells what a process holds against an answer since, and the gateway tells that to the agent that said it, which passes it on. Ended suspicions are remembered, up to 1,024, also by those that were only told.

Test: without the memory of ended suspicions the new test fails (5 min after the answer both processes refuse the request again); with it each process answers the agent, which then holds nothing.

--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -107,7 +107,8 @@
 void agent_links::takeNews(const std::string &from, const core::crash_news &told)
 {
     const core::monotonic_time now = m_clock.now();
-    for (const core::crash_record &one : m_crashes.merge(told, now).crashes) {
+    const suspects::merged_news merged = m_crashes.merge(told, now);
+    for (const core::crash_record &one : merged.added.crashes) {
         log::write(log::level::info, "crash told by another gateway",
                    {{"fingerprint", one.fingerprint},
                     {"age_ms", one.age.count()},
@@ -116,6 +117,12 @@
                     {"by_agent", from},
                     {"refused", m_crashes.standingOf(one.fingerprint, now) == suspects::standing::refused}});
     }
+    const auto link = m_links.find(from);
+    if (!merged.unheard.empty() && link != m_links.end() && link->second.connection != nullptr) {
+        link->second.connection->send(link::crash_report{{{}, merged.unheard}});
+        log::write(log::level::info, "agent told of answers that it had not heard of",
+                   {{"replica", from}, {"acquittals", static_cast<std::uint64_t>(merged.unheard.size())}});
+    }
 }
 
 void agent_links::tick()
--- a/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
@@ -41,6 +41,15 @@
     std::size_t crashes = 0;
 };
 
+/// What becomes of another process's words.
+struct merged_news
+{
+    /// What of it was new.
+    core::crash_news added;
+    /// Answers since to what it takes for crashes: it hasn't heard of them.
+    std::vector<core::acquittal> unheard;
+};
+
 /// Decides which lost runs ended because their target crashed, and what to tell other processes of that. A run is lost
 /// in many ways; it speaks against its request only if the target has gone. Answers the pattern of one request that
 /// crashes each target that runs it and whose caller comes again anywhere, beside many that were merely there; also of
@@ -79,8 +88,8 @@
     [[nodiscard]] core::crash_news takeNews(core::monotonic_time now);
     /// All that is known, for a process that has just been met.
     [[nodiscard]] core::crash_news all(core::monotonic_time now) const;
-    /// Takes what another process told; returns what of that was new.
-    core::crash_news merge(const core::crash_news &told, core::monotonic_time now);
+    /// Takes what another process told.
+    merged_news merge(const core::crash_news &told, core::monotonic_time now);
 
     /// Fingerprints kept.
     [[nodiscard]] std::size_t size() const;
@@ -115,6 +124,10 @@
     void believe(const open_run &run, std::string_view why, core::monotonic_time now);
     void close(const open_run &run);
     void remember(const answer &given);
+    /// A suspicion ended by an answer at a time.
+    void cleared(std::uint64_t fingerprint, core::monotonic_time answeredAt);
+    /// When a request last had an answer, as far as remembered.
+    [[nodiscard]] std::optional<core::monotonic_time> lastAnswer(std::uint64_t fingerprint) const;
     /// Whether a request had an answer after a time, as far as remembered.
     [[nodiscard]] bool answeredSince(std::uint64_t fingerprint, core::monotonic_time since) const;
     /// Removes the open runs of a target that a condition holds for, and hands them over.
@@ -140,6 +153,8 @@
     /// Requests answered lately, by when; and the same in the order of the answers.
     std::unordered_map<std::uint64_t, core::monotonic_time> m_answered;
     std::deque<answer> m_answers;
+    /// When suspicions were ended by an answer; kept for as long as somebody may still hold the suspicion.
+    std::unordered_map<std::uint64_t, core::monotonic_time> m_cleared;
     std::vector<answer> m_acquitted;
 };
 
--- a/libs/suspects/src/crash_watch.cpp
+++ b/libs/suspects/src/crash_watch.cpp
@@ -30,6 +30,8 @@
 /// Answers remembered: what other processes say of crashes is compared with them for this long.
 constexpr milliseconds answerMemory{10'000};
 constexpr std::size_t maxAnswers = 16'384;
+/// Ended suspicions remembered; the oldest are forgotten first.
+constexpr std::size_t maxCleared = 1'024;
 /// Crashes of one request from which it is told at once.
 constexpr std::size_t crashesToTell = 2;
 /// Crashes told at once; more wait for the next time.
@@ -157,6 +159,7 @@
     if (!m_table.acquit(fingerprint, now, now)) {
         return;
     }
+    cleared(fingerprint, now);
     const auto untold = std::erase_if(m_untold, [fingerprint](const untold_crash &one) {
         return one.fingerprint == fingerprint;
     });
@@ -216,18 +219,23 @@
     return {m_table.records(now), {}};
 }
 
-core::crash_news crash_watch::merge(const core::crash_news &told, core::monotonic_time now)
+merged_news crash_watch::merge(const core::crash_news &told, core::monotonic_time now)
 {
+    merged_news merged;
     core::crash_news credible{{}, told.acquittals};
     for (const core::crash_record &one : told.crashes) {
         m_lastCrash = std::max(m_lastCrash, now - one.age);
         if (!answeredSince(one.fingerprint, now - one.age)) {
             credible.crashes.push_back(one);
-        } else if (m_acquitted.empty() || m_acquitted.back().fingerprint != one.fingerprint) {
-            m_acquitted.push_back({one.fingerprint, m_answered.at(one.fingerprint)});
+        } else if (merged.unheard.empty() || merged.unheard.back().fingerprint != one.fingerprint) {
+            merged.unheard.push_back({one.fingerprint, since(*lastAnswer(one.fingerprint), now)});
         }
     }
-    return m_table.merge(credible, now);
+    merged.added = m_table.merge(credible, now);
+    for (const core::acquittal &one : merged.added.acquittals) {
+        cleared(one.fingerprint, now - one.age);
+    }
+    return merged;
 }
 
 std::size_t crash_watch::size() const
@@ -273,10 +281,32 @@
     }
 }
 
+void crash_watch::cleared(std::uint64_t fingerprint, core::monotonic_time answeredAt)
+{
+    if (m_cleared.size() >= maxCleared && !m_cleared.contains(fingerprint)) {
+        m_cleared.erase(std::ranges::min_element(m_cleared, {}, [](const auto &entry) {
+            return entry.second;
+        }));
+    }
+    core::monotonic_time &known = m_cleared[fingerprint];
+    known = std::max(known, answeredAt);
+}
+
+std::optional<core::monotonic_time> crash_watch::lastAnswer(std::uint64_t fingerprint) const
+{
+    std::optional<core::monotonic_time> last;
+    for (const auto *answers : {&m_answered, &m_cleared}) {
+        if (const auto found = answers->find(fingerprint); found != answers->end()) {
+            last = std::max(last, std::optional(found->second));
+        }
+    }
+    return last;
+}
+
 bool crash_watch::answeredSince(std::uint64_t fingerprint, core::monotonic_time since) const
 {
-    const auto found = m_answered.find(fingerprint);
-    return found != m_answered.end() && found->second >= since;
+    const auto last = lastAnswer(fingerprint);
+    return last && *last >= since;
 }
 
 std::vector<crash_watch::open_run> crash_watch::takeAnywhere(const std::function<bool(const open_run &)> &condition)
--- a/libs/suspects/tests/test_crash_watch.cpp
+++ b/libs/suspects/tests/test_crash_watch.cpp
@@ -150,8 +150,8 @@
         here.targetEnded("e-" + std::to_string(round), at + 20ms);
         // Another process sees the answers.
         there.answered(poison, at + 50ms);
-        there.merge(here.takeNews(at + 60ms), at + 60ms);
-        here.merge(there.takeNews(at + 70ms), at + 70ms);
+        const auto merged = there.merge(here.takeNews(at + 60ms), at + 60ms);
+        here.merge({{}, merged.unheard}, at + 70ms);
         BOOST_TEST((here.standingOf(poison, at + 70ms) != standing::refused));
         BOOST_TEST((there.standingOf(poison, at + 70ms) != standing::refused));
     }
@@ -303,7 +303,40 @@
     later.merge(other.all(start + 1min), start + 1min);
     BOOST_TEST((later.standingOf(poison, start + 1min) == standing::refused));
     // Told back, it is no news.
-    BOOST_TEST(seen.merge(other.all(start + 1min), start + 1min).empty());
+    BOOST_TEST(seen.merge(other.all(start + 1min), start + 1min).added.empty());
+}
+
+// Guards against an old suspicion that comes back with each process that meets the one that has not heard of its end.
+BOOST_AUTO_TEST_CASE(a_process_that_tells_of_crashes_answered_since_is_told_so_also_by_those_that_only_heard_of_it)
+{
+    crash_watch answering;
+    crash_watch hearing;
+    suspects::suspect_table agent(suspects::sharedLimits);
+    for (int round = 0; round < 3; ++round) {
+        answering.runLost(runAt("e-" + std::to_string(round), start + round * 100ms), start + round * 100ms + 20ms);
+        answering.targetEnded("e-" + std::to_string(round), start + round * 100ms + 20ms);
+    }
+    const core::crash_news crashes = answering.takeNews(start + 300ms);
+    agent.merge(crashes, start + 300ms);
+    hearing.merge(crashes, start + 300ms);
+    BOOST_TEST((hearing.standingOf(poison, start + 300ms) == standing::refused));
+    answering.answered(poison, start + 3s);
+    hearing.merge(answering.takeNews(start + 3s), start + 3s);
+    // The agent was cut off meanwhile. Long after, each process is linked with it again.
+    const auto later = start + 5min;
+    for (crash_watch *one : {&answering, &hearing}) {
+        const suspects::merged_news merged = one->merge({agent.records(later), {}}, later);
+        BOOST_TEST(merged.added.empty());
+        BOOST_TEST_REQUIRE(merged.unheard.size() == 1U);
+        BOOST_TEST(merged.unheard.front().age.count() == (later - start - 3s) / 1ms);
+        BOOST_TEST((one->standingOf(poison, later) == standing::clear));
+    }
+    agent.merge({{}, hearing.merge({agent.records(later), {}}, later).unheard}, later);
+    BOOST_TEST((agent.standingOf(poison, later) == standing::clear));
+    // A crash since then counts.
+    answering.runLost(runAt("e-9", later), later);
+    answering.targetEnded("e-9", later);
+    BOOST_TEST((answering.standingOf(poison, later) == standing::suspect));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
