Engines that started anew are held for, not asked under their old id, and the list is read sooner then

Meanwhile agents told of engines that had started anew, as the engines of the old ids; once these held the base model they got what was meant for the old ids and turned it away with 421: of 1,400 requests refused or sent on within 2.5 s after the start 700 for "the replica did not run it". Half of the links to agents were made 0.6 s after a gateway's start, nine tenths after 1.1 s.

Change: an engine whose agent tells of a later start than the list isn't asked for 2 s, but expected, so that requests are held for it; that, or a 421 of a replica without an agent, makes the store reader read changes 100 ms after its last call instead of its pace, then 200, 400, 800 ms, four times in a row at most. Modules without network: call_pace and replica_choice, with tests of that load; the tests fail without the change.

--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -22,6 +22,9 @@
 /// Slots of a replica that was quiet open evenly over this time.
 inline constexpr std::chrono::milliseconds reopeningTime{1'000};
 
+/// An engine that starts anew registers at once, and a change is read within this; later it may have kept its id.
+inline constexpr std::chrono::milliseconds listingTime{2'000};
+
 /// How requests ended, as far as it speaks for or against a replica.
 struct request_ends
 {
@@ -50,6 +53,8 @@
     std::uint32_t failing = 0;
     /// Prompt tokens of other processes' requests that the engine has yet to read.
     std::uint64_t othersUnread = 0;
+    /// When this process learnt of the engine's start.
+    core::monotonic_time startKnownAt{};
 };
 
 /// What is known of one replica.
@@ -125,6 +130,14 @@
         return open >= reopeningTime || outstanding * reopeningTime <= open * std::max(1U, record.slots);
     }
 
+    /// Whether its engine has started anew since it was listed. Mostly it has another id then, under which it is about
+    /// to be listed, and turns away what is meant for this one.
+    [[nodiscard]] bool awaitsListing(core::monotonic_time now) const
+    {
+        return agent && record.startedAtMs != 0 && agent->startedAtMs > record.startedAtMs
+            && now - agent->startKnownAt < listingTime;
+    }
+
     /// Prompt tokens that the engine has yet to read: it reads prompts in turn, so that all first events wait for them.
     [[nodiscard]] std::uint64_t unreadTokens() const
     {
--- a/libs/gateway/src/adapter_waiters.cpp
+++ b/libs/gateway/src/adapter_waiters.cpp
@@ -9,9 +9,9 @@
     m_waiters[{at.record.id, std::string(adapter)}].push_back(std::move(waiter));
 }
 
-void adapter_waiters::engineChanged(const replica_table &table, const replica &at)
+void adapter_waiters::engineChanged(const replica_table &table, const replica &at, core::monotonic_time now)
 {
-    if (!at.agent || !at.agent->engineUp || at.removed || at.record.leaving) {
+    if (!at.agent || !at.agent->engineUp || at.removed || at.record.leaving || at.awaitsListing(now)) {
         engineClosed(at);
         return;
     }
--- a/libs/gateway/src/adapter_waiters.hpp
+++ b/libs/gateway/src/adapter_waiters.hpp
@@ -31,7 +31,7 @@
 public:
     void add(const replica &at, std::string_view adapter, std::weak_ptr<adapter_waiter> waiter);
     /// Wakes those whose adapter an engine holds now, or all of them if it is lost.
-    void engineChanged(const replica_table &table, const replica &at);
+    void engineChanged(const replica_table &table, const replica &at, core::monotonic_time now);
     /// Wakes all that wait at an engine that takes no requests any more.
     void engineClosed(const replica &at);
     /// Wakes those whose engine has left the list.
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -185,13 +185,19 @@
         if (known->agent && known->agent->engineUp && (!sameStart || !status->engineUp)) {
             m_crashes.targetEnded(id, now);
         }
+        const core::monotonic_time startKnownAt = sameStart ? known->agent->startKnownAt : now;
         recent_adapters recent = sameStart ? std::move(known->agent->recent) : recent_adapters();
         for (const auto &[adapter, version] : status->adapters) {
             recent.add(adapter);
         }
-        known->agent = agent_status{status->engineUp,     status->startedAtMs, status->models,      status->adapters,
-                                    status->load.running, status->load.queued, status->load.wanted, now,
-                                    status->load.room,    std::move(recent),   status->load.failing};
+        known->agent = agent_status{status->engineUp,     status->startedAtMs, status->models,       status->adapters,
+                                    status->load.running, status->load.queued, status->load.wanted,  now,
+                                    status->load.room,    std::move(recent),   status->load.failing, 0,
+                                    startKnownAt};
+        if (!sameStart && known->awaitsListing(now)) {
+            log::write(log::level::info, "replica started anew and isn't listed yet",
+                       {{"replica", id}, {"started_at_ms", status->startedAtMs}});
+        }
         if (!found->second.connected) {
             found->second.connected = true;
             log::write(log::level::info, "agent link made", {{"replica", id}});
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -414,6 +414,7 @@
         const bool adapterLeft = m_target->record.adapters.erase(m_facts.adapter) > 0;
         if (!adapterLeft) {
             m_target->failed(true, now);
+            m_services.listIsOld();
         }
     }
     if (mayTryAgain(*m_route, attempt_end::not_run, m_history) && m_services.budgetOf(m_service).tryRetry(now)) {
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -39,6 +39,8 @@
     std::function<overload::retry_budget &(std::string_view service)> budgetOf;
     /// Time since the store's last good answer.
     std::function<std::chrono::nanoseconds()> storeAge;
+    /// Something isn't as it is listed: the list is read again soon.
+    std::function<void()> listIsOld;
     /// Spreads the times at which refused callers return.
     std::minstd_rand &random;
 };
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -50,7 +50,11 @@
         , connections(owner, time)
         , agents(owner, time, given.name, given.agentPort, replicas, routes, crashes,
                  [this](const replica_ptr &changed) {
-                     waiters.engineChanged(replicas, *changed);
+                     const core::monotonic_time now = clock.now();
+                     if (changed->awaitsListing(now)) {
+                         store.hurry();
+                     }
+                     waiters.engineChanged(replicas, *changed, now);
                  })
         , random(static_cast<std::minstd_rand::result_type>(time.wallNow().time_since_epoch().count()))
         , services{time,
@@ -70,6 +74,9 @@
                    [this] {
                        return store.age();
                    },
+                   [this] {
+                       store.hurry();
+                   },
                    random}
         , callers(owner, services)
         , admin(owner,
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -62,7 +62,7 @@
     if (!mayReceive(one, now) || !one.mayReopen(now) || !one.health.mayServe(one.outstanding, now)) {
         return false;
     }
-    return !one.agent || one.agent->engineUp;
+    return !one.agent || (one.agent->engineUp && !one.awaitsListing(now));
 }
 
 std::uint32_t currentLoad(const replica &one, core::monotonic_time now)
@@ -102,13 +102,15 @@
     return !one.agent && now - one.listedAt < linkTime;
 }
 
-/// Whether the engine is about to hold the model: its agent loads it, or has not told yet.
+/// Whether the engine is about to be usable: its agent loads the model, or has not told yet, or its new start is about
+/// to be listed.
 bool isExpected(const replica &one, std::string_view model, core::monotonic_time now)
 {
     if (!mayReceive(one, now)) {
         return false;
     }
-    return isUnknown(one, now) || (one.agent && one.agent->engineUp && !holdsModel(one, model));
+    return isUnknown(one, now)
+        || (one.agent && one.agent->engineUp && (!holdsModel(one, model) || one.awaitsListing(now)));
 }
 
 struct known_engines
--- a/libs/gateway/src/store_reader.cpp
+++ b/libs/gateway/src/store_reader.cpp
@@ -1,5 +1,6 @@
 #include "store_reader.hpp"
 
+#include <medlarrack/gateway/call_pace.hpp>
 #include <medlarrack/log/log.hpp>
 
 #include <algorithm>
@@ -24,12 +25,12 @@
 {
 public:
     impl(asio::io_context &context, const asio::ip::tcp::endpoint &store, const catalog::store_format &storeFormat,
-         const core::clock &time, std::chrono::milliseconds pause, std::function<void(const store_news &)> handler)
+         const core::clock &time, std::chrono::milliseconds usualPause, std::function<void(const store_news &)> handler)
         : client(context, store)
         , timer(context)
         , format(storeFormat)
         , clock(time)
-        , interval(pause)
+        , interval(usualPause)
         , onNews(std::move(handler))
         , lastGood(time.now())
     {
@@ -151,15 +152,31 @@
         schedule(retryPause);
     }
 
-    void schedule(std::chrono::milliseconds pause)
+    void hurry()
+    {
+        if (pace.isHurried()) {
+            return;
+        }
+        pace.hurry();
+        // While a call is under way its end schedules the next one; one that failed is soon made again anyway.
+        if (isScheduled && reachable == true) {
+            schedule(interval);
+        }
+    }
+
+    void schedule(std::chrono::milliseconds usual)
     {
         const auto spent = clock.now() - calledAt;
-        timer.expires_after(std::max<std::chrono::nanoseconds>(std::chrono::nanoseconds(0), pause - spent));
+        isScheduled = true;
+        timer.expires_after(
+            std::max<std::chrono::nanoseconds>(std::chrono::nanoseconds(0), pace.pause(usual, clock.now()) - spent));
         timer.async_wait([weak = weak_from_this()](const std::error_code &error) {
             const auto self = weak.lock();
             if (error || self == nullptr) {
                 return;
             }
+            self->isScheduled = false;
+            self->pace.called();
             if (self->whole) {
                 self->readChanges();
             } else {
@@ -182,6 +199,9 @@
     /// The next news tells what happened while the store was away.
     bool catchingUp = false;
     bool whole = false;
+    /// The next call is due at the timer.
+    bool isScheduled = false;
+    call_pace pace;
     /// Nothing before the first call has ended.
     std::optional<bool> reachable;
 };
@@ -203,6 +223,11 @@
     m_impl->readPage();
 }
 
+void store_reader::hurry()
+{
+    m_impl->hurry();
+}
+
 std::chrono::nanoseconds store_reader::age() const
 {
     return m_impl->clock.now() - m_impl->lastGood;
--- a/libs/gateway/src/store_reader.hpp
+++ b/libs/gateway/src/store_reader.hpp
@@ -41,6 +41,9 @@
     ~store_reader();
 
     void start();
+    /// What was read is known to be old: changes are read sooner than the pace says. Asked for often, it goes back to
+    /// the pace, since each call costs the store.
+    void hurry();
     /// Time since the last good answer.
     [[nodiscard]] std::chrono::nanoseconds age() const;
     [[nodiscard]] std::uint64_t revision() const;
--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -317,6 +317,33 @@
     BOOST_TEST(choose("m/a1").target->record.id == home);
 }
 
+// Guards against requests that are turned away by each engine of a fleet that crashed and is back under new ids.
+BOOST_AUTO_TEST_CASE(an_engine_that_started_anew_gets_nothing_under_its_old_id_until_it_is_listed)
+{
+    addEngines(3);
+    const auto startAnew = [this](const std::string &id) {
+        agent_status &agent = *table.find(id)->agent;
+        agent.startedAtMs = 2;
+        agent.startKnownAt = clock.now();
+    };
+    table.find("e1")->agent->adapters["m/a1"] = 1;
+    startAnew("e1");
+    BOOST_TEST(choose("m/a1").target->record.id != "e1");
+    startAnew("e0");
+    startAnew("e2");
+    BOOST_TEST(choose("m/a1").target == nullptr);
+    BOOST_TEST(choose("m/a1").expected);
+    // Listed anew under the same id, it is used at once.
+    catalog::replica_record record = table.find("e1")->record;
+    record.startedAtMs = 2;
+    table.take(record, clock.now());
+    BOOST_TEST(choose("m/a2").target->record.id == "e1");
+    // A list that doesn't come says nothing.
+    clock.advance(milliseconds(2'000));
+    BOOST_TEST(!choose("m/a3", 0, std::vector<std::string>{"e1"}).expected);
+    BOOST_TEST(choose("m/a3", 0, std::vector<std::string>{"e1"}).target != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_just_listed_is_not_believed_to_hold_what_the_list_says_until_its_agent_tells)
 {
     const replica_ptr one = add("e0");
