A slow pace of reading the store is no outage; gateways read it every 38 hundredths of the time for a change again

Requests reached a replica up to 3,092 ms after it had left, of 3,000.

Cause, from the log of edge-songino-6: the entry was removed at 16.008 s, read at 17.010 s, and kept for 2,200 ms more, as after an outage. An outage was 1.6 s without a good answer, and the pace of 60 hundredths is 1.8 s there: each read passed for the end of an outage. So would the former pace where a change has more than 4.2 s.

--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -27,9 +27,8 @@
 /// After a request to stop, new connections still come until the balancer has seen twice, once a second, that the
 /// process isn't ready.
 constexpr milliseconds listenAfterStop{2'500};
-/// Pause between calls to the store, in hundredths of the time for a change: a call that fails at once is made again in
-/// time. Each call costs the users, and what shows that the list is old hurries the next one.
-constexpr int storeShare = 60;
+/// Pause between calls to the store, in hundredths of the time for a change: one call may fail and be made again.
+constexpr int storeShare = 38;
 /// Replicas that the store dropped while it was away are listed again within about two seconds of its return.
 constexpr milliseconds removalGrace{2'200};
 constexpr int ok = 200;
--- a/libs/gateway/src/store_reader.cpp
+++ b/libs/gateway/src/store_reader.cpp
@@ -16,8 +16,10 @@
 constexpr std::chrono::milliseconds answerTime{900};
 /// Pause after a call that failed.
 constexpr std::chrono::milliseconds retryPause{300};
-/// Without a good answer for this long the store counts as having been away.
+/// Without a good answer for this long the store counts as having been away: entries lapse after some seconds.
 constexpr std::chrono::milliseconds outageAfter{1'600};
+/// The least of that beyond the usual time between answers, so that a slow pace doesn't pass for an outage.
+constexpr std::chrono::milliseconds beyondPace{400};
 
 } // namespace
 
@@ -132,7 +134,7 @@
     void succeeded()
     {
         const core::monotonic_time now = clock.now();
-        if (now - lastGood >= outageAfter) {
+        if (now - lastGood >= std::max(outageAfter, interval + beyondPace)) {
             catchingUp = true;
         }
         if (reachable != true) {
