A replica that turns requests away as full, and tells no load, is asked last for 300 ms

Cause: a rejection without Server-Load changed nothing of what is known of a replica's load, so that one that turns all away got half of all requests; each cost a retry, and once the retry budget of the service was spent, each was refused.

Change: such a replica counts as full with a queue for as long as a told load counts (300 ms). Engines have agents that tell their load, and replicas that say their load in the rejection are believed, as before.

--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -144,6 +144,14 @@
         return unread + (agent ? agent->othersUnread : 0);
     }
 
+    /// It turned a request away without saying its load: it is taken to be full, with a queue, as long as a told load
+    /// counts. Otherwise its quick rejections would go on attracting requests.
+    void turnedAway(core::monotonic_time now)
+    {
+        constexpr std::uint32_t queues = 2;
+        tellLoad(std::max(load(), (1 + queues) * record.slots), now);
+    }
+
     /// Takes a count of all requests running and waiting there.
     void tellLoad(std::uint32_t all, core::monotonic_time now)
     {
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -416,6 +416,8 @@
             m_target->failed(true, now);
             m_services.listIsOld();
         }
+    } else if (!m_answerFacts.load && !m_target->agent) {
+        m_target->turnedAway(now);
     }
     if (mayTryAgain(*m_route, attempt_end::not_run, m_history) && m_services.budgetOf(m_service).tryRetry(now)) {
         tryAgain("the replica did not run it");
