--- a/apps/medlarrack-faults/src/fault_matrix.cpp
+++ b/apps/medlarrack-faults/src/fault_matrix.cpp
@@ -86,6 +86,7 @@
              {"the replica says so itself, then older lists arrive", "libs/instances",
               "leaving_said_by_the_instance_itself_is_not_taken_back_by_lists"},
              {"a leaving replica, the others busy", "libs/gateway", "a_failing_leaving_or_tried_replica_gets_nothing"},
+             {"the store is read seldom", "platform", "a_pace_of_seconds_is_no_outage"},
              {"it is started anew", "libs/gateway", "a_leaving_replica_stays_so_until_it_is_started_anew"},
              {"an answer says so, then older records come", "libs/gateway",
               "a_replica_that_said_it_leaves_stays_leaving_whatever_later_records_of_that_start_say"},
@@ -132,6 +133,8 @@
          {
              {"a request crashes each target it reaches", "libs/entry",
               "a_poison_request_crashes_two_targets_and_is_refused_then"},
+             {"an agent was cut off when an answer ended a suspicion", "libs/suspects",
+              "a_process_that_tells_of_crashes_answered_since_is_told_so_also_by_those_that_only_heard_of_it"},
              {"an innocent ran beside it", "libs/entry", "an_innocent_that_ran_beside_a_crash_is_answered_and_cleared"},
              {"a request reaches replicas of a gateway", "libs/gateway",
               "an_idempotent_request_runs_on_no_more_replicas_than_its_route_allows"},
@@ -185,6 +188,8 @@
          ""},
         {"Load that can't be served is refused at once, with a time to return",
          {
+             {"a replica turns requests away and tells no load, another is idle", "platform",
+              "a_replica_that_turns_requests_away_as_full_is_asked_last_for_a_while"},
              {"all engines come back empty", "libs/gateway",
               "after_a_mass_restart_an_adapter_is_loaded_at_few_engines_whatever_each_process_sees"},
              {"refused callers return", "libs/gateway", "callers_refused_together_return_spread"},
