--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -42,8 +42,8 @@
 /// Time of a load from the weight store, and from the memory of an engine that has held the adapter.
 constexpr std::chrono::milliseconds coldLoadTime{290};
 constexpr std::chrono::milliseconds warmLoadTime{30};
-/// Recent requests of this process for an adapter from which its data centre gets a home for it: a load costs its users as
-/// much as 6 to 18 requests between data centres, and takes a slot from another adapter.
+/// Recent requests of this process for an adapter from which its data centre gets a home for it: a load costs its users
+/// as much as 6 to 18 requests between data centres, and takes a slot from another adapter.
 constexpr double localDemand = 15;
 /// An agent is linked within this after its engine was listed: connecting times out after 400 ms.
 constexpr std::chrono::milliseconds linkTime{500};
