--- a/libs/link/fuzz/fuzz_message_codec.cpp
+++ b/libs/link/fuzz/fuzz_message_codec.cpp
@@ -1,3 +1,5 @@
+#include "../../core/fuzz/in_pieces.hpp"
+
 #include <medlarrack/link/message_codec.hpp>
 
 #include <cstddef>
@@ -5,8 +7,7 @@
 #include <cstdlib>
 #include <string_view>
 
-/// libFuzzer target: the first byte says in pieces of which size the rest is fed to the decoder. Whatever comes out
-/// must survive encoding and decoding unchanged.
+/// libFuzzer target: the decoder is fed in pieces. Whatever comes out must survive encoding and decoding unchanged.
 
 namespace {
 
@@ -29,20 +30,14 @@
 // NOLINTNEXTLINE(readability-identifier-naming): libFuzzer calls this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
-    if (size == 0) {
-        return 0;
-    }
-    const std::size_t step = data[0] % 16U + 1;
-    std::string_view rest(reinterpret_cast<const char *>(data + 1), size - 1);
     link::message_decoder decoder;
     core::reason why;
-    while (!rest.empty() && !decoder.failed()) {
-        const std::string_view piece = rest.substr(0, step);
-        rest.remove_prefix(piece.size());
+    fuzz::inPieces({data, size}, [&](std::string_view piece) {
         decoder.feed(piece);
         while (const auto read = decoder.next(why)) {
             checkRoundTrip(*read);
         }
-    }
+        return !decoder.failed();
+    });
     return 0;
 }
