Agents send to all gateways in one place; news is answered on the link that brought it

The agent's two loops over its links are sendAll(). A gateway looked the link of an agent's news up a second time, and guarded against its absence, though it had it at hand. No change of behaviour.

--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -313,9 +313,15 @@
                     {"crashes", static_cast<std::uint64_t>(news.crashes.size())},
                     {"acquittals", static_cast<std::uint64_t>(news.acquittals.size())},
                     {"suspects", static_cast<std::uint64_t>(suspects.size())}});
-        const std::string text = link::encode(link::crash_report{news});
+        sendAll(link::crash_report{news}, &from);
+    }
+
+    /// Sends a message to all gateways, but for the one from which it came.
+    void sendAll(const link::message &message, const gateway_link *from = nullptr)
+    {
+        const std::string text = link::encode(message);
         for (gateway_link &one : links) {
-            if (!one.lost && &one != &from) {
+            if (!one.lost && &one != from) {
                 one.connection->sendEncoded(text);
             }
         }
@@ -448,12 +454,7 @@
         if (!other && same && now - publishedAt < heartbeat) {
             return;
         }
-        const std::string text = other ? link::encode(status) : link::encode(change);
-        for (gateway_link &one : links) {
-            if (!one.lost) {
-                one.connection->sendEncoded(text);
-            }
-        }
+        sendAll(other ? link::message(status) : link::message(change));
         published = std::move(status);
         publishedAt = now;
     }
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -104,7 +104,7 @@
                 {"agents", static_cast<std::uint64_t>(told)}});
 }
 
-void agent_links::takeNews(const std::string &from, const core::crash_news &told)
+void agent_links::takeNews(const std::string &from, agent_link &to, const core::crash_news &told)
 {
     const core::monotonic_time now = m_clock.now();
     const suspects::merged_news merged = m_crashes.merge(told, now);
@@ -117,9 +117,8 @@
                     {"by_agent", from},
                     {"refused", m_crashes.standingOf(one.fingerprint, now) == suspects::standing::refused}});
     }
-    const auto link = m_links.find(from);
-    if (!merged.unheard.empty() && link != m_links.end() && link->second.connection != nullptr) {
-        link->second.connection->send(link::crash_report{{{}, merged.unheard}});
+    if (!merged.unheard.empty()) {
+        to.connection->send(link::crash_report{{{}, merged.unheard}});
         log::write(log::level::info, "agent told of answers that it had not heard of",
                    {{"replica", from}, {"acquittals", static_cast<std::uint64_t>(merged.unheard.size())}});
     }
@@ -226,7 +225,7 @@
             change->load.unreadTokens - std::min(change->load.unreadTokens, found->second.toldUnread);
         known->agent->at = now;
     } else if (const auto *report = std::get_if<link::crash_report>(&message)) {
-        takeNews(id, report->news);
+        takeNews(id, found->second, report->news);
         return;
     } else {
         return;
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -49,7 +49,8 @@
 
     void open(const replica_ptr &to, agent_link &one);
     void take(const std::string &id, const link::message &message);
-    void takeNews(const std::string &from, const core::crash_news &told);
+    /// Takes what an agent tells, and answers it where it is behind.
+    void takeNews(const std::string &from, agent_link &to, const core::crash_news &told);
     void lose(const std::string &id, std::string_view why);
     void feed(replica &of, agent_link &one);
 
