--- a/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_watch.hpp
@@ -128,8 +128,6 @@
     void cleared(std::uint64_t fingerprint, core::monotonic_time answeredAt);
     /// When a request last had an answer, as far as remembered.
     [[nodiscard]] std::optional<core::monotonic_time> lastAnswer(std::uint64_t fingerprint) const;
-    /// Whether a request had an answer after a time, as far as remembered.
-    [[nodiscard]] bool answeredSince(std::uint64_t fingerprint, core::monotonic_time since) const;
     /// Removes the open runs of a target that a condition holds for, and hands them over.
     std::vector<open_run> take(std::string_view target, const std::function<bool(const open_run &)> &condition);
     /// The same of all targets.
--- a/libs/suspects/src/crash_watch.cpp
+++ b/libs/suspects/src/crash_watch.cpp
@@ -225,10 +225,11 @@
     core::crash_news credible{{}, told.acquittals};
     for (const core::crash_record &one : told.crashes) {
         m_lastCrash = std::max(m_lastCrash, now - one.age);
-        if (!answeredSince(one.fingerprint, now - one.age)) {
+        const auto lastAt = lastAnswer(one.fingerprint);
+        if (!lastAt || *lastAt < now - one.age) {
             credible.crashes.push_back(one);
         } else if (merged.unheard.empty() || merged.unheard.back().fingerprint != one.fingerprint) {
-            merged.unheard.push_back({one.fingerprint, since(*lastAnswer(one.fingerprint), now)});
+            merged.unheard.push_back({one.fingerprint, since(*lastAt, now)});
         }
     }
     merged.added = m_table.merge(credible, now);
@@ -245,7 +246,7 @@
 
 void crash_watch::believe(const open_run &run, std::string_view why, core::monotonic_time now)
 {
-    if (answeredSince(run.run.fingerprint, run.lostAt)) {
+    if (const auto lastAt = lastAnswer(run.run.fingerprint); lastAt && *lastAt >= run.lostAt) {
         return;
     }
     const crash what{targetHash(run.run.target), run.lostAt, run.lostAt - run.run.startedAt};
@@ -303,12 +304,6 @@
     return last;
 }
 
-bool crash_watch::answeredSince(std::uint64_t fingerprint, core::monotonic_time since) const
-{
-    const auto last = lastAnswer(fingerprint);
-    return last && *last >= since;
-}
-
 std::vector<crash_watch::open_run> crash_watch::takeAnywhere(const std::function<bool(const open_run &)> &condition)
 {
     std::vector<std::string> targets;
