--- a/libs/agent/include/medlarrack/agent/agent_settings.hpp
+++ b/libs/agent/include/medlarrack/agent/agent_settings.hpp
@@ -23,6 +23,8 @@
     std::uint16_t metricsPort = 0;
     /// Address of the engine, "ADDRESS:PORT".
     std::string engine;
+    /// Longest answer of the engine, in units of 1,024 bytes.
+    std::uint32_t maxReportKb = 4'096;
     std::string logLevel = "info";
 };
 
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -27,6 +27,7 @@
 constexpr std::chrono::milliseconds idlePollInterval{150};
 /// Time limit of a call to the engine, which is on the same machine and answers in a few milliseconds.
 constexpr std::chrono::milliseconds engineCallTimeout{500};
+constexpr std::size_t bytesPerKb = 1'024;
 /// Longest time between messages to a gateway, which drops the link after three of these intervals without one.
 constexpr std::chrono::milliseconds heartbeatInterval{500};
 /// Change of the number of requests that is sent without waiting for the next heartbeat.
@@ -149,7 +150,7 @@
             why = {"bad_engine_address", "engine address '" + settings.engine + "' is not of the form ADDRESS:PORT"};
             return false;
         }
-        client = std::make_unique<http1::call_client>(context, *engine);
+        client = std::make_unique<http1::call_client>(context, *engine, settings.maxReportKb * bytesPerKb);
         std::error_code error;
         const asio::ip::tcp::endpoint at(asio::ip::make_address_v4(settings.address, error), settings.port);
         if (error) {
--- a/libs/agent/src/agent_settings.cpp
+++ b/libs/agent/src/agent_settings.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::int64_t highestPort = 65'535;
+constexpr std::int64_t largestKb = 1'048'576;
 
 void read(settings::object_reader &reader, agent_settings &value)
 {
@@ -23,6 +24,7 @@
     reader.integer("metrics_port", value.metricsPort, 0, highestPort);
     reader.require("engine");
     reader.text("engine", value.engine);
+    reader.integer("max_report_kb", value.maxReportKb, 1, largestKb);
     reader.word("log_level", value.logLevel, {"debug", "info", "warning", "error"});
 }
 
--- a/libs/catalog/include/medlarrack/catalog/store_format.hpp
+++ b/libs/catalog/include/medlarrack/catalog/store_format.hpp
@@ -62,6 +62,11 @@
     [[nodiscard]] virtual std::string changesTarget(std::uint64_t after, std::chrono::milliseconds wait) const = 0;
     [[nodiscard]] virtual std::optional<store_answer> readPage(std::string_view body, core::reason &why) const = 0;
     [[nodiscard]] virtual std::optional<store_answer> readChanges(std::string_view body, core::reason &why) const = 0;
+    /// Name of the header of every answer that holds the store's era, a number that rises each time the store comes
+    /// back from a backup.
+    [[nodiscard]] virtual std::string_view eraHeader() const = 0;
+    /// The era in a value of that header; nothing if it is malformed.
+    [[nodiscard]] virtual std::optional<std::uint64_t> readEra(std::string_view value) const = 0;
 };
 
 } // namespace medlarrack::catalog
--- a/libs/gateway/include/medlarrack/gateway/event_splitter.hpp
+++ b/libs/gateway/include/medlarrack/gateway/event_splitter.hpp
@@ -14,7 +14,7 @@
     [[nodiscard]] std::string takeCompleteEvents(std::string &buffer);
     /// Id of the last complete event that has one; empty before the first.
     [[nodiscard]] const std::string &lastEventId() const;
-    /// Number of complete events so far.
+    /// Number of complete events so far that have an id or data.
     [[nodiscard]] std::size_t eventCount() const;
 
 private:
--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 #include <medlarrack/settings/fault.hpp>
 
@@ -34,6 +35,9 @@
     /// Bound on the retries of a service over all gateways, as a share of its requests within retryWindow.
     double retryRatio = 0.2;
     std::chrono::seconds retryWindow{10};
+    response_bounds responseBounds;
+    /// Longest answer of the store.
+    std::uint32_t maxStoreAnswerKb = 32'768;
     std::string logLevel = "info";
 };
 
--- a/libs/gateway/include/medlarrack/gateway/replica_table.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_table.hpp
@@ -22,14 +22,16 @@
 public:
     explicit replica_table(std::string dataCentre);
 
-    /// Adds or updates a replica unless the record is older than the one held; returns whether it was applied. A
-    /// replica is dropped when another one has started later at its address, even if the list still names it.
+    /// Adds or updates a replica unless the record is older than the one held or the last one of a replica that was
+    /// removed, as in a store that came back from a backup; returns whether it was applied. A replica is dropped when
+    /// another one has started later at its address, even if the list still names it.
     bool update(catalog::replica_record record, core::monotonic_time now);
     /// Removes a replica that is no longer listed. A grace period, used after an outage of the store, keeps it in
     /// service for that long, and beyond if it is listed again.
     void remove(std::string_view id, std::chrono::milliseconds grace, core::monotonic_time now);
-    /// Removes all replicas that a complete list doesn't contain.
-    void removeUnlisted(std::span<const std::string> ids, std::chrono::milliseconds grace, core::monotonic_time now);
+    /// Removes all replicas that a complete list doesn't contain; returns how many are missing from it.
+    std::size_t removeUnlisted(std::span<const std::string> ids, std::chrono::milliseconds grace,
+                               core::monotonic_time now);
     /// Marks a replica as leaving because it said so in an answer. Applies to the incarnation that got the request:
     /// later records of the same incarnation don't clear the mark. Returns whether a listed replica became leaving by
     /// this.
@@ -53,6 +55,11 @@
     /// Erases an older replica at the record's address; returns false if the record itself is the older one.
     bool replaceAtAddress(const catalog::replica_record &record);
     void erase(std::string_view id);
+    /// Erases a replica that has left the list and remembers its last record.
+    void eraseUnlisted(std::string_view id);
+    /// Remembers that an incarnation leaves, also while it isn't listed.
+    void rememberLeaving(std::string_view id, std::uint64_t startedAtMs);
+    [[nodiscard]] bool precedesRemoval(const catalog::replica_record &record) const;
     void addToService(const replica_ptr &added);
     [[nodiscard]] bool isMarkedLeaving(const catalog::replica_record &record) const;
 
@@ -65,6 +72,17 @@
     std::map<std::string, std::uint64_t, std::less<>> m_leavingStarts;
     /// Their ids in the order of marking, for eviction.
     std::deque<std::string> m_leavingOrder;
+
+    struct last_record
+    {
+        std::uint64_t startedAtMs = 0;
+        std::uint64_t sequence = 0;
+    };
+
+    /// The last records of removed replicas, by id.
+    std::map<std::string, last_record, std::less<>> m_removed;
+    /// Their ids in the order of removal, for eviction.
+    std::deque<std::string> m_removedOrder;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t maxHeadBytes = 32'768;
 /// A replica that has not accepted within this time is treated as unreachable; a healthy one takes 1 ms.
 constexpr std::chrono::milliseconds connectTimeout{350};
 /// Idle time if the replica states no keep-alive time-out.
@@ -46,7 +45,7 @@
             return newest.connection;
         }
     }
-    auto created = std::make_shared<http1::client_connection>(m_context, maxHeadBytes);
+    auto created = std::make_shared<http1::client_connection>(m_context);
     std::error_code ignored;
     created->connect({asio::ip::make_address_v4(to.record.address, ignored), to.record.port}, connectTimeout);
     return created;
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -8,6 +8,21 @@
 namespace {
 
 constexpr std::string_view idField = "id:";
+constexpr std::string_view dataField = "data:";
+
+/// Whether an event has an id or data; others are comments, which keep a connection busy and carry nothing.
+bool hasContent(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t lineEnd = std::min(event.find('\n'), event.size());
+        const std::string_view line = event.substr(0, lineEnd);
+        if (line.starts_with(idField) || line.starts_with(dataField)) {
+            return true;
+        }
+        event.remove_prefix(std::min(lineEnd + 1, event.size()));
+    }
+    return false;
+}
 
 /// Value of the id field of an event; empty if it has none.
 std::string_view idOf(std::string_view event)
@@ -38,11 +53,11 @@
     std::size_t completeEnd = 0;
     for (std::size_t end = core::eventEnd(buffer, 0); end != std::string::npos;
          end = core::eventEnd(buffer, completeEnd)) {
-        if (const std::string_view id = idOf(std::string_view(buffer).substr(completeEnd, end - completeEnd));
-            !id.empty()) {
+        const std::string_view event = std::string_view(buffer).substr(completeEnd, end - completeEnd);
+        if (const std::string_view id = idOf(event); !id.empty()) {
             m_lastEventId = id;
         }
-        ++m_eventCount;
+        m_eventCount += hasContent(event) ? 1 : 0;
         completeEnd = end;
     }
     std::string events = buffer.substr(0, completeEnd);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -250,14 +250,16 @@
         *to, catalog::mayRetryAfterStart(*m_route) ? maxIdleIfRepeatable : maxIdleIfNotRepeatable);
     m_sentAt = now;
     m_replicaStartedAtMs = to->agent ? to->agent->startedAtMs : to->record.startedAtMs;
-    m_lastBytesAt = now;
+    m_lastProgressAt = now;
     if (std::exchange(m_isCrashProbe, false)) {
         m_services.crashDetector.recordProbe(m_fingerprint, {m_replicaId, m_replicaStartedAtMs}, now);
         log::write(log::level::info, "refused request probed",
                    {{"request_id", m_requestMetadata.id}, {"fingerprint", m_fingerprint}, {"replica", m_replicaId}});
     }
     m_responseBody.clear();
+    m_responseBytes = 0;
     m_partialEventBytes = 0;
+    m_readPaused = false;
     m_timeToFirstByte = {};
     send_options options;
     options.replicaId = to->record.id;
@@ -287,7 +289,7 @@
         m_services.crashDetector.recordTargetAnswer({m_replicaId, m_replicaStartedAtMs}, m_sentAt, now);
     }
     m_timeToFirstByte = now - m_sentAt;
-    m_lastBytesAt = now;
+    m_lastProgressAt = now;
     if (metadata.load) {
         m_replica->setReportedLoad(metadata.load->running + metadata.load->waiting, now);
     }
@@ -302,32 +304,73 @@
 
 void exchange::onBody(std::string &body)
 {
-    m_lastBytesAt = m_services.clock.now();
+    const response_bounds &bounds = m_services.responseBounds;
+    m_responseBytes += body.size();
     if (m_responseMetadata.notRun) {
         body.clear();
+        if (m_responseBytes > kilobytes(bounds.maxBodyKb)) {
+            // The head has stated that the request did not run.
+            const auto self = shared_from_this();
+            recordEndlessResponse("body of a rejection");
+            onRejected();
+        }
         return;
     }
     const bool isReplicaResponse = m_responseMetadata.isSigned && !m_responseMetadata.isEncoded;
     if (isReplicaResponse && m_responseMetadata.isEventStream && isSuccess(m_responseHead.status)) {
         relayEvents(body);
+        if (m_partialEventBytes > kilobytes(bounds.maxEventKb)) {
+            failEndlessResponse("event");
+        } else if (m_responseBytes > kilobytes(bounds.maxStreamKb)) {
+            failEndlessResponse("event stream");
+        }
         return;
     }
+    m_lastProgressAt = m_services.clock.now();
     m_responseBody += body;
     body.clear();
+    if (m_responseBytes > kilobytes(bounds.maxBodyKb)) {
+        failEndlessResponse("body");
+    }
+}
+
+void exchange::recordEndlessResponse(std::string_view what)
+{
+    log::write(log::level::warning, "response of a replica exceeds its bound",
+               {{"request_id", m_requestMetadata.id},
+                {"replica", m_replicaId},
+                {"what", what},
+                {"bytes", static_cast<std::uint64_t>(m_responseBytes)}});
+    m_services.metrics.count("medlarrack_gateway_endless_responses_total", "Responses that exceeded a bound",
+                             {.service = m_serviceName});
+    closeConnection();
+}
+
+void exchange::failEndlessResponse(std::string_view what)
+{
+    const auto self = shared_from_this();
+    recordEndlessResponse(what);
+    // Not held back as the answer to relay if no other replica gives one.
+    m_responseBody.clear();
+    onAttemptFailed(attempt_outcome::unknown, "the response exceeds its bound", false);
 }
 
 void exchange::relayEvents(std::string &body)
 {
+    const std::size_t eventsBefore = m_eventSplitter.eventCount();
     const std::string events = m_eventSplitter.takeCompleteEvents(body);
     m_partialEventBytes = body.size();
     if (events.empty()) {
         return;
     }
+    if (m_eventSplitter.eventCount() > eventsBefore) {
+        m_lastProgressAt = m_services.clock.now();
+    }
     std::string out;
     clearPendingPrefillTokens();
     if (!m_responseHeadSent) {
         m_responseHeadSent = true;
-        m_replica->recordSuccess(m_lastBytesAt - m_sentAt);
+        m_replica->recordSuccess(m_services.clock.now() - m_sentAt);
         const body_framing framing = m_caller->acceptsChunkedBody() ? body_framing::chunked : body_framing::none;
         m_services.format.appendResponseHead(out, m_responseHead, framing, 0, m_caller->closesAfterResponse());
     }
@@ -442,11 +485,11 @@
     onAttemptFailed(notSent ? attempt_outcome::not_run : attempt_outcome::unknown, why);
 }
 
-void exchange::onAttemptFailed(attempt_outcome end, std::string_view why)
+void exchange::onAttemptFailed(attempt_outcome end, std::string_view why, bool disconnected)
 {
     m_replica->recordFailure(end == attempt_outcome::not_run, m_services.clock.now());
     if (end == attempt_outcome::unknown) {
-        recordLostRun(why, true);
+        recordLostRun(why, disconnected);
     }
     if (mayRetry(*m_route, end, m_history)
         && m_services.retryBudgetFor(m_serviceName).tryRetry(m_services.clock.now())) {
@@ -524,7 +567,7 @@
         return;
     }
     const auto patience = m_responseHeadSent ? eventGapTimeout(*m_route) : answerTimeout(*m_route);
-    if (now - m_lastBytesAt >= patience && !m_readPaused && now < m_deadline
+    if (now - m_lastProgressAt >= patience && !m_readPaused && now < m_deadline
         && mayRetry(*m_route, attempt_outcome::unknown, m_history)
         && m_services.retryBudgetFor(m_serviceName).tryRetry(now)) {
         constexpr std::string_view noResponse = "no response within the usual time";
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -63,9 +63,13 @@
     void sendRequest(const replica_ptr &to);
     void relayEvents(std::string &body);
     void completeStream();
+    /// Closes the connection of a response that exceeds a bound, and logs which.
+    void recordEndlessResponse(std::string_view what);
+    void failEndlessResponse(std::string_view what);
     /// The replica states that it did not run the request.
     void onRejected();
-    void onAttemptFailed(attempt_outcome end, std::string_view why);
+    /// `disconnected` says that the replica closed the connection, which it does when it crashes.
+    void onAttemptFailed(attempt_outcome end, std::string_view why, bool disconnected = true);
     [[nodiscard]] suspects::lost_run makeLostRun(bool disconnected) const;
     /// A run ended without a response: the replica may have crashed.
     void recordLostRun(std::string_view why, bool disconnected);
@@ -125,7 +129,8 @@
     double m_adapterDemand = 0;
     /// Prompt tokens of this request that are counted in the replica's pendingPrefillTokens until it responds.
     std::uint64_t m_pendingPrefillTokens = 0;
-    core::monotonic_time m_lastBytesAt{};
+    /// When the response last made progress: by its head, by bytes of a body, or by a complete event with data.
+    core::monotonic_time m_lastProgressAt{};
     std::string_view m_choiceReason;
     attempt_history m_history;
     std::vector<std::string> m_triedReplicas;
@@ -137,6 +142,8 @@
     /// A replica's error response that was held back to try another replica.
     std::optional<std::pair<http1::message_head, std::string>> m_heldErrorResponse;
     event_splitter m_eventSplitter;
+    /// Body bytes of the current replica's response.
+    std::size_t m_responseBytes = 0;
     std::size_t m_partialEventBytes = 0;
     bool m_responseHeadSent = false;
     bool m_readPaused = false;
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -10,6 +10,7 @@
 #include <medlarrack/gateway/caller_format.hpp>
 #include <medlarrack/gateway/caller_retry_detector.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
+#include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/metrics/registry.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 #include <medlarrack/suspects/crash_detector.hpp>
@@ -35,6 +36,7 @@
     caller_retry_detector &callerRetryDetector;
     suspects::crash_detector &crashDetector;
     metrics::registry &metrics;
+    const response_bounds &responseBounds;
     /// Returns the retry budget of a service.
     std::function<overload::retry_budget &(std::string_view service)> retryBudgetFor;
     /// Returns the time since the last successful call to the store.
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -69,6 +69,7 @@
                    callerRetryDetector,
                    crashDetector,
                    metrics,
+                   settings.responseBounds,
                    [this](std::string_view service) -> overload::retry_budget & {
                        return retryBudgetFor(service);
                    },
@@ -86,7 +87,8 @@
                       })
         , tickTimer(owner)
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
-                given.changeBound * pollIntervalPercent / 100, [this](const store_update &update) {
+                given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
+                [this](const store_update &update) {
                     applyUpdate(update);
                 })
     {
@@ -129,7 +131,13 @@
                 change);
         }
         if (update.allReplicas) {
-            replicas.removeUnlisted(*update.allReplicas, grace, now);
+            const std::size_t missing = replicas.removeUnlisted(*update.allReplicas, grace, now);
+            if (missing > 0) {
+                log::write(log::level::info, "replicas missing from the list",
+                           {{"replicas", static_cast<std::uint64_t>(missing)},
+                            {"grace_ms", grace.count()},
+                            {"revision", update.revision}});
+            }
         }
         waiters.notifyRemoved(replicas);
     }
@@ -270,6 +278,8 @@
         if (target == "/metrics") {
             metrics.gauge("medlarrack_gateway_store_age_seconds", "Time since the store's last good answer", {},
                           std::chrono::duration<double>(store.age()).count());
+            metrics.gauge("medlarrack_gateway_store_era", "Times that the store came back from a backup, as it says",
+                          {}, static_cast<double>(store.era()));
             metrics.gauge("medlarrack_gateway_state_version", "Version of the published state in force", {},
                           static_cast<double>(routes.version()));
             metrics.gauge("medlarrack_gateway_replicas", "Replicas listed", {},
@@ -333,6 +343,7 @@
     m_impl->settings.retryRatio = settings.retryRatio;
     m_impl->settings.retryWindow = settings.retryWindow;
     m_impl->settings.drainTime = settings.drainTime;
+    m_impl->settings.responseBounds = settings.responseBounds;
 }
 
 std::uint16_t gateway_service::callersPort() const
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -9,6 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t highestPort = 65'535;
+constexpr std::int64_t largestKb = 1'048'576;
 constexpr milliseconds shortestChangeBound{100};
 constexpr milliseconds longestChangeBound{60'000};
 constexpr milliseconds longestDrainTime{600'000};
@@ -46,6 +47,10 @@
     std::int64_t retryWindow = value.retryWindow.count();
     reader.integer("retry_window_s", retryWindow, shortestRetryWindow.count(), longestRetryWindow.count());
     value.retryWindow = std::chrono::seconds(retryWindow);
+    reader.integer("max_response_kb", value.responseBounds.maxBodyKb, 1, largestKb);
+    reader.integer("max_event_kb", value.responseBounds.maxEventKb, 1, largestKb);
+    reader.integer("max_stream_kb", value.responseBounds.maxStreamKb, 1, largestKb);
+    reader.integer("max_store_answer_kb", value.maxStoreAnswerKb, 1, largestKb);
     reader.word("log_level", value.logLevel, {"debug", "info", "warning", "error"});
 }
 
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -10,6 +10,8 @@
 
 /// Limit of remembered leaving marks. Most restarts bring a new id, so that old marks are no longer needed.
 constexpr std::size_t maxLeavingMarks = 4'096;
+/// Limit of remembered removals. A backup of the store is some seconds old, in which few replicas leave.
+constexpr std::size_t maxRemovals = 4'096;
 
 } // namespace
 
@@ -20,9 +22,12 @@
 
 bool replica_table::update(catalog::replica_record record, core::monotonic_time now)
 {
-    if (!replaceAtAddress(record)) {
+    if (precedesRemoval(record) || !replaceAtAddress(record)) {
         return false;
     }
+    if (record.leaving && record.startedAtMs != 0) {
+        rememberLeaving(record.id, record.startedAtMs);
+    }
     record.leaving = record.leaving || isMarkedLeaving(record);
     const auto found = m_replicas.find(record.id);
     if (found == m_replicas.end()) {
@@ -77,11 +82,11 @@
         }
         return;
     }
-    erase(id);
+    eraseUnlisted(id);
 }
 
-void replica_table::removeUnlisted(std::span<const std::string> ids, std::chrono::milliseconds grace,
-                                   core::monotonic_time now)
+std::size_t replica_table::removeUnlisted(std::span<const std::string> ids, std::chrono::milliseconds grace,
+                                          core::monotonic_time now)
 {
     std::vector<std::string> missing;
     for (const auto &[id, known] : m_replicas) {
@@ -92,6 +97,7 @@
     for (const std::string &id : missing) {
         remove(id, grace, now);
     }
+    return missing.size();
 }
 
 bool replica_table::markLeaving(std::string_view id, std::uint64_t startedAtMs)
@@ -100,14 +106,7 @@
     if (marked != m_leavingStarts.end() && marked->second >= startedAtMs) {
         return false;
     }
-    if (marked == m_leavingStarts.end()) {
-        if (m_leavingStarts.size() >= maxLeavingMarks) {
-            m_leavingStarts.erase(m_leavingOrder.front());
-            m_leavingOrder.pop_front();
-        }
-        m_leavingOrder.emplace_back(id);
-    }
-    m_leavingStarts.insert_or_assign(std::string(id), startedAtMs);
+    rememberLeaving(id, startedAtMs);
     const replica_ptr known = find(id);
     if (known == nullptr || !isMarkedLeaving(known->record)) {
         return false;
@@ -115,6 +114,21 @@
     return !std::exchange(known->record.leaving, true);
 }
 
+void replica_table::rememberLeaving(std::string_view id, std::uint64_t startedAtMs)
+{
+    const auto marked = m_leavingStarts.find(id);
+    if (marked != m_leavingStarts.end()) {
+        marked->second = std::max(marked->second, startedAtMs);
+        return;
+    }
+    if (m_leavingStarts.size() >= maxLeavingMarks) {
+        m_leavingStarts.erase(m_leavingOrder.front());
+        m_leavingOrder.pop_front();
+    }
+    m_leavingOrder.emplace_back(id);
+    m_leavingStarts.emplace(id, startedAtMs);
+}
+
 void replica_table::removeExpired(core::monotonic_time now)
 {
     std::vector<std::string> due;
@@ -124,7 +138,7 @@
         }
     }
     for (const std::string &id : due) {
-        erase(id);
+        eraseUnlisted(id);
     }
 }
 
@@ -203,6 +217,34 @@
     m_replicas.erase(found);
 }
 
+void replica_table::eraseUnlisted(std::string_view id)
+{
+    const auto found = m_replicas.find(id);
+    if (found == m_replicas.end()) {
+        return;
+    }
+    const last_record last{found->second->record.startedAtMs, found->second->record.sequence};
+    if (m_removed.insert_or_assign(std::string(id), last).second) {
+        m_removedOrder.emplace_back(id);
+        if (m_removedOrder.size() > maxRemovals) {
+            m_removed.erase(m_removedOrder.front());
+            m_removedOrder.pop_front();
+        }
+    }
+    erase(id);
+}
+
+bool replica_table::precedesRemoval(const catalog::replica_record &record) const
+{
+    const auto removed = m_removed.find(record.id);
+    if (removed == m_removed.end() || record.startedAtMs == 0) {
+        return false;
+    }
+    const last_record &last = removed->second;
+    return record.startedAtMs < last.startedAtMs
+        || (record.startedAtMs == last.startedAtMs && record.sequence <= last.sequence);
+}
+
 bool replica_table::isMarkedLeaving(const catalog::replica_record &record) const
 {
     const auto marked = m_leavingStarts.find(record.id);
--- a/libs/gateway/src/store_reader.cpp
+++ b/libs/gateway/src/store_reader.cpp
@@ -1,6 +1,7 @@
 #include "store_reader.hpp"
 
 #include <medlarrack/gateway/poll_schedule.hpp>
+#include <medlarrack/gateway/store_era.hpp>
 #include <medlarrack/log/log.hpp>
 
 #include <algorithm>
@@ -19,6 +20,7 @@
 constexpr std::chrono::milliseconds retryDelay{300};
 /// Time without a successful call that counts as an outage: entries in the store expire after some seconds.
 constexpr std::chrono::milliseconds outageThreshold{1'600};
+constexpr int statusOk = 200;
 /// An outage also exceeds the poll interval by at least this, so that a long interval does not count as one.
 constexpr std::chrono::milliseconds outageMargin{400};
 
@@ -28,9 +30,9 @@
 {
 public:
     impl(asio::io_context &context, const asio::ip::tcp::endpoint &store, const catalog::store_format &storeFormat,
-         const core::clock &time, std::chrono::milliseconds pollInterval,
+         const core::clock &time, std::chrono::milliseconds pollInterval, std::size_t maxAnswerBytes,
          std::function<void(const store_update &)> handler)
-        : client(context, store)
+        : client(context, store, maxAnswerBytes)
         , timer(context)
         , format(storeFormat)
         , clock(time)
@@ -52,12 +54,21 @@
 
     void handlePage(bool isFirstPage, const std::optional<http1::call_answer> &response, core::reason why)
     {
+        const store_era::verdict verdict = checkEra(response);
+        if (verdict == store_era::verdict::changed) {
+            pageToken.clear();
+        }
         auto parsed = parseBody(response, why, &catalog::store_format::readPage);
-        if (!parsed) {
+        if (!parsed || verdict == store_era::verdict::outdated) {
             pageToken.clear();
             onFailure(why);
             return;
         }
+        if (verdict == store_era::verdict::changed && !isFirstPage) {
+            // The pages before it are of the earlier era.
+            requestPage();
+            return;
+        }
         if (isFirstPage) {
             // Later pages may be newer than the first. Reading changes from the first page's revision covers what
             // changed between them.
@@ -73,7 +84,7 @@
             }
         }
         onSuccess();
-        store_update update{parsed->changes, std::nullopt, revision, recoveringFromOutage};
+        store_update update{parsed->changes, std::nullopt, revision, recoveringFromOutage || eraChanged};
         if (parsed->nextPage) {
             pageToken = *parsed->nextPage;
             onUpdate(update);
@@ -84,6 +95,7 @@
         update.allReplicas = listedReplicas;
         snapshotComplete = true;
         recoveringFromOutage = false;
+        eraChanged = false;
         onUpdate(update);
         schedule(interval);
     }
@@ -100,6 +112,15 @@
     void handleChanges(const std::optional<http1::call_answer> &response, core::reason why)
     {
         constexpr int statusGone = 410;
+        const store_era::verdict verdict = checkEra(response);
+        if (verdict == store_era::verdict::outdated) {
+            onFailure({"outdated_era", "the answer is of an earlier era of the store"});
+            return;
+        }
+        if (verdict == store_era::verdict::changed && response->status == statusOk) {
+            requestPage();
+            return;
+        }
         if (response && response->status == statusGone) {
             log::write(log::level::info, "store forgot its history", {{"revision", revision}});
             snapshotComplete = false;
@@ -117,13 +138,40 @@
         schedule(interval);
     }
 
+    /// Checks the era of an answer and marks all that was read as outdated if a new one has begun. Answers of any
+    /// status have an era.
+    store_era::verdict checkEra(const std::optional<http1::call_answer> &response)
+    {
+        if (!response) {
+            return store_era::verdict::current;
+        }
+        const std::optional<std::uint64_t> known = era.value();
+        const auto text = response->headerValue(format.eraHeader());
+        const auto answered = text ? format.readEra(*text) : std::nullopt;
+        if (!answered && known != std::nullopt && !std::exchange(missingEraLogged, true)) {
+            log::write(log::level::warning, "store's answer has no valid era",
+                       {{"status", response->status}, {"value", text.value_or("")}, {"era", *known}});
+        }
+        const store_era::verdict verdict = era.observe(answered, clock.now());
+        if (verdict == store_era::verdict::changed) {
+            log::write(
+                log::level::warning, "store came back from a backup",
+                {{"era", *answered}, {"previous_era", known.value_or(0)}, {"revision", std::exchange(revision, 0)}});
+            snapshotComplete = false;
+            eraChanged = true;
+        } else if (verdict == store_era::verdict::outdated) {
+            log::write(log::level::warning, "answer of an earlier era of the store dropped",
+                       {{"era", *answered}, {"current_era", *known}, {"status", response->status}});
+        }
+        return verdict;
+    }
+
     using body_parser = std::optional<catalog::store_answer> (catalog::store_format::*)(std::string_view,
                                                                                         core::reason &) const;
 
     std::optional<catalog::store_answer> parseBody(const std::optional<http1::call_answer> &response, core::reason &why,
                                                    body_parser parse) const
     {
-        constexpr int statusOk = 200;
         if (!response) {
             return std::nullopt;
         }
@@ -198,12 +246,16 @@
     std::function<void(const store_update &)> onUpdate;
     std::string pageToken;
     std::vector<std::string> listedReplicas;
+    store_era era;
     std::uint64_t revision = 0;
     core::monotonic_time lastCallAt{};
     core::monotonic_time lastSuccessAt;
     /// The next update covers the time of an outage.
     bool recoveringFromOutage = false;
     bool snapshotComplete = false;
+    /// The store came back from a backup, and its content has not been read completely since.
+    bool eraChanged = false;
+    bool missingEraLogged = false;
     /// The timer runs until the next call.
     bool pollScheduled = false;
     poll_schedule pollSchedule;
@@ -213,8 +265,9 @@
 
 store_reader::store_reader(asio::io_context &context, const asio::ip::tcp::endpoint &store,
                            const catalog::store_format &format, const core::clock &clock,
-                           std::chrono::milliseconds interval, std::function<void(const store_update &)> onUpdate)
-    : m_impl(std::make_shared<impl>(context, store, format, clock, interval, std::move(onUpdate)))
+                           std::chrono::milliseconds interval, std::size_t maxAnswerBytes,
+                           std::function<void(const store_update &)> onUpdate)
+    : m_impl(std::make_shared<impl>(context, store, format, clock, interval, maxAnswerBytes, std::move(onUpdate)))
 {
 }
 
@@ -238,6 +291,11 @@
     return m_impl->clock.now() - m_impl->lastSuccessAt;
 }
 
+std::uint64_t store_reader::era() const
+{
+    return m_impl->era.value().value_or(0);
+}
+
 std::uint64_t store_reader::revision() const
 {
     return m_impl->revision;
--- a/libs/gateway/src/store_reader.hpp
+++ b/libs/gateway/src/store_reader.hpp
@@ -25,18 +25,19 @@
     /// Ids of all listed replicas after a full read; empty after a read of changes.
     std::optional<std::vector<std::string>> allReplicas;
     std::uint64_t revision = 0;
-    /// First update after an outage of the store: entries of replicas may have expired only because of it.
+    /// First update after an outage of the store or its return from a backup: entries of replicas may be missing only
+    /// because of it.
     bool afterOutage = false;
 };
 
 /// Reads the full content of the store, then polls it for changes, and reads all again when the store no longer has the
-/// history since the last revision.
+/// history since the last revision or has come back from a backup.
 class store_reader
 {
 public:
-    /// The format and the clock must outlive the reader.
+    /// The format and the clock must outlive the reader. Longer answers than maxAnswerBytes count as failed calls.
     store_reader(asio::io_context &context, const asio::ip::tcp::endpoint &store, const catalog::store_format &format,
-                 const core::clock &clock, std::chrono::milliseconds interval,
+                 const core::clock &clock, std::chrono::milliseconds interval, std::size_t maxAnswerBytes,
                  std::function<void(const store_update &)> onUpdate);
     ~store_reader();
 
@@ -47,6 +48,8 @@
     /// Time since the last successful call.
     [[nodiscard]] std::chrono::nanoseconds age() const;
     [[nodiscard]] std::uint64_t revision() const;
+    /// The store's era; 0 before the first answer that has one.
+    [[nodiscard]] std::uint64_t era() const;
 
 private:
     class impl;
--- a/libs/gateway/tests/test_replica_table.cpp
+++ b/libs/gateway/tests/test_replica_table.cpp
@@ -54,6 +54,8 @@
     BOOST_TEST(known->record.leaving);
     // Holds after it was removed and listed again, and at another address.
     table.remove("r", milliseconds(0), clock.now());
+    BOOST_TEST(!table.update(record, clock.now()));
+    record.sequence = 8;
     BOOST_TEST(table.update(record, clock.now()));
     BOOST_TEST(table.find("r")->record.leaving);
     record.port = 999;
@@ -131,6 +133,64 @@
     BOOST_TEST(table.findByService("llm").empty());
 }
 
+// A store that came back from a backup lists replicas that left after the backup was made, as sound ones.
+BOOST_AUTO_TEST_CASE(a_replica_that_left_stays_gone_though_an_older_record_lists_it_again)
+{
+    const catalog::replica_record listed = add("r")->record;
+    catalog::replica_record latest = listed;
+    latest.sequence = 4;
+    BOOST_TEST(table.update(latest, clock.now()));
+    table.remove("r", milliseconds(0), clock.now());
+    BOOST_TEST(!table.update(listed, clock.now()));
+    BOOST_TEST(!table.update(latest, clock.now()));
+    BOOST_TEST(table.find("r") == nullptr);
+    // It is alive if it writes a new record, or if it has started anew.
+    catalog::replica_record alive = latest;
+    alive.sequence = 5;
+    BOOST_TEST(table.update(alive, clock.now()));
+    table.remove("r", milliseconds(0), clock.now());
+    catalog::replica_record restarted = listed;
+    restarted.startedAtMs = 2;
+    BOOST_TEST(table.update(restarted, clock.now()));
+    BOOST_TEST(!table.find("r")->record.leaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_listed_as_leaving_stays_so_when_it_is_listed_again_as_sound)
+{
+    catalog::replica_record record = add("r")->record;
+    record.sequence = 2;
+    record.leaving = true;
+    BOOST_TEST(table.update(record, clock.now()));
+    table.remove("r", milliseconds(0), clock.now());
+    record.sequence = 3;
+    record.leaving = false;
+    BOOST_TEST(table.update(record, clock.now()));
+    BOOST_TEST(table.find("r")->record.leaving);
+    record.startedAtMs = 2;
+    record.sequence = 1;
+    BOOST_TEST(table.update(record, clock.now()));
+    BOOST_TEST(!table.find("r")->record.leaving);
+}
+
+BOOST_AUTO_TEST_CASE(remembered_removals_are_bounded)
+{
+    constexpr int removals = 5'000;
+    for (int index = 0; index < removals; ++index) {
+        const std::string id = "r" + std::to_string(index);
+        add(id);
+        table.remove(id, milliseconds(0), clock.now());
+    }
+    catalog::replica_record first;
+    first.id = "r0";
+    first.service = "llm";
+    first.sequence = 1;
+    first.startedAtMs = 1;
+    BOOST_TEST(table.update(first, clock.now()));
+    catalog::replica_record last = first;
+    last.id = "r" + std::to_string(removals - 1);
+    BOOST_TEST(!table.update(last, clock.now()));
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_vanished_with_the_store_serves_on_until_the_grace_ends)
 {
     add("back");
--- a/libs/http1/include/medlarrack/http1/call_client.hpp
+++ b/libs/http1/include/medlarrack/http1/call_client.hpp
@@ -1,16 +1,19 @@
 #pragma once
 
 #include <medlarrack/core/reason.hpp>
+#include <medlarrack/http1/message_head.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace medlarrack::http1 {
 
@@ -18,7 +21,11 @@
 struct call_answer
 {
     int status = 0;
+    std::vector<header> headers;
     std::string body;
+
+    /// Value of the first header of a name, compared without case; nothing without one.
+    [[nodiscard]] std::optional<std::string_view> headerValue(std::string_view name) const;
 };
 
 /// Parses "ADDRESS:PORT" with an IPv4 address.
@@ -32,7 +39,8 @@
     /// The answer, or nothing with a reason.
     using done_handler = std::function<void(std::optional<call_answer> answer, const core::reason &why)>;
 
-    call_client(asio::io_context &context, const asio::ip::tcp::endpoint &server);
+    /// Answers with longer bodies are errors.
+    call_client(asio::io_context &context, const asio::ip::tcp::endpoint &server, std::size_t maxBodyBytes);
     ~call_client();
     call_client(const call_client &) = delete;
     call_client &operator=(const call_client &) = delete;
--- a/libs/http1/include/medlarrack/http1/client_connection.hpp
+++ b/libs/http1/include/medlarrack/http1/client_connection.hpp
@@ -2,6 +2,7 @@
 
 #include <medlarrack/http1/byte_stream.hpp>
 #include <medlarrack/http1/message_parser.hpp>
+#include <medlarrack/http1/response_limits.hpp>
 
 #include <cstddef>
 #include <memory>
@@ -47,7 +48,7 @@
 class client_connection : public std::enable_shared_from_this<client_connection>, private byte_stream_listener
 {
 public:
-    client_connection(asio::io_context &context, std::size_t maxHeadBytes);
+    explicit client_connection(asio::io_context &context, const response_limits &limits = {});
     ~client_connection() override;
 
     void connect(const asio::ip::tcp::endpoint &to, std::chrono::milliseconds limit);
@@ -75,9 +76,16 @@
     void advance();
     void complete();
     void fail(std::string_view why);
+    /// Counts bytes of the message in progress; false if the server has sent too much that is dropped.
+    [[nodiscard]] bool countDropped(std::size_t bytes);
 
     std::shared_ptr<byte_stream> m_stream;
+    response_limits m_limits;
     message_parser m_parser;
+    std::uint32_t m_interimResponses = 0;
+    std::size_t m_droppedBytes = 0;
+    /// Bytes of the message in progress that aren't counted as dropped.
+    std::size_t m_messageBytes = 0;
     call_observer *m_observer = nullptr;
     std::size_t m_calls = 0;
     std::size_t m_requestEnd = 0;
--- a/libs/http1/src/call_client.cpp
+++ b/libs/http1/src/call_client.cpp
@@ -4,16 +4,19 @@
 #include <asio/ip/address_v4.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
 namespace medlarrack::http1 {
 
-namespace {
-
-constexpr std::size_t maxHeadBytes = 16'384;
-
-} // namespace
+std::optional<std::string_view> call_answer::headerValue(std::string_view name) const
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const header &field) {
+        return equalsIgnoreCase(field.name, name);
+    });
+    return found == headers.end() ? std::nullopt : std::optional<std::string_view>(found->value);
+}
 
 std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
 {
@@ -35,8 +38,9 @@
 class call_client::impl : public std::enable_shared_from_this<impl>, public call_observer
 {
 public:
-    impl(asio::io_context &owner, const asio::ip::tcp::endpoint &to)
+    impl(asio::io_context &owner, const asio::ip::tcp::endpoint &to, std::size_t bodyLimit)
         : context(owner)
+        , maxBodyBytes(bodyLimit)
         , server(to)
         , host(to.address().to_string() + ":" + std::to_string(to.port()))
         , timer(owner)
@@ -59,7 +63,7 @@
         request += "\r\n";
         request += body;
         if (connection == nullptr || !connection->isReusable()) {
-            connection = std::make_shared<client_connection>(context, maxHeadBytes);
+            connection = std::make_shared<client_connection>(context);
             connection->connect(server, timeout);
         }
         timer.expires_after(timeout);
@@ -76,11 +80,17 @@
     head_verdict onHead(const message_head &head) override
     {
         answer.status = head.status;
+        answer.headers = head.headers;
         return head_verdict::take;
     }
 
     void onBody(std::string &body) override
     {
+        if (answer.body.size() + body.size() > maxBodyBytes) {
+            drop();
+            finish(std::nullopt, {"answer_too_long", "the answer exceeds " + std::to_string(maxBodyBytes) + " bytes"});
+            return;
+        }
         answer.body += body;
         body.clear();
     }
@@ -112,6 +122,7 @@
     }
 
     asio::io_context &context;
+    std::size_t maxBodyBytes;
     asio::ip::tcp::endpoint server;
     std::string host;
     asio::steady_timer timer;
@@ -120,8 +131,8 @@
     call_answer answer;
 };
 
-call_client::call_client(asio::io_context &context, const asio::ip::tcp::endpoint &server)
-    : m_impl(std::make_shared<impl>(context, server))
+call_client::call_client(asio::io_context &context, const asio::ip::tcp::endpoint &server, std::size_t maxBodyBytes)
+    : m_impl(std::make_shared<impl>(context, server, maxBodyBytes))
 {
 }
 
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -22,9 +22,10 @@
 
 } // namespace
 
-client_connection::client_connection(asio::io_context &context, std::size_t maxHeadBytes)
+client_connection::client_connection(asio::io_context &context, const response_limits &limits)
     : m_stream(std::make_shared<byte_stream>(context))
-    , m_parser(message_kind::response, maxHeadBytes)
+    , m_limits(limits)
+    , m_parser(message_kind::response, limits.maxHeadBytes)
 {
     m_stream->setListener(this);
 }
@@ -47,6 +48,9 @@
     m_headRequest = headRequest;
     m_headSeen = false;
     m_skipping = false;
+    m_interimResponses = 0;
+    m_droppedBytes = 0;
+    m_messageBytes = 0;
     m_parser.reset(headRequest);
     m_requestEnd = m_stream->sent() + m_stream->queued() + request.size();
     m_stream->write(request);
@@ -105,6 +109,9 @@
             m_reusable = m_reusable && (m_skipping || m_parser.head().status < 200);
         }
         advance();
+        if (m_observer != nullptr && !countDropped(consumed)) {
+            fail("the server sends too much that is no answer to this request");
+        }
         if (consumed == 0) {
             break;
         }
@@ -128,6 +135,7 @@
     }
     if (!m_headSeen) {
         m_headSeen = true;
+        m_interimResponses += m_parser.head().status < 200 ? 1 : 0;
         m_skipping = m_parser.head().status < 200 || m_observer->onHead(m_parser.head()) == head_verdict::skip;
         m_skippedAny = m_skippedAny || (m_skipping && m_parser.head().status >= 200);
     }
@@ -144,6 +152,16 @@
     }
 }
 
+bool client_connection::countDropped(std::size_t bytes)
+{
+    m_messageBytes += bytes;
+    const bool completed = !m_headSeen && !m_parser.started();
+    if (m_skipping || completed) {
+        m_droppedBytes += std::exchange(m_messageBytes, 0);
+    }
+    return m_droppedBytes <= m_limits.maxDroppedBytes && m_interimResponses <= m_limits.maxInterimResponses;
+}
+
 void client_connection::complete()
 {
     m_reusable = m_reusable && m_parser.keepsAlive();
@@ -199,7 +217,8 @@
     }
     call_progress progress = call_progress::not_sent;
     if (m_connected || m_calls > 1) {
-        progress = m_parser.started() || m_skippedAny ? call_progress::answered : call_progress::sent;
+        const bool responded = m_parser.started() || m_skippedAny || m_interimResponses > 0;
+        progress = responded ? call_progress::answered : call_progress::sent;
     }
     observer->onFailed(progress, why);
 }
