--- a/libs/agent/include/medlarrack/agent/order_planner.hpp
+++ b/libs/agent/include/medlarrack/agent/order_planner.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <medlarrack/agent/engine_format.hpp>
+#include <medlarrack/agent/load_pacer.hpp>
+#include <medlarrack/catalog/recent_adapters.hpp>
 #include <medlarrack/core/clock.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -21,16 +24,29 @@
     std::uint32_t adapterSlots = 0;
 };
 
+/// Times of adapter loads as they were lately.
+struct load_times
+{
+    std::chrono::milliseconds fromStore{0};
+    std::chrono::milliseconds fromMemory{0};
+    /// Between the starts of two loads while others wait.
+    std::chrono::milliseconds betweenStarts{0};
+};
+
 /// Number of requests by "model/adapter".
 using request_counts = std::map<std::string, std::uint32_t, std::less<>>;
 
 /// Decides which load and unload orders one engine gets: loads the base models after a restart, replaces outdated
 /// adapter versions, loads requested adapters, those with the most waiting requests first, and frees slots by unloading
-/// the least recently used adapter. Meant for many adapters with Zipf-distributed popularity that share few slots. Does
-/// no I/O and reads no clock; not thread-safe.
+/// the least recently used adapter. Learns from its loads how busy the weight store is and what the engine's memory
+/// keeps. Meant for many adapters with Zipf-distributed popularity that share few slots. Does no I/O and reads no
+/// clock; not thread-safe.
 class order_planner
 {
 public:
+    /// The seed is that of random pauses between loads.
+    explicit order_planner(std::uint32_t seed);
+
     void setLimits(engine_limits limits);
     /// The newest version of an adapter; older ones are ignored.
     void setRelease(std::string_view adapter, std::uint64_t version);
@@ -54,16 +70,33 @@
     [[nodiscard]] bool isEngineUp() const;
     /// Requested adapters whose load is not in progress yet.
     [[nodiscard]] std::size_t pendingLoads() const;
-    /// Number of further adapters whose loads could begin at once: slots that are free or evictable, within the limit
-    /// of concurrent loads, less the pending loads.
+    /// Number of further adapters whose loads from the weight store could begin at once: slots that are free or
+    /// evictable, within the limit of concurrent loads, less the pending loads.
     [[nodiscard]] std::size_t availableSlots(core::monotonic_time now) const;
+    /// Expected times of loads.
+    [[nodiscard]] load_times loadTimes(core::monotonic_time now) const;
+    /// Number of adapters that the engine's memory is expected to keep.
+    [[nodiscard]] std::size_t rememberedAdapters() const;
+    [[nodiscard]] const load_pacer &pacer() const;
     [[nodiscard]] const engine_report &report() const;
 
 private:
     [[nodiscard]] std::optional<engine_order> nextModelLoad(core::monotonic_time now) const;
     [[nodiscard]] std::optional<engine_order> nextVersionUpdate(core::monotonic_time now) const;
     [[nodiscard]] std::optional<engine_order> nextLoad(core::monotonic_time now);
-    [[nodiscard]] std::size_t availableLoads() const;
+    /// A load that was ordered and whose end no report has shown.
+    struct ordered_load
+    {
+        core::monotonic_time startedAt{};
+        /// Whether the engine's memory was expected to have the adapter.
+        bool expectedInMemory = false;
+    };
+    [[nodiscard]] std::size_t loadsInProgress() const;
+    [[nodiscard]] std::size_t storeLoadsInProgress() const;
+    [[nodiscard]] bool mayLoad(std::string_view adapter, core::monotonic_time now) const;
+    [[nodiscard]] std::size_t availableLoads(core::monotonic_time now) const;
+    void recordLoadStart(std::string_view adapter, core::monotonic_time now);
+    void recordLoadEnd(std::string_view adapter, const ordered_load &load, core::monotonic_time now);
     [[nodiscard]] bool isEvictable(std::string_view adapter, core::monotonic_time now) const;
     [[nodiscard]] core::monotonic_time lastUse(std::string_view adapter) const;
     [[nodiscard]] std::optional<std::string> leastRecentlyUsedEvictable(core::monotonic_time now) const;
@@ -86,6 +119,13 @@
     std::map<std::string, core::monotonic_time, std::less<>> m_lastUsed;
     /// Adapters whose load was ordered but is in no report yet, with the time of the order's result.
     std::map<std::string, core::monotonic_time, std::less<>> m_unconfirmedLoads;
+    std::map<std::string, ordered_load, std::less<>> m_orderedLoads;
+    load_pacer m_pacer;
+    catalog::recent_adapters m_recentAdapters;
+    std::chrono::nanoseconds m_memoryLoadTime;
+    std::chrono::nanoseconds m_startInterval;
+    /// When the last load was started, or loads began to wait.
+    core::monotonic_time m_lastStart{};
     /// Earliest time of the next order for an adapter or model.
     std::map<std::string, core::monotonic_time, std::less<>> m_notBefore;
 };
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -2,6 +2,7 @@
 #include <medlarrack/agent/failure_rate.hpp>
 #include <medlarrack/agent/fencing_token_source.hpp>
 #include <medlarrack/agent/order_planner.hpp>
+#include <medlarrack/agent/report_schedule.hpp>
 #include <medlarrack/agent_protocol/message_connection.hpp>
 #include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/listen.hpp>
@@ -15,16 +16,15 @@
 #include <asio/steady_timer.hpp>
 
 #include <list>
+#include <random>
 #include <set>
 
 namespace medlarrack::agent {
 
 namespace {
 
-/// Polling interval while loads are pending or in progress; a load from the replica's own memory takes 25 ms.
-constexpr std::chrono::milliseconds activePollInterval{20};
-/// Polling interval otherwise.
-constexpr std::chrono::milliseconds idlePollInterval{150};
+/// Age from which a report is outdated, as after the process was frozen.
+constexpr std::chrono::milliseconds maxReportAge = report_schedule::idleInterval * 2;
 /// Time limit of a call to the engine, which is on the same machine and answers in a few milliseconds.
 constexpr std::chrono::milliseconds engineCallTimeout{500};
 constexpr std::size_t bytesPerKb = 1'024;
@@ -57,6 +57,11 @@
     status.load.queued = report.queued;
     status.load.pendingLoads = static_cast<std::uint32_t>(planner.pendingLoads());
     status.load.availableSlots = static_cast<std::uint32_t>(planner.availableSlots(now));
+    const load_times times = planner.loadTimes(now);
+    status.load.storeLoadMs = static_cast<std::uint32_t>(times.fromStore.count());
+    status.load.memoryLoadMs = static_cast<std::uint32_t>(times.fromMemory.count());
+    status.load.loadIntervalMs = static_cast<std::uint32_t>(times.betweenStarts.count());
+    status.load.rememberedAdapters = static_cast<std::uint32_t>(planner.rememberedAdapters());
     constexpr double percentScale = 100;
     status.load.failurePercent = static_cast<std::uint32_t>(failureRate.rate(now) * percentScale);
     return status;
@@ -192,6 +197,21 @@
                       static_cast<double>(report.adapters.size()));
         metrics.gauge("medlarrack_agent_adapters_wanted", "Adapters that requests wait for", {},
                       static_cast<double>(planner.pendingLoads()));
+        const load_times times = planner.loadTimes(clock.now());
+        const auto inSeconds = [](auto time) {
+            return std::chrono::duration<double>(time).count();
+        };
+        metrics.gauge("medlarrack_agent_store_load_seconds", "Learned time of a load from the weight store", {},
+                      inSeconds(times.fromStore));
+        metrics.gauge("medlarrack_agent_idle_store_load_seconds",
+                      "Learned time of a load from the weight store while it is idle", {},
+                      inSeconds(planner.pacer().idleLoadTime()));
+        metrics.gauge("medlarrack_agent_memory_load_seconds", "Learned time of a load from the engine's memory", {},
+                      inSeconds(times.fromMemory));
+        metrics.gauge("medlarrack_agent_load_limit", "Loads from the weight store at a time", {},
+                      planner.pacer().limit());
+        metrics.gauge("medlarrack_agent_remembered_adapters", "Adapters that the engine's memory keeps, as learned", {},
+                      static_cast<double>(planner.rememberedAdapters()));
         metrics.gauge("medlarrack_agent_failing_share", "Share of recent requests that failed", {},
                       failureRate.rate(clock.now()));
         metrics.gauge("medlarrack_agent_suspects", "Requests known to have crashed replicas", {},
@@ -358,7 +378,7 @@
         sendOrderOrPoll();
         publishIfDue();
         log::flush();
-        scheduleTick(planner.hasPendingWork() ? activePollInterval : idlePollInterval);
+        scheduleTick(reportSchedule.next(planner.hasPendingWork(), clock.now()));
     }
 
     /// Sends the next order, or polls the engine if that is due.
@@ -369,13 +389,13 @@
         }
         // The last report is outdated if the process was frozen in between: no order is sent before a new one.
         const core::monotonic_time now = clock.now();
-        if (!pollDue && now - reportedAt < idlePollInterval * 2) {
+        if (!pollDue && now - reportedAt < maxReportAge) {
             if (const auto order = planner.nextOrder(now)) {
                 sendOrder(*order);
                 return;
             }
         }
-        if (pollDue || now - reportedAt >= idlePollInterval * 2) {
+        if (pollDue || now - reportedAt >= maxReportAge) {
             requestReport();
         }
     }
@@ -445,6 +465,9 @@
                     {"fencing_token", token},
                     {"result", toString(result)},
                     {"why", why.message}});
+        if (const auto delay = reportSchedule.advance(planner.hasPendingWork(), clock.now())) {
+            scheduleTick(*delay);
+        }
         sendOrderOrPoll();
     }
 
@@ -476,7 +499,8 @@
     std::unique_ptr<http1::call_client> client;
     http1::page_server pages;
     metrics::registry metrics;
-    order_planner planner;
+    report_schedule reportSchedule;
+    order_planner planner{std::random_device()()};
     failure_rate failureRate;
     suspects::suspect_table suspects{suspects::sharedLimits};
     fencing_token_source fencingTokens;
--- a/libs/agent/src/order_planner.cpp
+++ b/libs/agent/src/order_planner.cpp
@@ -1,17 +1,24 @@
 #include <medlarrack/agent/order_planner.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace medlarrack::agent {
 
 namespace {
 
-/// Adapter loads that one engine has in progress at most.
+/// Adapter loads that an engine accepts at a time.
 constexpr std::size_t maxConcurrentLoads = 4;
-/// The limit while less than half of an engine's slots are filled: the store serves 24 loads at full speed, and 18
-/// empty engines with two loads each come near that.
-constexpr std::size_t maxConcurrentLoadsWhenNearlyEmpty = 2;
+/// Times until some were measured.
+constexpr std::chrono::milliseconds assumedMemoryLoadTime{30};
+constexpr std::chrono::milliseconds assumedStartInterval{150};
+/// A load from memory takes less than this share of one from an idle store.
+constexpr double memoryLoadShare = 0.5;
+/// Time constant with which the interval between starts returns to the assumed one while no loads wait.
+constexpr std::chrono::duration<double> forgetTime{3};
+/// Weight of the newest sample in a learned time.
+constexpr double newestWeight = 0.2;
 /// An adapter isn't unloaded within this time of its last use, as a request for it may still be in transit. Gateways
 /// report a request within a tick of 25 ms plus the latency between data centres.
 constexpr std::chrono::milliseconds minIdleBeforeUnload{100};
@@ -29,6 +36,11 @@
 /// Limit of requested adapters; beyond it the oldest are dropped, as their requests have been abandoned.
 constexpr std::size_t maxRequestedAdapters = 200;
 
+void learn(std::chrono::nanoseconds &value, std::chrono::nanoseconds sample)
+{
+    value += std::chrono::duration_cast<std::chrono::nanoseconds>((sample - value) * newestWeight);
+}
+
 std::string modelOf(std::string_view adapter)
 {
     return std::string(adapter.substr(0, adapter.find('/')));
@@ -36,6 +48,13 @@
 
 } // namespace
 
+order_planner::order_planner(std::uint32_t seed)
+    : m_pacer(seed)
+    , m_memoryLoadTime(assumedMemoryLoadTime)
+    , m_startInterval(assumedStartInterval)
+{
+}
+
 void order_planner::setLimits(engine_limits limits)
 {
     m_limits = std::move(limits);
@@ -60,6 +79,9 @@
         known->second = now;
         return;
     }
+    if (pendingLoads() == 0) {
+        m_lastStart = now;
+    }
     m_requested.emplace_back(adapter, now);
     if (m_requested.size() > maxRequestedAdapters) {
         m_requested.pop_front();
@@ -92,14 +114,26 @@
     if (report.startedAtMs != m_report.startedAtMs) {
         m_unconfirmedLoads.clear();
         m_notBefore.clear();
+        m_orderedLoads.clear();
+        const std::size_t capacity = m_recentAdapters.capacity();
+        m_recentAdapters = {};
+        m_recentAdapters.setCapacity(capacity);
     }
     for (const auto &[adapter, version] : report.adapters) {
         if (!m_report.adapters.contains(adapter)) {
             m_lastUsed[adapter] = now;
+            if (const auto ordered = m_orderedLoads.find(adapter); ordered != m_orderedLoads.end()) {
+                recordLoadEnd(adapter, ordered->second, now);
+            }
+            m_recentAdapters.add(adapter);
         }
     }
     m_report = std::move(report);
     m_engineUp = true;
+    std::erase_if(m_orderedLoads, [&](const auto &entry) {
+        return m_report.adapters.contains(entry.first)
+            || (!m_report.loading.contains(entry.first) && now - entry.second.startedAt > unconfirmedLoadTimeout);
+    });
     std::erase_if(m_unconfirmedLoads, [&](const auto &entry) {
         return m_report.adapters.contains(entry.first) || m_report.loading.contains(entry.first)
             || now - entry.second > unconfirmedLoadTimeout;
@@ -162,9 +196,6 @@
 
 std::optional<engine_order> order_planner::nextLoad(core::monotonic_time now)
 {
-    if (availableLoads() == 0) {
-        return std::nullopt;
-    }
     const std::string *adapter = highestPriorityAdapter(now);
     if (adapter == nullptr) {
         return std::nullopt;
@@ -185,7 +216,8 @@
     for (const auto &[adapter, requestedAt] : m_requested) {
         const bool modelHeld =
             std::find(m_report.models.begin(), m_report.models.end(), modelOf(adapter)) != m_report.models.end();
-        if (!modelHeld || isLoading(adapter) || m_report.adapters.contains(adapter) || !isOrderAllowed(adapter, now)) {
+        if (!modelHeld || isLoading(adapter) || m_report.adapters.contains(adapter) || !isOrderAllowed(adapter, now)
+            || !mayLoad(adapter, now)) {
             continue;
         }
         const double priority =
@@ -214,11 +246,13 @@
         // Without an answer the load may have been accepted: its slot counts as occupied until a report shows it or the
         // time-out has passed.
         m_unconfirmedLoads[key] = now;
+        recordLoadStart(key, now);
         m_notBefore[key] = now + unconfirmedLoadTimeout;
         return;
     }
     if (result == order_result::done) {
         m_report.adapters.erase(key);
+        m_recentAdapters.add(key);
         m_lastUsed.erase(key);
     } else {
         m_notBefore[key] = now + orderRetryDelay;
@@ -249,17 +283,90 @@
         }));
     const std::size_t occupied = std::min<std::size_t>(occupiedSlots(), m_limits.adapterSlots);
     const std::size_t usable = m_limits.adapterSlots - occupied + evictable;
-    const std::size_t available = std::min(usable, availableLoads());
+    const std::size_t available = std::min(usable, availableLoads(now));
     return available - std::min(available, pendingLoads());
 }
 
-std::size_t order_planner::availableLoads() const
+load_times order_planner::loadTimes(core::monotonic_time now) const
+{
+    const auto round = [](std::chrono::nanoseconds time) {
+        return std::chrono::round<std::chrono::milliseconds>(time);
+    };
+    std::chrono::nanoseconds interval = m_startInterval;
+    if (pendingLoads() > 0) {
+        interval = std::max<std::chrono::nanoseconds>(interval, now - m_lastStart);
+    } else {
+        const double weight = std::exp(-std::chrono::duration<double>(now - m_lastStart) / forgetTime);
+        interval = assumedStartInterval
+            + std::chrono::duration_cast<std::chrono::nanoseconds>((interval - assumedStartInterval) * weight);
+    }
+    return {round(m_pacer.loadTime(now)), round(m_memoryLoadTime), round(interval)};
+}
+
+std::size_t order_planner::rememberedAdapters() const
+{
+    return m_recentAdapters.capacity();
+}
+
+const load_pacer &order_planner::pacer() const
+{
+    return m_pacer;
+}
+
+std::size_t order_planner::loadsInProgress() const
 {
-    // Engines often restart together and share the store's bandwidth: the most requested adapters arrive sooner if
-    // fewer loads run beside them.
-    const bool nearlyEmpty = 2 * m_report.adapters.size() < m_limits.adapterSlots;
-    const std::size_t limit = nearlyEmpty ? maxConcurrentLoadsWhenNearlyEmpty : maxConcurrentLoads;
-    return limit - std::min(limit, m_report.loading.size() + m_unconfirmedLoads.size());
+    return static_cast<std::size_t>(std::count_if(m_unconfirmedLoads.begin(), m_unconfirmedLoads.end(),
+                                                  [this](const auto &entry) {
+                                                      return !m_report.loading.contains(entry.first);
+                                                  }))
+        + m_report.loading.size();
+}
+
+std::size_t order_planner::storeLoadsInProgress() const
+{
+    // Loads that an earlier process of the agent has ordered may be from the store.
+    const auto fromMemory = std::count_if(m_orderedLoads.begin(), m_orderedLoads.end(), [this](const auto &entry) {
+        return entry.second.expectedInMemory && isLoading(entry.first);
+    });
+    return loadsInProgress() - std::min(loadsInProgress(), static_cast<std::size_t>(fromMemory));
+}
+
+bool order_planner::mayLoad(std::string_view adapter, core::monotonic_time now) const
+{
+    if (loadsInProgress() >= maxConcurrentLoads) {
+        return false;
+    }
+    return m_recentAdapters.contains(adapter) || m_pacer.mayStart(storeLoadsInProgress(), now);
+}
+
+std::size_t order_planner::availableLoads(core::monotonic_time now) const
+{
+    std::size_t more = 0;
+    while (loadsInProgress() + more < maxConcurrentLoads && m_pacer.mayStart(storeLoadsInProgress() + more, now)) {
+        ++more;
+    }
+    return more;
+}
+
+void order_planner::recordLoadStart(std::string_view adapter, core::monotonic_time now)
+{
+    m_orderedLoads[std::string(adapter)] = {now, m_recentAdapters.contains(adapter)};
+    learn(m_startInterval, now - m_lastStart);
+    m_lastStart = now;
+}
+
+void order_planner::recordLoadEnd(std::string_view adapter, const ordered_load &load, core::monotonic_time now)
+{
+    const std::chrono::nanoseconds time = now - load.startedAt;
+    // Also an adapter that this process hasn't seen there before may come from memory: the engine outlives its agent.
+    const bool fromMemory =
+        std::chrono::duration<double>(time) < std::chrono::duration<double>(m_pacer.idleLoadTime()) * memoryLoadShare;
+    m_recentAdapters.recordLoad(adapter, fromMemory);
+    if (fromMemory) {
+        learn(m_memoryLoadTime, time);
+    } else {
+        m_pacer.recordLoad(load.startedAt, now);
+    }
 }
 
 bool order_planner::isEngineUp() const
--- a/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
+++ b/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
@@ -15,7 +15,7 @@
 struct greeting
 {
     /// Version of the protocol. Agents don't check it.
-    std::uint32_t protocol = 3;
+    std::uint32_t protocol = 4;
     std::string name;
 };
 
@@ -77,6 +77,13 @@
     std::uint32_t failurePercent = 0;
     /// Prompt tokens of all gateways' requests that have had no answer yet.
     std::uint64_t pendingPrefillTokens = 0;
+    /// Learned times in milliseconds: of a load from the weight store and from the engine's memory, and between the
+    /// starts of two loads while others wait.
+    std::uint32_t storeLoadMs = 0;
+    std::uint32_t memoryLoadMs = 0;
+    std::uint32_t loadIntervalMs = 0;
+    /// Number of adapters that the engine's memory keeps, as learned.
+    std::uint32_t rememberedAdapters = 0;
 };
 
 /// State of an engine, as its agent knows it.
--- a/libs/agent_protocol/src/message_codec.cpp
+++ b/libs/agent_protocol/src/message_codec.cpp
@@ -65,7 +65,8 @@
 auto engineLoadFields(auto &load)
 {
     return std::tie(load.running, load.queued, load.pendingLoads, load.availableSlots, load.failurePercent,
-                    load.pendingPrefillTokens);
+                    load.pendingPrefillTokens, load.storeLoadMs, load.memoryLoadMs, load.loadIntervalMs,
+                    load.rememberedAdapters);
 }
 
 auto fields(
--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <medlarrack/catalog/recent_adapters.hpp>
 #include <medlarrack/catalog/replica_record.hpp>
 #include <medlarrack/core/clock.hpp>
-#include <medlarrack/gateway/recent_adapters.hpp>
 #include <medlarrack/gateway/replica_health.hpp>
 
 #include <algorithm>
@@ -49,13 +49,18 @@
     /// Further adapter loads that the engine could start at once; unlimited until its agent reports a number.
     std::uint32_t availableSlots = std::numeric_limits<std::uint32_t>::max();
     /// Only adapters that this process has seen the engine hold.
-    recent_adapters recentAdapters;
+    catalog::recent_adapters recentAdapters;
     /// Percentage of all processes' recent requests to the engine that failed.
     std::uint32_t failurePercent = 0;
     /// Prompt tokens of other processes' requests that the engine has yet to prefill.
     std::uint64_t othersPendingPrefillTokens = 0;
     /// When this process first saw this start of the engine.
     core::monotonic_time startObservedAt{};
+    /// Times of adapter loads as the agent has learned them.
+    std::chrono::milliseconds storeLoadTime{290};
+    std::chrono::milliseconds memoryLoadTime{30};
+    /// Between the starts of two loads while others wait.
+    std::chrono::milliseconds loadInterval{150};
 };
 
 /// State of one replica as known to this process.
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -2,6 +2,7 @@
 
 #include <medlarrack/gateway/replica_table.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -25,6 +26,8 @@
     std::span<const std::string> tried;
     /// The request may be sent to another replica after its run may have begun.
     bool mayRunAgain = false;
+    /// Time that the request may wait for its adapter.
+    std::chrono::milliseconds maxLoadWait{1'500};
 };
 
 /// The replica chosen for a request.
@@ -56,6 +59,9 @@
 [[nodiscard]] replica_choice chooseEngine(const replica_table &table, const choice_query &query,
                                           core::monotonic_time now);
 
+/// Average time until an adapter load that is requested now would be complete, by what the engine's agent has learned.
+[[nodiscard]] std::chrono::milliseconds expectedLoadTime(const replica &at, std::string_view adapter);
+
 /// Whether the replica accepts requests: it is listed, not leaving and not in a quiet period.
 [[nodiscard]] bool acceptsRequests(const replica &candidate, core::monotonic_time now);
 
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -34,6 +34,20 @@
            });
 }
 
+/// Takes over the load that an agent reported, apart from what depends on this process.
+void updateLoad(agent_status &status, const agent_protocol::engine_load &load)
+{
+    using std::chrono::milliseconds;
+    status.running = load.running;
+    status.queued = load.queued;
+    status.pendingLoads = load.pendingLoads;
+    status.availableSlots = load.availableSlots;
+    status.storeLoadTime = milliseconds(load.storeLoadMs);
+    status.memoryLoadTime = milliseconds(load.memoryLoadMs);
+    status.loadInterval = milliseconds(load.loadIntervalMs);
+    status.recentAdapters.setCapacity(load.rememberedAdapters);
+}
+
 void updateFailurePercent(replica &at, std::uint32_t failurePercent)
 {
     const bool wasFailing = at.agent->failurePercent >= failureThresholdPercent;
@@ -187,23 +201,22 @@
             m_crashDetector.recordTargetEnd(id, now);
         }
         const core::monotonic_time startKnownAt = sameIncarnation ? knownReplica->agent->startObservedAt : now;
-        recent_adapters recent = sameIncarnation ? std::move(knownReplica->agent->recentAdapters) : recent_adapters();
+        catalog::recent_adapters recent =
+            sameIncarnation ? std::move(knownReplica->agent->recentAdapters) : catalog::recent_adapters();
         for (const auto &[adapter, version] : status->adapters) {
             recent.add(adapter);
         }
-        knownReplica->agent = agent_status{status->engineUp,
-                                           status->startedAtMs,
-                                           status->models,
-                                           status->adapters,
-                                           status->load.running,
-                                           status->load.queued,
-                                           status->load.pendingLoads,
-                                           now,
-                                           status->load.availableSlots,
-                                           std::move(recent),
-                                           status->load.failurePercent,
-                                           0,
-                                           startKnownAt};
+        agent_status updated;
+        updated.engineUp = status->engineUp;
+        updated.startedAtMs = status->startedAtMs;
+        updated.models = status->models;
+        updated.adapters = status->adapters;
+        updated.updatedAt = now;
+        updated.recentAdapters = std::move(recent);
+        updated.failurePercent = status->load.failurePercent;
+        updated.startObservedAt = startKnownAt;
+        updateLoad(updated, status->load);
+        knownReplica->agent = std::move(updated);
         if (!sameIncarnation && knownReplica->awaitsRelisting(now)) {
             log::write(log::level::info, "replica started anew and isn't listed yet",
                        {{"replica", id}, {"started_at_ms", status->startedAtMs}});
@@ -227,10 +240,7 @@
             knownReplica->agent->adapters.erase(adapter);
             knownReplica->agent->recentAdapters.add(adapter);
         }
-        knownReplica->agent->running = change->load.running;
-        knownReplica->agent->queued = change->load.queued;
-        knownReplica->agent->pendingLoads = change->load.pendingLoads;
-        knownReplica->agent->availableSlots = change->load.availableSlots;
+        updateLoad(*knownReplica->agent, change->load);
         updateFailurePercent(*knownReplica, change->load.failurePercent);
         // The agent's count includes the tokens that this process has reported.
         knownReplica->agent->othersPendingPrefillTokens = change->load.pendingPrefillTokens
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -161,6 +161,7 @@
     query.tried = m_triedReplicas;
     query.demand = m_adapterDemand;
     query.mayRunAgain = mayRetry(*m_route, attempt_outcome::unknown, {m_history.runs + 1, m_history.rejections});
+    query.maxLoadWait = std::chrono::duration_cast<milliseconds>(m_holdDeadline - now);
     const replica_choice choice =
         hasEngine ? chooseEngine(m_services.replicas, query, now) : choosePlain(m_services.replicas, query, now);
     m_choiceReason = choice.why;
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -33,17 +33,10 @@
 /// Prompt tokens to prefill that count as one more request. The most frequent kind of request of both users has 646,
 /// which an engine prefills in 17 ms.
 constexpr double prefillTokensPerRequest = 650;
-/// Pending adapter loads from which an engine gets no further one: an engine that loads two adapters at a time starts
-/// this many loads in the 1.5 s for which requests are held. Using engines beyond the homes would only duplicate loads.
-constexpr std::uint32_t maxPendingLoads = 10;
 /// Highest-ranked engines that may load an adapter they haven't held before. Usually one of three has a free slot.
 constexpr std::size_t homesPerAdapter = 3;
-/// Time until an engine whose adapter slots are all in use frees one for the next pending load: it runs about 20
-/// requests per second of 0.5 s each, several of which share an adapter.
-constexpr std::chrono::milliseconds slotReleaseTime{150};
-/// Time to load an adapter from the weight store, and from the memory of an engine that has held it.
-constexpr std::chrono::milliseconds coldLoadTime{290};
-constexpr std::chrono::milliseconds warmLoadTime{30};
+/// Time of a load at an engine without an agent.
+constexpr std::chrono::milliseconds assumedLoadTime{290};
 /// Demand of this process for an adapter from which its data centre gets a home for it: a load costs as much as 6 to 18
 /// requests between data centres, and takes a slot from another adapter.
 constexpr double localHomeMinDemand = 15;
@@ -194,16 +187,6 @@
     return best;
 }
 
-/// Average time until a load requested now would be complete.
-std::chrono::milliseconds expectedLoadTime(const replica &at, std::string_view adapter)
-{
-    if (!at.agent) {
-        return coldLoadTime;
-    }
-    const auto load = at.agent->recentAdapters.contains(adapter) ? warmLoadTime : coldLoadTime;
-    return at.agent->availableSlots > 0 ? load : load + slotReleaseTime * (at.agent->pendingLoads + 1);
-}
-
 /// Whether an engine can get the adapter as a further one: it isn't saturated and neither holds nor is loading it.
 bool mayBeHome(const replica_table &table, const replica &candidate, const choice_query &query)
 {
@@ -251,11 +234,14 @@
     std::pair<std::chrono::milliseconds, std::uint64_t> bestRank;
     for (auto it = candidates.begin(); it != candidates.end(); ++it) {
         const bool held = it->engine->agent && it->engine->agent->recentAdapters.contains(query.adapter);
-        const bool backlogged = it->engine->agent && it->engine->agent->pendingLoads >= maxPendingLoads;
-        if (it->usableSoon || backlogged || (it >= homesEnd && !held)) {
+        if (it->usableSoon || (it >= homesEnd && !held)) {
             continue;
         }
         const std::pair rank(expectedLoadTime(*it->engine, query.adapter), ~it->weight);
+        // Engines beyond the homes would only duplicate loads.
+        if (rank.first > query.maxLoadWait) {
+            continue;
+        }
         if (best.engine == nullptr || rank < bestRank) {
             best.engine = it->engine;
             bestRank = rank;
@@ -302,6 +288,16 @@
 
 } // namespace
 
+std::chrono::milliseconds expectedLoadTime(const replica &at, std::string_view adapter)
+{
+    if (!at.agent) {
+        return assumedLoadTime;
+    }
+    const agent_status &agent = *at.agent;
+    const auto load = agent.recentAdapters.contains(adapter) ? agent.memoryLoadTime : agent.storeLoadTime;
+    return agent.availableSlots > 0 ? load : load + agent.loadInterval * (agent.pendingLoads + 1);
+}
+
 bool acceptsRequests(const replica &candidate, core::monotonic_time now)
 {
     return !candidate.removed && !candidate.record.leaving && !candidate.isQuiet(now);
--- a/libs/gateway/src/retry_after.cpp
+++ b/libs/gateway/src/retry_after.cpp
@@ -17,9 +17,6 @@
 constexpr milliseconds modelLoadTime{1'000};
 /// Time after which an ejected replica is tried again.
 constexpr milliseconds ejectionTime{500};
-/// Time per pending adapter load: a weight store that serves 24 concurrent loads of 250 ms to 18 engines gives each
-/// about 5 per second.
-constexpr milliseconds adapterLoadTime{190};
 constexpr milliseconds maxBacklogTime{1'500};
 /// A replica has a free slot within this time.
 constexpr milliseconds freeSlotTime{200};
@@ -32,17 +29,17 @@
     });
 }
 
-std::uint32_t shortestBacklog(const replica_table &table, std::string_view service)
+/// Time until the engine with the shortest backlog has loaded one more adapter, by what the agents have learned.
+milliseconds shortestBacklogTime(const replica_table &table, std::string_view service)
 {
-    std::uint32_t shortest = 0;
-    bool any = false;
+    std::optional<milliseconds> shortest;
     for (const replica_ptr &candidate : table.findByService(service)) {
         if (candidate->agent) {
-            shortest = any ? std::min(shortest, candidate->agent->pendingLoads) : candidate->agent->pendingLoads;
-            any = true;
+            const milliseconds time = candidate->agent->loadInterval * candidate->agent->pendingLoads;
+            shortest = std::min(shortest.value_or(time), time);
         }
     }
-    return shortest;
+    return shortest.value_or(milliseconds(0));
 }
 
 /// Time until the first quiet period ends if all otherwise usable replicas are in one; else not set.
@@ -74,7 +71,7 @@
     case refusal_cause::no_replica:
         return anyHoldsModel(table, service) ? ejectionTime : modelLoadTime;
     case refusal_cause::adapter_backlog:
-        return std::min(maxBacklogTime, freeSlotTime + adapterLoadTime * shortestBacklog(table, service));
+        return std::min(maxBacklogTime, freeSlotTime + shortestBacklogTime(table, service));
     case refusal_cause::quiet:
         return quietTime(table, service, now).value_or(freeSlotTime);
     case refusal_cause::rejected:
