--- a/libs/agent/include/medlarrack/agent/order_planner.hpp
+++ b/libs/agent/include/medlarrack/agent/order_planner.hpp
@@ -33,6 +33,15 @@
     std::chrono::milliseconds betweenStarts{0};
 };
 
+/// An ordered load that a report has shown as complete.
+struct completed_load
+{
+    std::string adapter;
+    std::chrono::milliseconds time{0};
+    /// Whether it came from the engine's memory, by its time.
+    bool fromMemory = false;
+};
+
 /// Number of requests by "model/adapter".
 using request_counts = std::map<std::string, std::uint32_t, std::less<>>;
 
@@ -56,8 +65,8 @@
     /// the gateway.
     void setInUse(std::string_view gateway, request_counts adapters, core::monotonic_time now);
 
-    /// Takes over a new report of the engine.
-    void onReport(engine_report report, core::monotonic_time now);
+    /// Takes over a new report of the engine. Returns the loads that have ended since the last one.
+    std::vector<completed_load> onReport(engine_report report, core::monotonic_time now);
     /// Gives no orders until the next report.
     void onEngineUnreachable();
 
@@ -96,7 +105,7 @@
     [[nodiscard]] bool mayLoad(std::string_view adapter, core::monotonic_time now) const;
     [[nodiscard]] std::size_t availableLoads(core::monotonic_time now) const;
     void recordLoadStart(std::string_view adapter, core::monotonic_time now);
-    void recordLoadEnd(std::string_view adapter, const ordered_load &load, core::monotonic_time now);
+    completed_load recordLoadEnd(const std::string &adapter, const ordered_load &load, core::monotonic_time now);
     [[nodiscard]] bool isEvictable(std::string_view adapter, core::monotonic_time now) const;
     [[nodiscard]] core::monotonic_time lastUse(std::string_view adapter) const;
     [[nodiscard]] std::optional<std::string> leastRecentlyUsedEvictable(core::monotonic_time now) const;
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -425,7 +425,15 @@
         if (report->startedAtMs != planner.report().startedAtMs) {
             failureRate.onEngineRestart(reportedAt);
         }
-        planner.onReport(*std::move(report), reportedAt);
+        for (const completed_load &load : planner.onReport(*std::move(report), reportedAt)) {
+            constexpr double percentScale = 100;
+            log::write(log::level::info, "adapter loaded",
+                       {{"adapter", load.adapter},
+                        {"source", load.fromMemory ? "memory" : "store"},
+                        {"load_ms", load.time.count()},
+                        {"load_limit_percent", static_cast<std::uint64_t>(planner.pacer().limit() * percentScale)},
+                        {"waiting", static_cast<std::uint64_t>(planner.pendingLoads())}});
+        }
         if (!wasUp) {
             log::write(log::level::info, "engine answers",
                        {{"started_at_ms", planner.report().startedAtMs},
--- a/libs/agent/src/order_planner.cpp
+++ b/libs/agent/src/order_planner.cpp
@@ -109,8 +109,9 @@
     m_inUse[std::string(gateway)] = std::move(adapters);
 }
 
-void order_planner::onReport(engine_report report, core::monotonic_time now)
+std::vector<completed_load> order_planner::onReport(engine_report report, core::monotonic_time now)
 {
+    std::vector<completed_load> completed;
     if (report.startedAtMs != m_report.startedAtMs) {
         m_unconfirmedLoads.clear();
         m_notBefore.clear();
@@ -123,7 +124,7 @@
         if (!m_report.adapters.contains(adapter)) {
             m_lastUsed[adapter] = now;
             if (const auto ordered = m_orderedLoads.find(adapter); ordered != m_orderedLoads.end()) {
-                recordLoadEnd(adapter, ordered->second, now);
+                completed.push_back(recordLoadEnd(adapter, ordered->second, now));
             }
             m_recentAdapters.add(adapter);
         }
@@ -148,6 +149,7 @@
     std::erase_if(m_lastUsed, [&](const auto &entry) {
         return !m_report.adapters.contains(entry.first) && !isLoading(entry.first) && !isInUse(entry.first);
     });
+    return completed;
 }
 
 void order_planner::onEngineUnreachable()
@@ -355,7 +357,8 @@
     m_lastStart = now;
 }
 
-void order_planner::recordLoadEnd(std::string_view adapter, const ordered_load &load, core::monotonic_time now)
+completed_load order_planner::recordLoadEnd(const std::string &adapter, const ordered_load &load,
+                                            core::monotonic_time now)
 {
     const std::chrono::nanoseconds time = now - load.startedAt;
     // Also an adapter that this process hasn't seen there before may come from memory: the engine outlives its agent.
@@ -367,6 +370,7 @@
     } else {
         m_pacer.recordLoad(load.startedAt, now);
     }
+    return {adapter, std::chrono::round<std::chrono::milliseconds>(time), fromMemory};
 }
 
 bool order_planner::isEngineUp() const
--- a/libs/agent/tests/test_order_planner.cpp
+++ b/libs/agent/tests/test_order_planner.cpp
@@ -98,6 +98,21 @@
     BOOST_TEST(!planner.hasPendingWork());
 }
 
+BOOST_AUTO_TEST_CASE(a_report_tells_which_loads_have_ended_and_how_long_they_took)
+{
+    planner.requestAdapter("m/a1", clock.now());
+    executeOrders();
+    clock.advance(milliseconds(250));
+    engine.adapters = {{"m/a1", 1}, {"m/not-ordered", 1}};
+    engine.loading.clear();
+    const auto completed = planner.onReport(engine, clock.now());
+    BOOST_REQUIRE(completed.size() == 1U);
+    BOOST_TEST(completed.front().adapter == "m/a1");
+    BOOST_TEST(completed.front().time.count() == 250);
+    BOOST_TEST(!completed.front().fromMemory);
+    BOOST_TEST(planner.onReport(engine, clock.now()).empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_least_recently_used_adapter_is_unloaded)
 {
     for (const char *adapter : {"m/a1", "m/a2", "m/a3"}) {
