--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -35,6 +35,9 @@
 constexpr double prefillTokensPerRequest = 650;
 /// Highest-ranked engines that may load an adapter they haven't held before. Usually one of three has a free slot.
 constexpr std::size_t homesPerAdapter = 3;
+/// Multiple of the time of a load from the weight store that such a load costs besides: all engines share the store,
+/// and while it is busy every load delays those that wait.
+constexpr int storeLoadCost = 2;
 /// Time of a load at an engine without an agent.
 constexpr std::chrono::milliseconds assumedLoadTime{290};
 /// Demand of this process for an adapter from which its data centre gets a home for it: a load costs as much as 6 to 18
@@ -194,6 +197,17 @@
         && !holdsAdapter(table, candidate, query.adapter);
 }
 
+/// Whether the engine is expected to load the adapter without the weight store.
+bool isInMemory(const replica &at, std::string_view adapter)
+{
+    return at.agent && at.agent->recentAdapters.contains(adapter);
+}
+
+std::chrono::milliseconds storeLoadTime(const replica &at)
+{
+    return at.agent ? at.agent->storeLoadTime : assumedLoadTime;
+}
+
 struct home_choice
 {
     /// Null if no engine can load the adapter now.
@@ -233,15 +247,16 @@
     home_choice best;
     std::pair<std::chrono::milliseconds, std::uint64_t> bestRank;
     for (auto it = candidates.begin(); it != candidates.end(); ++it) {
-        const bool held = it->engine->agent && it->engine->agent->recentAdapters.contains(query.adapter);
+        const bool held = isInMemory(*it->engine, query.adapter);
         if (it->usableSoon || (it >= homesEnd && !held)) {
             continue;
         }
-        const std::pair rank(expectedLoadTime(*it->engine, query.adapter), ~it->weight);
+        const std::chrono::milliseconds time = expectedLoadTime(*it->engine, query.adapter);
         // Engines beyond the homes would only duplicate loads.
-        if (rank.first > query.maxLoadWait) {
+        if (time > query.maxLoadWait) {
             continue;
         }
+        const std::pair rank(held ? time : time + storeLoadTime(*it->engine) * storeLoadCost, ~it->weight);
         if (best.engine == nullptr || rank < bestRank) {
             best.engine = it->engine;
             bestRank = rank;
@@ -294,7 +309,7 @@
         return assumedLoadTime;
     }
     const agent_status &agent = *at.agent;
-    const auto load = agent.recentAdapters.contains(adapter) ? agent.memoryLoadTime : agent.storeLoadTime;
+    const auto load = isInMemory(at, adapter) ? agent.memoryLoadTime : agent.storeLoadTime;
     return agent.availableSlots > 0 ? load : load + agent.loadInterval * (agent.pendingLoads + 1);
 }
 
@@ -365,6 +380,11 @@
         return {.target = next, .needsLoad = true, .why = "adapter is being loaded"};
     }
     const home_choice home = nextHome(table, known, query);
+    if (const replica_ptr holder = leastLoaded(holders); home.engine != nullptr && holder != nullptr
+        && holder->load() < query.batchSize && !isInMemory(*home.engine, query.adapter)) {
+        // Slots that are free in a moment cost less than a load from the weight store.
+        return {.target = holder, .why = "adapter loaded, its engines nearly saturated"};
+    }
     if (home.engine != nullptr) {
         return {.target = home.engine, .needsLoad = true, .why = "home of the adapter"};
     }
--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -234,11 +234,31 @@
     const replica_ptr held = table.find(home->record.id == "e2" ? "e3" : "e2");
     held->agent->recentAdapters.add("m/a1");
     BOOST_TEST(choose("m/a1").target == held);
+    // A load from the store delays those of other engines, so it isn't worth some wait less.
     held->agent->availableSlots = 0;
     held->agent->pendingLoads = 4;
+    BOOST_TEST(choose("m/a1").target == held);
+    held->agent->pendingLoads = 8;
     BOOST_TEST(choose("m/a1").target == home);
 }
 
+BOOST_AUTO_TEST_CASE(an_engine_that_holds_the_adapter_is_used_before_a_load_from_the_store_until_its_batch_is_full)
+{
+    addEngines(18);
+    const replica_ptr holder = table.find("e0");
+    holder->agent->adapters["m/a1"] = 1;
+    holder->setReportedLoad(30, clock.now());
+    BOOST_TEST(choose("m/a1").target == holder);
+    // A load from memory costs the others nothing.
+    table.find("e1")->agent->recentAdapters.add("m/a1");
+    BOOST_TEST(choose("m/a1").target->record.id == "e1");
+    table.find("e1")->agent->recentAdapters = {};
+    holder->setReportedLoad(32, clock.now());
+    const replica_choice choice = choose("m/a1");
+    BOOST_TEST(choice.target != holder);
+    BOOST_TEST(choice.needsLoad);
+}
+
 BOOST_AUTO_TEST_CASE(a_copy_is_not_loaded_where_requests_wait_for_slots)
 {
     addEngines(18);
