--- a/libs/agent/include/medlarrack/agent/order_planner.hpp
+++ b/libs/agent/include/medlarrack/agent/order_planner.hpp
@@ -82,10 +82,12 @@
     /// Number of further adapters whose loads from the weight store could begin at once: slots that are free or
     /// evictable, within the limit of concurrent loads, less the pending loads.
     [[nodiscard]] std::size_t availableSlots(core::monotonic_time now) const;
+    /// The same for loads from the engine's memory, which don't wait for the weight store.
+    [[nodiscard]] std::size_t availableMemorySlots(core::monotonic_time now) const;
     /// Expected times of loads.
     [[nodiscard]] load_times loadTimes(core::monotonic_time now) const;
-    /// Number of adapters that the engine's memory is expected to keep.
-    [[nodiscard]] std::size_t rememberedAdapters() const;
+    /// What the engine's memory is expected to have.
+    [[nodiscard]] const catalog::recent_adapters &recentAdapters() const;
     [[nodiscard]] const load_pacer &pacer() const;
     [[nodiscard]] const engine_report &report() const;
 
@@ -101,6 +103,8 @@
         bool expectedInMemory = false;
     };
     [[nodiscard]] std::size_t loadsInProgress() const;
+    /// Slots that are free or evictable.
+    [[nodiscard]] std::size_t usableSlots(core::monotonic_time now) const;
     [[nodiscard]] std::size_t storeLoadsInProgress() const;
     [[nodiscard]] bool mayLoad(std::string_view adapter, core::monotonic_time now) const;
     [[nodiscard]] std::size_t availableLoads(core::monotonic_time now) const;
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -57,11 +57,12 @@
     status.load.queued = report.queued;
     status.load.pendingLoads = static_cast<std::uint32_t>(planner.pendingLoads());
     status.load.availableSlots = static_cast<std::uint32_t>(planner.availableSlots(now));
+    status.load.availableMemorySlots = static_cast<std::uint32_t>(planner.availableMemorySlots(now));
     const load_times times = planner.loadTimes(now);
     status.load.storeLoadMs = static_cast<std::uint32_t>(times.fromStore.count());
     status.load.memoryLoadMs = static_cast<std::uint32_t>(times.fromMemory.count());
     status.load.loadIntervalMs = static_cast<std::uint32_t>(times.betweenStarts.count());
-    status.load.rememberedAdapters = static_cast<std::uint32_t>(planner.rememberedAdapters());
+    status.load.rememberedAdapters = static_cast<std::uint32_t>(planner.recentAdapters().capacity());
     constexpr double percentScale = 100;
     status.load.failurePercent = static_cast<std::uint32_t>(failureRate.rate(now) * percentScale);
     return status;
@@ -211,7 +212,7 @@
         metrics.gauge("medlarrack_agent_load_limit", "Loads from the weight store at a time", {},
                       planner.pacer().limit());
         metrics.gauge("medlarrack_agent_remembered_adapters", "Adapters that the engine's memory keeps, as learned", {},
-                      static_cast<double>(planner.rememberedAdapters()));
+                      static_cast<double>(planner.recentAdapters().capacity()));
         metrics.gauge("medlarrack_agent_failing_share", "Share of recent requests that failed", {},
                       failureRate.rate(clock.now()));
         metrics.gauge("medlarrack_agent_suspects", "Requests known to have crashed replicas", {},
@@ -251,7 +252,9 @@
             });
         added->connection->start();
         // Later changes are relative to the last published status.
-        added->connection->send(publishedStatus);
+        agent_protocol::engine_status full = publishedStatus;
+        full.recentAdapters = planner.recentAdapters().inMemory();
+        added->connection->send(full);
         if (const core::crash_news known = {suspects.records(clock.now()), {}}; !known.empty()) {
             added->connection->send(agent_protocol::crash_report{known});
         }
@@ -493,7 +496,13 @@
         if (!fullStatusNeeded && unchanged && now - publishedAt < heartbeatInterval) {
             return;
         }
-        broadcast(fullStatusNeeded ? agent_protocol::message(status) : agent_protocol::message(change));
+        if (fullStatusNeeded) {
+            agent_protocol::engine_status full = status;
+            full.recentAdapters = planner.recentAdapters().inMemory();
+            broadcast(full);
+        } else {
+            broadcast(change);
+        }
         publishedStatus = std::move(status);
         publishedAt = now;
     }
--- a/libs/agent/src/order_planner.cpp
+++ b/libs/agent/src/order_planner.cpp
@@ -274,21 +274,38 @@
     }));
 }
 
-std::size_t order_planner::availableSlots(core::monotonic_time now) const
+std::size_t order_planner::usableSlots(core::monotonic_time now) const
 {
-    if (!m_engineUp) {
-        return 0;
-    }
     const auto evictable = static_cast<std::size_t>(
         std::count_if(m_report.adapters.begin(), m_report.adapters.end(), [&](const auto &entry) {
             return isEvictable(entry.first, now);
         }));
-    const std::size_t occupied = std::min<std::size_t>(occupiedSlots(), m_limits.adapterSlots);
-    const std::size_t usable = m_limits.adapterSlots - occupied + evictable;
-    const std::size_t available = std::min(usable, availableLoads(now));
+    return m_limits.adapterSlots - std::min<std::size_t>(occupiedSlots(), m_limits.adapterSlots) + evictable;
+}
+
+std::size_t order_planner::availableSlots(core::monotonic_time now) const
+{
+    if (!m_engineUp) {
+        return 0;
+    }
+    const std::size_t available = std::min(usableSlots(now), availableLoads(now));
     return available - std::min(available, pendingLoads());
 }
 
+std::size_t order_planner::availableMemorySlots(core::monotonic_time now) const
+{
+    if (!m_engineUp) {
+        return 0;
+    }
+    const auto pending =
+        static_cast<std::size_t>(std::count_if(m_requested.begin(), m_requested.end(), [this](const auto &entry) {
+            return !isLoading(entry.first) && m_recentAdapters.contains(entry.first);
+        }));
+    const std::size_t loads = maxConcurrentLoads - std::min(maxConcurrentLoads, loadsInProgress());
+    const std::size_t available = std::min(usableSlots(now), loads);
+    return available - std::min(available, pending);
+}
+
 load_times order_planner::loadTimes(core::monotonic_time now) const
 {
     const auto round = [](std::chrono::nanoseconds time) {
@@ -305,9 +322,9 @@
     return {round(m_pacer.loadTime(now)), round(m_memoryLoadTime), round(interval)};
 }
 
-std::size_t order_planner::rememberedAdapters() const
+const catalog::recent_adapters &order_planner::recentAdapters() const
 {
-    return m_recentAdapters.capacity();
+    return m_recentAdapters;
 }
 
 const load_pacer &order_planner::pacer() const
--- a/libs/agent/tests/test_order_planner.cpp
+++ b/libs/agent/tests/test_order_planner.cpp
@@ -421,6 +421,21 @@
     BOOST_TEST(planner.pendingLoads() == 0U);
     planner.onEngineUnreachable();
     BOOST_TEST(planner.availableSlots(clock.now()) == 0U);
+    BOOST_TEST(planner.availableMemorySlots(clock.now()) == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(loads_that_wait_for_the_store_take_no_slots_from_loads_from_memory, engine_fixture)
+{
+    load("m/a1");
+    load("m/a2");
+    advance(milliseconds(1'000));
+    planner.setInUse("g", {{"m/a1", 1}, {"m/b1", 1}, {"m/b2", 1}, {"m/b3", 1}}, clock.now());
+    for (const char *adapter : {"m/b1", "m/b2", "m/b3"}) {
+        planner.requestAdapter(adapter, clock.now());
+    }
+    // One slot is free and one is evictable.
+    BOOST_TEST(planner.availableSlots(clock.now()) == 0U);
+    BOOST_TEST(planner.availableMemorySlots(clock.now()) == 2U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
+++ b/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
@@ -71,8 +71,9 @@
     std::uint32_t queued = 0;
     /// Requested adapters whose load is not in progress yet.
     std::uint32_t pendingLoads = 0;
-    /// Number of further adapters whose loads could begin at once.
+    /// Numbers of further adapters whose loads could begin at once, from the weight store and from the engine's memory.
     std::uint32_t availableSlots = 0;
+    std::uint32_t availableMemorySlots = 0;
     /// Failure rate of the recent requests of all gateways, in percent.
     std::uint32_t failurePercent = 0;
     /// Prompt tokens of all gateways' requests that have had no answer yet.
@@ -94,6 +95,9 @@
     std::vector<std::string> models;
     std::map<std::string, std::uint64_t, std::less<>> adapters;
     engine_load load;
+    /// Adapters that the engine's memory is expected to have, the most recent one last. A gateway that has just started
+    /// hasn't seen them there.
+    std::vector<std::string> recentAdapters;
 };
 
 /// Changes since the last engine_status or engine_change; also sent as the heartbeat. Much smaller than an
--- a/libs/agent_protocol/src/message_codec.cpp
+++ b/libs/agent_protocol/src/message_codec.cpp
@@ -64,16 +64,17 @@
 /// An engine_load is not nested: its fields are encoded among those of its message.
 auto engineLoadFields(auto &load)
 {
-    return std::tie(load.running, load.queued, load.pendingLoads, load.availableSlots, load.failurePercent,
-                    load.pendingPrefillTokens, load.storeLoadMs, load.memoryLoadMs, load.loadIntervalMs,
-                    load.rememberedAdapters);
+    return std::tie(load.running, load.queued, load.pendingLoads, load.availableSlots, load.availableMemorySlots,
+                    load.failurePercent, load.pendingPrefillTokens, load.storeLoadMs, load.memoryLoadMs,
+                    load.loadIntervalMs, load.rememberedAdapters);
 }
 
 auto fields(
     auto &value) requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, engine_status>
 {
-    return std::tuple_cat(std::tie(value.engineUp, value.startedAtMs, value.models, value.adapters),
-                          engineLoadFields(value.load));
+    return std::tuple_cat(
+        std::tie(value.engineUp, value.startedAtMs, value.models, value.adapters, value.recentAdapters),
+        engineLoadFields(value.load));
 }
 
 auto fields(
--- a/libs/agent_protocol/tests/test_message_codec.cpp
+++ b/libs/agent_protocol/tests/test_message_codec.cpp
@@ -17,7 +17,7 @@
             adapters_in_use{{{"m/a1", 3}}, 5, 2, 646},
             service_config{7, "llm", {{"m", 72'700, 66}}, 75'200, 15},
             adapter_releases{{{"m/a1", 3}}},
-            engine_status{true, 77, {"m"}, {{"m/a1", 2}}, 12, 1, 4, 2, 30, 9'190},
+            engine_status{true, 77, {"m"}, {{"m/a1", 2}}, {12, 1, 4, 2, 3, 30, 9'190}, {"m/a7", "m/a1"}},
             engine_change{{{"m/a2", 1}}, {"m/a1"}, 3, 0, 1, 3, 40, 646},
             crash_report{{{{0xfeed, 0xbeef, 1'200ms, 30ms}, {2, 3, 0ms, 0ms, true}}, {{0xfeed, 5ms}}}}};
 }
--- a/libs/catalog/include/medlarrack/catalog/recent_adapters.hpp
+++ b/libs/catalog/include/medlarrack/catalog/recent_adapters.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace medlarrack::catalog {
 
@@ -22,6 +23,9 @@
     /// Number of adapters that were added after this one; nothing if it isn't known.
     [[nodiscard]] std::optional<std::size_t> rank(std::string_view adapter) const;
 
+    /// The adapters that the engine's memory is expected to have, the most recent one last.
+    [[nodiscard]] std::vector<std::string> inMemory() const;
+
     /// Learns from a load whether the engine's memory had the adapter; to be called before add().
     void recordLoad(std::string_view adapter, bool fromMemory);
     /// Number of adapters that the engine's memory is expected to keep.
--- a/libs/catalog/src/recent_adapters.cpp
+++ b/libs/catalog/src/recent_adapters.cpp
@@ -1,6 +1,7 @@
 #include <medlarrack/catalog/recent_adapters.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarrack::catalog {
 
@@ -44,6 +45,21 @@
     }));
 }
 
+std::vector<std::string> recent_adapters::inMemory() const
+{
+    std::vector<std::pair<std::uint64_t, std::string_view>> bySequence;
+    for (const auto &[adapter, sequence] : m_lastAdded) {
+        bySequence.emplace_back(sequence, adapter);
+    }
+    std::sort(bySequence.begin(), bySequence.end());
+    const std::size_t kept = std::min(m_capacity, bySequence.size());
+    std::vector<std::string> adapters;
+    for (auto it = bySequence.end() - static_cast<std::ptrdiff_t>(kept); it != bySequence.end(); ++it) {
+        adapters.emplace_back(it->second);
+    }
+    return adapters;
+}
+
 void recent_adapters::recordLoad(std::string_view adapter, bool fromMemory)
 {
     const auto known = rank(adapter);
--- a/libs/catalog/tests/test_recent_adapters.cpp
+++ b/libs/catalog/tests/test_recent_adapters.cpp
@@ -56,6 +56,29 @@
     BOOST_TEST(!recent.rank("m/c"));
 }
 
+BOOST_AUTO_TEST_CASE(a_process_that_is_told_what_memory_has_knows_the_same)
+{
+    recent_adapters recent;
+    recent.setCapacity(10);
+    for (std::size_t index = 0; index < 30; ++index) {
+        recent.add(name(index));
+    }
+    recent.add(name(25));
+    const auto told = recent.inMemory();
+    BOOST_TEST(told.size() == 10U);
+    BOOST_TEST(told.back() == name(25));
+    recent_adapters learner;
+    learner.setCapacity(10);
+    for (const std::string &adapter : told) {
+        learner.add(adapter);
+    }
+    for (std::size_t index = 0; index < 30; ++index) {
+        BOOST_TEST(learner.contains(name(index)) == recent.contains(name(index)));
+    }
+    BOOST_TEST(learner.rank(name(21)).value() == recent.rank(name(21)).value());
+    BOOST_TEST(recent_adapters().inMemory().empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_capacity_of_an_engines_memory_is_learned_from_its_loads)
 {
     for (const std::size_t kept : {12U, 48U, 54U, 102U, 200U}) {
--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -48,7 +48,9 @@
     core::monotonic_time updatedAt{};
     /// Further adapter loads that the engine could start at once; unlimited until its agent reports a number.
     std::uint32_t availableSlots = std::numeric_limits<std::uint32_t>::max();
-    /// Only adapters that this process has seen the engine hold.
+    /// The same for loads from the engine's memory.
+    std::uint32_t availableMemorySlots = std::numeric_limits<std::uint32_t>::max();
+    /// As its agent tells, or as this process has seen the engine hold since.
     catalog::recent_adapters recentAdapters;
     /// Percentage of all processes' recent requests to the engine that failed.
     std::uint32_t failurePercent = 0;
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -42,6 +42,7 @@
     status.queued = load.queued;
     status.pendingLoads = load.pendingLoads;
     status.availableSlots = load.availableSlots;
+    status.availableMemorySlots = load.availableMemorySlots;
     status.storeLoadTime = milliseconds(load.storeLoadMs);
     status.memoryLoadTime = milliseconds(load.memoryLoadMs);
     status.loadInterval = milliseconds(load.loadIntervalMs);
@@ -85,8 +86,10 @@
     found->second.connection->send(agent_protocol::load_request{{std::string(adapter)}});
     if (at->agent) {
         // Accounts for this load until the next status of the agent includes it.
-        if (at->agent->availableSlots > 0) {
-            --at->agent->availableSlots;
+        std::uint32_t &available =
+            at->agent->recentAdapters.contains(adapter) ? at->agent->availableMemorySlots : at->agent->availableSlots;
+        if (available > 0) {
+            --available;
         } else {
             ++at->agent->pendingLoads;
         }
@@ -201,8 +204,10 @@
             m_crashDetector.recordTargetEnd(id, now);
         }
         const core::monotonic_time startKnownAt = sameIncarnation ? knownReplica->agent->startObservedAt : now;
-        catalog::recent_adapters recent =
-            sameIncarnation ? std::move(knownReplica->agent->recentAdapters) : catalog::recent_adapters();
+        catalog::recent_adapters recent;
+        for (const std::string &adapter : status->recentAdapters) {
+            recent.add(adapter);
+        }
         for (const auto &[adapter, version] : status->adapters) {
             recent.add(adapter);
         }
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -309,8 +309,10 @@
         return assumedLoadTime;
     }
     const agent_status &agent = *at.agent;
-    const auto load = isInMemory(at, adapter) ? agent.memoryLoadTime : agent.storeLoadTime;
-    return agent.availableSlots > 0 ? load : load + agent.loadInterval * (agent.pendingLoads + 1);
+    const bool inMemory = isInMemory(at, adapter);
+    const auto load = inMemory ? agent.memoryLoadTime : agent.storeLoadTime;
+    const std::uint32_t available = inMemory ? agent.availableMemorySlots : agent.availableSlots;
+    return available > 0 ? load : load + agent.loadInterval * (agent.pendingLoads + 1);
 }
 
 bool acceptsRequests(const replica &candidate, core::monotonic_time now)
--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -235,13 +235,27 @@
     held->agent->recentAdapters.add("m/a1");
     BOOST_TEST(choose("m/a1").target == held);
     // A load from the store delays those of other engines, so it isn't worth some wait less.
-    held->agent->availableSlots = 0;
+    held->agent->availableMemorySlots = 0;
     held->agent->pendingLoads = 4;
     BOOST_TEST(choose("m/a1").target == held);
     held->agent->pendingLoads = 8;
     BOOST_TEST(choose("m/a1").target == home);
 }
 
+// While the store is busy, loads from it wait at each engine. Those from memory don't.
+BOOST_AUTO_TEST_CASE(an_adapter_in_an_engines_memory_is_loaded_there_however_many_loads_wait_for_the_store)
+{
+    addEngines(18);
+    const replica_ptr home = choose("m/a1").target;
+    const replica_ptr held = table.find(home->record.id == "e2" ? "e3" : "e2");
+    held->agent->recentAdapters.add("m/a1");
+    held->agent->availableSlots = 0;
+    held->agent->pendingLoads = 20;
+    BOOST_TEST(choose("m/a1").target == held);
+    BOOST_TEST(expectedLoadTime(*held, "m/a1").count() == 30);
+    BOOST_TEST(expectedLoadTime(*held, "m/a2").count() > 1'000);
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_that_holds_the_adapter_is_used_before_a_load_from_the_store_until_its_batch_is_full)
 {
     addEngines(18);
--- a/libs/gateway/tests/test_store_loads.cpp
+++ b/libs/gateway/tests/test_store_loads.cpp
@@ -219,6 +219,8 @@
             engine->agent->availableSlots = started < loadsAtATime && engine->agent->pendingLoads == 0
                 ? static_cast<std::uint32_t>(loadsAtATime - started)
                 : 0;
+            engine->agent->availableMemorySlots =
+                static_cast<std::uint32_t>(loadsAtATime - std::min(started, loadsAtATime));
             engine->agent->storeLoadTime = milliseconds(static_cast<int>(storeLoadMs / rate));
             engine->agent->memoryLoadTime = milliseconds(static_cast<int>(memoryLoadMs));
         }
