--- a/apps/medlarrack-faults/src/fault_matrix.cpp
+++ b/apps/medlarrack-faults/src/fault_matrix.cpp
@@ -109,6 +109,8 @@
               "after_a_drain_streams_in_progress_finish_and_new_ones_are_proven_not_processed"},
              {"a sidecar drains", "libs/sidecar", "a_drain_takes_no_new_work_and_cuts_off_none"},
              {"a gateway stops", "platform", "a_draining_gateway_sends_connection_close_with_its_last_response"},
+             {"connections wait to be accepted, requests to be read", "platform",
+              "a_stop_answers_requests_that_were_not_accepted_or_read_yet"},
          },
          "gateways stopped while calm",
          "1,000 requests in flight over repeated stops"},
--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -231,7 +231,7 @@
 
 void caller_connection::closeIfIdle()
 {
-    if (!m_closed && isIdle()) {
+    if (!m_closed && isIdle() && !hasUnreadBytes()) {
         close();
     }
 }
@@ -241,6 +241,11 @@
     return m_closed;
 }
 
+bool caller_connection::hasUnreadBytes() const
+{
+    return m_stream->hasUnreadBytes();
+}
+
 bool caller_connection::isIdle() const
 {
     return m_exchange == nullptr && !m_parser.started();
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -28,10 +28,11 @@
     void tick(core::monotonic_time now);
     /// The process is shutting down: closes the connection after the next response.
     void drain();
-    /// Closes unless a request is being received or processed.
+    /// Closes unless a request is being received or processed, or bytes of one weren't read yet.
     void closeIfIdle();
     [[nodiscard]] bool isClosed() const;
     [[nodiscard]] bool isIdle() const;
+    [[nodiscard]] bool hasUnreadBytes() const;
 
 private:
     void onBytes(std::string_view bytes) override;
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -4,6 +4,7 @@
 #include <medlarrack/log/log.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarrack::gateway {
 
@@ -42,7 +43,7 @@
 void caller_server::accept()
 {
     m_acceptor.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted || m_closing) {
+        if (error == asio::error::operation_aborted || (error && m_closing)) {
             return;
         }
         if (error) {
@@ -55,17 +56,37 @@
             });
             return;
         }
-        auto stream = std::make_shared<http1::byte_stream>(m_context, std::move(socket));
-        auto connection = std::make_shared<caller_connection>(m_services, std::move(stream));
-        if (m_draining) {
-            connection->drain();
+        addConnection(std::move(socket));
+        if (!m_closing) {
+            accept();
         }
-        m_connections.push_back(connection);
-        connection->start();
-        accept();
     });
 }
 
+void caller_server::addConnection(asio::ip::tcp::socket socket)
+{
+    auto stream = std::make_shared<http1::byte_stream>(m_context, std::move(socket));
+    auto connection = std::make_shared<caller_connection>(m_services, std::move(stream));
+    if (m_draining) {
+        connection->drain();
+    }
+    m_connections.push_back(connection);
+    connection->start();
+}
+
+void caller_server::acceptWaiting()
+{
+    std::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            addConnection(std::move(socket));
+        }
+    }
+}
+
 void caller_server::tick(core::monotonic_time now)
 {
     for (std::size_t index = 0; index < m_connections.size(); ++index) {
@@ -90,8 +111,12 @@
 
 void caller_server::close()
 {
+    if (std::exchange(m_closing, true)) {
+        return;
+    }
+    // The system has made these connections, and their requests may be on the way. Closing would reset them.
+    acceptWaiting();
     std::error_code ignored;
-    m_closing = true;
     m_acceptor.close(ignored);
     m_acceptRetryTimer.cancel();
 }
@@ -104,4 +129,11 @@
         }));
 }
 
+bool caller_server::isDrained() const
+{
+    return std::all_of(m_connections.begin(), m_connections.end(), [](const auto &connection) {
+        return connection->isClosed() || (connection->isIdle() && !connection->hasUnreadBytes());
+    });
+}
+
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -26,13 +26,18 @@
     void tick(core::monotonic_time now);
     /// Closes each connection after its next response; new ones are still accepted.
     void drain();
-    /// Stops accepting connections and closes those without a request.
+    /// Stops accepting connections, apart from those that wait to be accepted, and closes those without a request.
     void close();
     /// Connections with a request in progress.
     [[nodiscard]] std::size_t busy() const;
+    /// Whether no connection has a request in progress, or bytes of one that weren't read yet.
+    [[nodiscard]] bool isDrained() const;
 
 private:
     void accept();
+    /// Accepts the connections that the system has already made.
+    void acceptWaiting();
+    void addConnection(asio::ip::tcp::socket socket);
 
     asio::io_context &m_context;
     exchange_services &m_services;
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -261,8 +261,12 @@
         if (now - drainStartedAt < listenAfterStop) {
             return false;
         }
-        callerServer.close();
-        return callerServer.busy() == 0;
+        if (!std::exchange(callersClosed, true)) {
+            // Connections accepted just now are read until the next tick.
+            callerServer.close();
+            return false;
+        }
+        return callerServer.isDrained();
     }
 
     [[nodiscard]] bool isReady() const
@@ -317,6 +321,7 @@
     core::monotonic_time drainStartedAt{};
     std::function<void()> onDrainComplete;
     bool draining = false;
+    bool callersClosed = false;
 };
 
 gateway_service::gateway_service(asio::io_context &context, const gateway_settings &settings,
--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -58,6 +58,8 @@
     /// Bytes taken by the system since the start.
     [[nodiscard]] std::size_t sent() const;
     [[nodiscard]] bool isOpen() const;
+    /// Whether the system has bytes of the peer that weren't read yet.
+    [[nodiscard]] bool hasUnreadBytes() const;
     /// Ends our side once all is written; the listener gets no more events, and what the peer still sends is dropped.
     void finish();
     /// Closes at once; the listener gets no more events.
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -329,6 +329,12 @@
     return m_impl->socket.is_open();
 }
 
+bool byte_stream::hasUnreadBytes() const
+{
+    std::error_code error;
+    return m_impl->socket.is_open() && m_impl->socket.available(error) > 0 && !error;
+}
+
 void byte_stream::finish()
 {
     m_impl->finish();
