--- a/libs/gateway/tests/test_store_loads.cpp
+++ b/libs/gateway/tests/test_store_loads.cpp
@@ -188,7 +188,8 @@
                     return one.started && one.fromStore;
                 }));
         }
-        const double rate = std::min(1.0, static_cast<double>(storeCapacity) / std::max<double>(1, inProgress));
+        const double rate =
+            std::min(1.0, static_cast<double>(storeCapacity) / std::max(1.0, static_cast<double>(inProgress)));
         for (auto &[id, state] : m_engines) {
             const replica_ptr engine = table.find(id);
             std::size_t started = 0;
