--- a/libs/agent/include/medlarrack/agent/engine_format.hpp
+++ b/libs/agent/include/medlarrack/agent/engine_format.hpp
@@ -76,7 +76,7 @@
     [[nodiscard]] virtual std::optional<engine_report> readReport(std::string_view body, core::reason &why) const = 0;
     [[nodiscard]] virtual std::string orderTarget() const = 0;
     [[nodiscard]] virtual std::string orderBody(const engine_order &order, std::string_view holder,
-                                                std::uint64_t fencingToken) const = 0;
+                                                std::uint64_t token) const = 0;
     [[nodiscard]] virtual order_result readOrderStatus(int status) const = 0;
 };
 
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -145,7 +145,7 @@
                 [this](std::string_view target) {
                     return servePage(target);
                 })
-        , fencingTokens(givenClock.wallNow())
+        , tokenSource(givenClock.wallNow())
     {
     }
 
@@ -448,7 +448,7 @@
 
     void sendOrder(const engine_order &order)
     {
-        const std::uint64_t token = fencingTokens.current();
+        const std::uint64_t token = tokenSource.current();
         orderedAt = clock.now();
         client->call("POST", format.orderTarget(), format.orderBody(order, settings.name, token), engineCallTimeout,
                      [this, order, token](const std::optional<http1::call_answer> &answer, const core::reason &why) {
@@ -461,7 +461,7 @@
     {
         const order_result result = answer ? format.readOrderStatus(answer->status) : order_result::unknown;
         if (result == order_result::fenced) {
-            fencingTokens.advance();
+            tokenSource.advance();
         }
         planner.onOrderResult(order, result, clock.now());
         metrics.count("medlarrack_agent_orders_total", "Orders given to the engine, by how it took them",
@@ -520,7 +520,7 @@
     order_planner planner{std::random_device()()};
     failure_rate failureRate;
     suspects::suspect_table suspects{suspects::sharedLimits};
-    fencing_token_source fencingTokens;
+    fencing_token_source tokenSource;
     std::list<gateway_link> links;
     agent_protocol::engine_status publishedStatus;
     core::monotonic_time publishedAt{};
--- a/libs/catalog/tests/test_recent_adapters.cpp
+++ b/libs/catalog/tests/test_recent_adapters.cpp
@@ -79,6 +79,20 @@
     BOOST_TEST(recent_adapters().inMemory().empty());
 }
 
+BOOST_AUTO_TEST_CASE(the_remembered_adapters_are_bounded)
+{
+    constexpr std::size_t bound = 512;
+    recent_adapters recent;
+    recent.setCapacity(100'000);
+    BOOST_TEST(recent.capacity() == bound);
+    for (std::size_t index = 0; index < 2'000; ++index) {
+        recent.add(name(index));
+    }
+    BOOST_TEST(recent.inMemory().size() == bound);
+    BOOST_TEST(!recent.rank(name(2'000 - bound - 1)));
+    BOOST_TEST(recent.rank(name(2'000 - bound)).value() == bound - 1);
+}
+
 BOOST_AUTO_TEST_CASE(the_capacity_of_an_engines_memory_is_learned_from_its_loads)
 {
     for (const std::size_t kept : {12U, 48U, 54U, 102U, 200U}) {
