--- a/libs/gateway/include/medlarrack/gateway/caller_format.hpp
+++ b/libs/gateway/include/medlarrack/gateway/caller_format.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace medlarrack::gateway {
 
@@ -22,6 +23,9 @@
     /// "model/adapter"; empty if the request names no adapter.
     std::string adapter;
     std::uint32_t promptTokens = 0;
+    /// Hashes of the parts of the prompt that other requests may have too, in order; the last part is the request's
+    /// own.
+    std::vector<std::uint64_t> sharedParts;
     /// Id of the last event that the caller has received; empty if the stream is to begin at its first event.
     std::string lastEventId;
 };
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -259,6 +259,7 @@
     }
     m_responseBody.clear();
     m_responseBytes = 0;
+    m_eventsBeforeRun = m_eventSplitter.eventCount();
     m_partialEventBytes = 0;
     m_readPaused = false;
     m_timeToFirstByte = {};
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -71,6 +71,8 @@
     /// `disconnected` says that the replica closed the connection, which it does when it crashes.
     void onAttemptFailed(attempt_outcome end, std::string_view why, bool disconnected = true);
     [[nodiscard]] suspects::lost_run makeLostRun(bool disconnected) const;
+    /// Whether the replica of the current run has begun to write its answer.
+    [[nodiscard]] bool hasAnswerBegun() const;
     /// A run ended without a response: the replica may have crashed.
     void recordLostRun(std::string_view why, bool disconnected);
     /// Refuses the request if it is suspected of crashing replicas, except when it may run as a probe; true if refused.
@@ -142,6 +144,8 @@
     /// A replica's error response that was held back to try another replica.
     std::optional<std::pair<http1::message_head, std::string>> m_heldErrorResponse;
     event_splitter m_eventSplitter;
+    /// Events that earlier replicas sent.
+    std::size_t m_eventsBeforeRun = 0;
     /// Body bytes of the current replica's response.
     std::size_t m_responseBytes = 0;
     std::size_t m_partialEventBytes = 0;
--- a/libs/gateway/src/exchange_evidence.cpp
+++ b/libs/gateway/src/exchange_evidence.cpp
@@ -5,8 +5,25 @@
 
 #include <medlarrack/log/log.hpp>
 
+#include <span>
+#include <string>
+
 namespace medlarrack::gateway {
 
+namespace {
+
+std::string toText(std::span<const std::uint64_t> fingerprints)
+{
+    std::string text;
+    for (const std::uint64_t fingerprint : fingerprints) {
+        text += text.empty() ? "" : ",";
+        text += std::to_string(fingerprint);
+    }
+    return text;
+}
+
+} // namespace
+
 void exchange::updateReplicaAvailability(const response_metadata &metadata)
 {
     const core::monotonic_time now = m_services.clock.now();
@@ -66,6 +83,11 @@
     return {m_fingerprint, {m_replicaId, m_replicaStartedAtMs}, m_sentAt, disconnected};
 }
 
+bool exchange::hasAnswerBegun() const
+{
+    return m_eventSplitter.eventCount() > m_eventsBeforeRun || !m_responseBody.empty();
+}
+
 void exchange::recordLostRun(std::string_view why, bool disconnected)
 {
     m_services.crashDetector.recordLostRun(makeLostRun(disconnected), m_services.clock.now());
@@ -74,7 +96,9 @@
                 {"fingerprint", m_fingerprint},
                 {"replica", m_replica->record.id},
                 {"why", why},
-                {"ran_ms", inMilliseconds(m_services.clock.now() - m_sentAt)}});
+                {"ran_ms", inMilliseconds(m_services.clock.now() - m_sentAt)},
+                {"answer_begun", hasAnswerBegun()},
+                {"parts", toText(m_requestMetadata.sharedParts)}});
     m_services.metrics.count("medlarrack_gateway_lost_runs_total", "Runs that ended without their replica's answer",
                              {.service = m_serviceName});
 }
