Refuse requests by the parts of their prompts that crash replicas

Cause: a crash was remembered against one hash of the whole request. Class of fault: what identifies a cause was taken from how the first case of it looked.

Change: - Lost runs name the shared parts of their prompts, unless the replica had been writing the answer (replicas crash when they begin to write) or the run is a repeat. Parts are counted in the same table, refused after three crashes in sequence, told to other gateways 0.3 s after a single crash, and cleared by the second event of any answer. - A part is excused for requests that don't have the suspect that explains its crashes: sound requests beside the crashing ones share all other parts. Otherwise, while nothing is answered in a storm of crashes, the first part of a whole route would be refused. - From the second crash on a gateway sends one request with the part at a time until an answer begins. - Probes of parts are spread over 20 s, sooner if others explain the part; they also wait their turn after crashes that put them all off, and a refused fingerprint isn't evicted by ones with a single crash.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -148,7 +148,7 @@
         }
         return;
     }
-    if (refuseIfCrashing()) {
+    if (holdOrRefuseIfSuspect()) {
         return;
     }
     const catalog::service *service = m_services.routes.findService(m_serviceName);
@@ -223,7 +223,7 @@
     m_waitingForAdapter = false;
     const replica_ptr loadedReplica = m_replica;
     releaseReplica();
-    if (!refuseIfCrashing()) {
+    if (!holdOrRefuseIfSuspect()) {
         sendRequest(loadedReplica);
     }
 }
@@ -252,8 +252,10 @@
     m_sentAt = now;
     m_replicaStartedAtMs = to->agent ? to->agent->startedAtMs : to->record.startedAtMs;
     m_lastProgressAt = now;
+    m_services.crashDetector.recordRunStart(m_requestMetadata.sharedParts);
+    m_isUnanswered = true;
     if (std::exchange(m_isCrashProbe, false)) {
-        m_services.crashDetector.recordProbe(m_fingerprint, {m_replicaId, m_replicaStartedAtMs}, now);
+        recordCrashProbe();
         log::write(log::level::info, "refused request probed",
                    {{"request_id", m_requestMetadata.id}, {"fingerprint", m_fingerprint}, {"replica", m_replicaId}});
     }
@@ -367,6 +369,9 @@
     }
     if (m_eventSplitter.eventCount() > eventsBefore) {
         m_lastProgressAt = m_services.clock.now();
+        if (hasAnswerBegun()) {
+            clearPartsOfSuspicion();
+        }
     }
     std::string out;
     clearPendingPrefillTokens();
@@ -442,6 +447,7 @@
     if (m_caller->acceptsChunkedBody()) {
         m_caller->write("0\r\n\r\n");
     }
+    clearPartsOfSuspicion();
     m_services.crashDetector.recordAnswer(m_fingerprint, m_services.clock.now());
     finish("ran", m_responseHead.status, m_choiceReason);
 }
@@ -610,6 +616,7 @@
         return;
     }
     clearPendingPrefillTokens();
+    endUnansweredRun();
     --m_replica->outstanding;
     if (const auto found = m_replica->requestsByAdapter.find(m_requestMetadata.adapter);
         found != m_replica->requestsByAdapter.end()) {
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -71,8 +71,16 @@
     /// `disconnected` says that the replica closed the connection, which it does when it crashes.
     void onAttemptFailed(attempt_outcome end, std::string_view why, bool disconnected = true);
     [[nodiscard]] suspects::lost_run makeLostRun(bool disconnected) const;
-    /// Whether the replica of the current run has begun to write its answer.
+    /// Whether the replica of the current run has been writing its answer, so that a crash has another cause than the
+    /// beginning of this answer.
     [[nodiscard]] bool hasAnswerBegun() const;
+    /// The answer has begun: the parts of the prompt don't crash replicas.
+    void clearPartsOfSuspicion();
+    /// The run needs no longer be waited for by others with the same parts.
+    void endUnansweredRun();
+    void recordCrashProbe();
+    /// Whether the request must not be sent now; it has been held or answered then.
+    bool holdOrRefuseIfSuspect();
     /// A run ended without a response: the replica may have crashed.
     void recordLostRun(std::string_view why, bool disconnected);
     /// Refuses the request if it is suspected of crashing replicas, except when it may run as a probe; true if refused.
@@ -126,6 +134,8 @@
     bool m_holdLogged = false;
     /// The next attempt is a probe: the request is suspected of crashing replicas and runs once more to find out.
     bool m_isCrashProbe = false;
+    /// The current run is counted among those whose answers have not begun.
+    bool m_isUnanswered = false;
     /// The request is probably a retry after a refusal, and its caller is unlikely to retry after another one.
     bool m_isCallerRetry = false;
     double m_adapterDemand = 0;
--- a/libs/gateway/src/exchange_evidence.cpp
+++ b/libs/gateway/src/exchange_evidence.cpp
@@ -7,6 +7,7 @@
 
 #include <span>
 #include <string>
+#include <utility>
 
 namespace medlarrack::gateway {
 
@@ -62,30 +63,91 @@
     }
 }
 
+bool exchange::holdOrRefuseIfSuspect()
+{
+    if (refuseIfCrashing()) {
+        return true;
+    }
+    const core::monotonic_time now = m_services.clock.now();
+    if (!m_services.crashDetector.mustWait(m_requestMetadata.sharedParts, now)) {
+        return false;
+    }
+    constexpr std::string_view why = "another request with a suspect part of its prompt runs";
+    m_isCrashProbe = false;
+    if (now < m_holdDeadline) {
+        hold(why);
+    } else {
+        refuse(refusal_cause::rejected, "suspected_crash", why);
+    }
+    return true;
+}
+
 bool exchange::refuseIfCrashing()
 {
+    using suspects::suspect_status;
     const core::monotonic_time now = m_services.clock.now();
-    if (m_services.crashDetector.statusOf(m_fingerprint, now) != suspects::suspect_status::refused) {
+    const suspects::crash_detector &detector = m_services.crashDetector;
+    const std::span<const std::uint64_t> parts = m_requestMetadata.sharedParts;
+    const bool contentRefused = detector.statusOf(m_fingerprint, now) == suspect_status::refused;
+    const bool partsRefused = detector.statusOfParts(parts, now) == suspect_status::refused;
+    if (!contentRefused && !partsRefused) {
         return false;
     }
-    m_isCrashProbe = m_history.runs == 0 && m_services.crashDetector.mayProbe(m_fingerprint, now);
+    m_isCrashProbe = m_history.runs == 0 && (!contentRefused || detector.mayProbe(m_fingerprint, now))
+        && (!partsRefused || detector.mayProbeParts(parts, now));
     if (m_isCrashProbe) {
         return false;
     }
     m_services.metrics.count("medlarrack_gateway_crashing_requests_total",
                              "Requests not sent because they crash replicas", {.service = m_serviceName});
-    refuse(refusal_cause::crashes_replicas, "suspected_crash", "the request crashed the replicas that ran it");
+    refuse(refusal_cause::crashes_replicas, "suspected_crash",
+           contentRefused ? "the request crashed the replicas that ran it"
+                          : "requests with a part of its prompt crashed the replicas that ran them");
     return true;
 }
 
+void exchange::recordCrashProbe()
+{
+    const core::monotonic_time now = m_services.clock.now();
+    const core::instance_ref target{m_replicaId, m_replicaStartedAtMs};
+    if (m_services.crashDetector.statusOf(m_fingerprint, now) == suspects::suspect_status::refused) {
+        m_services.crashDetector.recordProbe(m_fingerprint, target, now);
+    }
+    m_services.crashDetector.recordPartsProbe(m_requestMetadata.sharedParts, target, now);
+}
+
 suspects::lost_run exchange::makeLostRun(bool disconnected) const
 {
-    return {m_fingerprint, {m_replicaId, m_replicaStartedAtMs}, m_sentAt, disconnected};
+    return {m_fingerprint,
+            {m_replicaId, m_replicaStartedAtMs},
+            m_sentAt,
+            disconnected,
+            hasAnswerBegun() || m_history.runs > 1 ? std::vector<std::uint64_t>() : m_requestMetadata.sharedParts};
 }
 
 bool exchange::hasAnswerBegun() const
 {
-    return m_eventSplitter.eventCount() > m_eventsBeforeRun || !m_responseBody.empty();
+    // An event may have been on its way when the replica crashed at it.
+    constexpr std::size_t minEvents = 2;
+    return m_eventSplitter.eventCount() >= m_eventsBeforeRun + minEvents;
+}
+
+void exchange::clearPartsOfSuspicion()
+{
+    if (!m_isUnanswered) {
+        return;
+    }
+    endUnansweredRun();
+    for (const std::uint64_t part : m_requestMetadata.sharedParts) {
+        m_services.crashDetector.recordAnswer(part, m_services.clock.now());
+    }
+}
+
+void exchange::endUnansweredRun()
+{
+    if (std::exchange(m_isUnanswered, false)) {
+        m_services.crashDetector.recordRunProgress(m_requestMetadata.sharedParts);
+    }
 }
 
 void exchange::recordLostRun(std::string_view why, bool disconnected)
--- a/libs/gateway/src/exchange_responses.cpp
+++ b/libs/gateway/src/exchange_responses.cpp
@@ -9,6 +9,7 @@
 
 void exchange::sendResponse()
 {
+    constexpr int firstErrorStatus = 400;
     std::string out;
     const bool hasNoBody =
         m_requestHead.method == "HEAD" || m_responseHead.status == 204 || m_responseHead.status == 304;
@@ -19,6 +20,9 @@
     }
     m_responseHeadSent = true;
     m_caller->write(out);
+    if (m_responseHead.status < firstErrorStatus) {
+        clearPartsOfSuspicion();
+    }
     m_services.crashDetector.recordAnswer(m_fingerprint, m_services.clock.now());
     finish("ran", m_responseHead.status, m_choiceReason);
 }
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -225,6 +225,7 @@
         for (const suspects::confirmed_crash &crash : crashDetector.takeConfirmedCrashes()) {
             log::write(log::level::info, "run crashed its replica",
                        {{"fingerprint", crash.fingerprint},
+                        {"of", crash.isPart ? "part" : "request"},
                         {"replica", crash.target},
                         {"ran_ms", inMilliseconds(crash.runTime)},
                         {"why", crash.evidence},
--- a/libs/suspects/include/medlarrack/suspects/crash_detector.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_detector.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -27,12 +28,17 @@
     core::monotonic_time startedAt{};
     /// Whether the target closed the connection. If not, the target was silent or the caller stopped waiting.
     bool disconnected = false;
+    /// Fingerprints of the shared parts of its prompt. Empty if the target had already been writing the answer, because
+    /// targets crash on a part when they begin to write, and for further runs of one request: one that is lost again
+    /// and again beside crashes of another cause is weak evidence against what it shares with others.
+    std::vector<std::uint64_t> parts;
 };
 
-/// A target crash that has been attributed to a request.
+/// A target crash that has been attributed to a request, or to a part of its prompt.
 struct confirmed_crash
 {
     std::uint64_t fingerprint = 0;
+    bool isPart = false;
     std::string target;
     std::chrono::nanoseconds runTime{0};
     /// Observation that confirmed the crash, for the log.
@@ -54,7 +60,11 @@
 /// many reasons; it counts against its request only if the target has ended. Detects a request that crashes every
 /// target that runs it and is retried by its caller at any process, and distinguishes it from requests that only ran
 /// at the same time. A request that many callers send and that runs on every crashing target isn't refused as long as
-/// it is still answered. Not thread-safe.
+/// it is still answered.
+///
+/// The same holds for parts of prompts, by which requests that are all different crash targets. Each crash speaks
+/// against all parts of the requests whose answers had not begun, and each answer that begins speaks for all of its
+/// parts. Not thread-safe.
 class crash_detector
 {
 public:
@@ -64,19 +74,34 @@
     /// Current status of a request. Lost runs whose cause isn't known yet count as crashes.
     [[nodiscard]] suspect_status statusOf(std::uint64_t fingerprint, core::monotonic_time now) const;
 
+    /// Current status of a request because of the parts of its prompt. A part is refused unless other suspects, which
+    /// the request doesn't contain, explain its crashes better: they were there too, and were never answered while the
+    /// part was, or have as many crashes.
+    [[nodiscard]] suspect_status statusOfParts(std::span<const std::uint64_t> parts, core::monotonic_time now) const;
+    /// Whether a run of a request has to wait: a part of its prompt may crash targets, and this process already runs a
+    /// request with that part whose answer has not begun. One run is enough to find out.
+    [[nodiscard]] bool mustWait(std::span<const std::uint64_t> parts, core::monotonic_time now) const;
+    /// Records that a run with these parts begins, and that its answer begins or the run ends, whichever is first.
+    void recordRunStart(std::span<const std::uint64_t> parts);
+    void recordRunProgress(std::span<const std::uint64_t> parts);
+
     /// Whether a refused request may be run once as a probe. Probes are rare and are sent only after a period without
     /// crashes. The answer to a probe clears a request that only ran while others crashed their targets.
     [[nodiscard]] bool mayProbe(std::uint64_t fingerprint, core::monotonic_time now) const;
+    /// The same for a request that is refused because of its parts.
+    [[nodiscard]] bool mayProbeParts(std::span<const std::uint64_t> parts, core::monotonic_time now) const;
     /// Records that a refused request was sent to a target as a probe. The probe counts, and is reported, as a crash
     /// until it is answered.
     void recordProbe(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now);
+    void recordPartsProbe(std::span<const std::uint64_t> parts, const core::instance_ref &target,
+                          core::monotonic_time now);
 
     void recordLostRun(const lost_run &run, core::monotonic_time now);
     /// Records that a target answered a request sent at `sentAt`. `target` holds the incarnation known at that time.
     void recordTargetAnswer(const core::instance_ref &target, core::monotonic_time sentAt, core::monotonic_time now);
     /// Records that a target has just ended.
     void recordTargetEnd(std::string_view id, core::monotonic_time now);
-    /// Records that a run of a request ended with an answer.
+    /// Records that a run of a request ended with an answer, or that the answer to a part of prompts has begun.
     void recordAnswer(std::uint64_t fingerprint, core::monotonic_time now);
 
     /// Decides on lost runs whose targets haven't been heard from within the liveness timeout. `isAlive` returns
@@ -120,12 +145,29 @@
     {
         std::uint64_t fingerprint = 0;
         crash details;
+        bool isPart = false;
     };
 
     /// Whether the target had already closed a run's connection before this run began, and hasn't answered since.
     /// Records this disconnect if it is the first one.
     bool startedAfterDisconnect(const lost_run &run, core::monotonic_time now);
     void confirm(const unresolved_run &unresolved, std::string_view evidence, core::monotonic_time now);
+    void confirmFor(std::uint64_t fingerprint, bool isPart, const unresolved_run &unresolved, std::string_view evidence,
+                    core::monotonic_time now);
+    /// Whether other suspects, which a request doesn't contain, explain the crashes of a part of its prompt.
+    enum class part_explanation {
+        none,
+        /// They explain them, but the part has many crashes and was never answered.
+        likely,
+        /// The part isn't refused.
+        excused,
+    };
+    [[nodiscard]] part_explanation explanationFor(std::uint64_t part, std::span<const std::uint64_t> parts,
+                                                  core::monotonic_time now) const;
+    [[nodiscard]] bool isPartRefused(std::uint64_t part, std::span<const std::uint64_t> parts,
+                                     core::monotonic_time now) const;
+    [[nodiscard]] bool mayProbe(std::uint64_t fingerprint, std::chrono::milliseconds firstDelay,
+                                std::chrono::milliseconds jitterRange, core::monotonic_time now) const;
     void decrementUnresolved(const unresolved_run &unresolved);
     void rememberAnswer(const answer_time &answer);
     /// Stores the time of the answer that cleared a suspicion.
@@ -144,6 +186,8 @@
     std::map<std::string, std::vector<unresolved_run>, std::less<>> m_unresolvedRuns;
     std::unordered_map<std::uint64_t, std::size_t> m_unresolvedPerRequest;
     std::size_t m_unresolvedCount = 0;
+    /// Runs whose answers have not begun, by the parts of their prompts.
+    std::unordered_map<std::uint64_t, std::uint32_t> m_unansweredRuns;
     /// When each target first closed a run's connection since its last answer. Runs that began later may never have
     /// reached it.
     std::map<std::string, first_disconnect, std::less<>> m_firstDisconnects;
--- a/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
+++ b/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
@@ -8,13 +8,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <span>
 #include <unordered_map>
 #include <vector>
 
 namespace medlarrack::suspects {
 
-/// How a request that may have crashed targets is treated.
+/// How a request that may have crashed targets, or that contains what may have, is treated.
 enum class suspect_status {
     /// No known crash counts against it.
     clear,
@@ -46,8 +47,10 @@
     std::size_t crashesToRefuse = 2;
     /// A fingerprint expires this long after its last crash.
     std::chrono::milliseconds fadeAfter{600'000};
-    /// Limit of stored fingerprints. The one that was added first is evicted.
+    /// Limit of stored fingerprints. Of those that aren't refused, the one that was added first is evicted.
     std::size_t maxFingerprints = 4096;
+    /// Limit of stored crashes of one fingerprint; those that don't count are dropped first, then the oldest.
+    std::size_t maxCrashes = 32;
     /// Crashes of one target that are closer together than this are one crash reported by several processes.
     std::chrono::milliseconds duplicateWindow{3'000};
     /// A run that began up to this long before another crash may have followed it: crash times from other processes are
@@ -59,9 +62,9 @@
 /// runs by coincidence, and a wrong refusal applies at every process.
 inline constexpr suspect_limits sharedLimits{.crashesToRefuse = 3};
 
-/// Counts, for each request, the target crashes that happened while it ran there. A crash only counts if its run began
-/// after the previous counted crash, so copies of a request that run on many targets which crash at once count as one.
-/// Not thread-safe.
+/// Counts, for each fingerprint, the target crashes that happened while it ran there. A fingerprint stands for a whole
+/// request, or for a part of a prompt that many requests have. A crash only counts if its run began after the previous
+/// counted crash, so copies that run on many targets which crash at once count as one. Not thread-safe.
 class suspect_table
 {
 public:
@@ -75,12 +78,19 @@
     [[nodiscard]] std::size_t crashCountWith(std::uint64_t fingerprint, std::span<const crash> possible,
                                              core::monotonic_time now) const;
 
-    /// Stored crashes of a request: the latest ones, at most crashesToRefuse.
+    /// Stored crashes of a request, including those that don't count.
     [[nodiscard]] std::span<const crash> crashesOf(std::uint64_t fingerprint, core::monotonic_time now) const;
     /// Records that a refused request is run once more, as a probe, on a target.
     void recordProbe(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now);
-    /// Records that a target crashed while the request ran there. A crash that is reported twice counts once. Returns
-    /// whether the crash counts.
+    /// Crashes of a fingerprint that no other refused fingerprint shares. `mayExplain` selects those that are
+    /// considered.
+    [[nodiscard]] std::vector<crash>
+    unexplainedCrashes(std::uint64_t fingerprint,
+                       const std::function<bool(std::uint64_t other, std::size_t crashCount)> &mayExplain,
+                       core::monotonic_time now) const;
+    /// Number of crashes whose runs began after the previous counted crash.
+    [[nodiscard]] std::size_t countSequential(std::vector<crash> crashes) const;
+    /// Records that a target crashed while the request ran there. Returns false if the crash was known already.
     bool recordCrash(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now,
                      std::chrono::nanoseconds runTime = {});
     /// Records that a run of the request ended with an answer, which clears a suspect but not a refused request.
@@ -110,8 +120,11 @@
     entry &findOrAdd(std::uint64_t fingerprint, core::monotonic_time now);
     bool add(std::uint64_t fingerprint, const crash &added, core::monotonic_time now);
     [[nodiscard]] bool isDuplicate(const crash &first, const crash &second) const;
-    /// Number of crashes whose runs began after the previous counted crash.
-    [[nodiscard]] std::size_t countSequential(std::vector<crash> crashes) const;
+    /// Sorts the crashes by time and moves those whose runs began after the previous counted crash to the front.
+    /// Returns their number.
+    std::size_t partitionSequential(std::vector<crash> &crashes) const;
+    /// Drops one fingerprint.
+    void evict(core::monotonic_time now);
     void erase(std::uint64_t fingerprint);
 
     suspect_limits m_limits;
--- a/libs/suspects/src/crash_detector.cpp
+++ b/libs/suspects/src/crash_detector.cpp
@@ -16,6 +16,8 @@
 /// Delay before a single crash is reported. Most requests that lose one run are answered by another target within this
 /// time, and then nothing needs to be reported.
 constexpr milliseconds reportDelay{1'000};
+/// The same for parts of prompts: other requests with a sound part are usually answered within this time.
+constexpr milliseconds partReportDelay{300};
 /// How long the end of a target is kept. Lost runs are noticed within this time, because callers wait less.
 constexpr milliseconds targetEndRetention{15'000};
 /// Limit of unresolved lost runs. Enough for all runs on the engines of one data centre.
@@ -24,7 +26,13 @@
 /// probeBackoffFactor. Probing ends after crashesToRefuse unanswered probes (three with sharedLimits).
 constexpr milliseconds firstProbeDelay{2'000};
 /// Range of the jitter added to the delay, so that the first process to probe has reported it before others probe too.
-constexpr std::uint64_t probeJitterMs = 3'000;
+constexpr milliseconds probeJitter{3'000};
+/// The same for parts of prompts, which requests at all processes may have at any time.
+constexpr milliseconds firstPartProbeDelay{5'000};
+constexpr milliseconds partProbeJitter{20'000};
+/// The same for parts whose crashes other suspects explain.
+constexpr milliseconds explainedProbeDelay{1'000};
+constexpr milliseconds explainedProbeJitter{10'000};
 constexpr int probeBackoffFactor = 40;
 /// Time without crashes before a probe may be sent. Otherwise the probe could be lost in a crash that another request
 /// caused.
@@ -36,6 +44,10 @@
 constexpr std::size_t maxAcquittals = 1'024;
 /// Crashes of one request that are reported without reportDelay.
 constexpr std::size_t crashesToReportAtOnce = 2;
+/// Crashes up to which a part that was never answered is excused if other suspects explain them.
+constexpr std::size_t maxExcusedCrashes = 4;
+/// Crashes from which on runs with a part of prompts wait for each other.
+constexpr std::size_t crashesToIsolate = 2;
 /// Limit of crashes in one report; the others follow in the next one.
 constexpr std::size_t maxCrashesPerReport = 512;
 
@@ -71,14 +83,96 @@
                                                                                           : suspect_status::suspect;
 }
 
+suspect_status crash_detector::statusOfParts(std::span<const std::uint64_t> parts, core::monotonic_time now) const
+{
+    auto status = suspect_status::clear;
+    for (const std::uint64_t part : parts) {
+        if (m_table.statusOf(part, now) == suspect_status::clear) {
+            continue;
+        }
+        status = suspect_status::suspect;
+        if (isPartRefused(part, parts, now)) {
+            return suspect_status::refused;
+        }
+    }
+    return status;
+}
+
+crash_detector::part_explanation
+crash_detector::explanationFor(std::uint64_t part, std::span<const std::uint64_t> parts, core::monotonic_time now) const
+{
+    const bool wasAnswered = lastAnswer(part).has_value();
+    const std::size_t count = m_table.crashCount(part, now);
+    const auto mayExplain = [&](std::uint64_t other, std::size_t otherCount) {
+        if (std::find(parts.begin(), parts.end(), other) != parts.end()) {
+            return false;
+        }
+        const bool otherWasAnswered = lastAnswer(other).has_value();
+        return wasAnswered != otherWasAnswered ? wasAnswered : otherCount >= count;
+    };
+    const std::vector<crash> unexplained = m_table.unexplainedCrashes(part, mayExplain, now);
+    if (unexplained.size() * 2 >= m_table.crashesOf(part, now).size()
+        || m_table.countSequential(unexplained) >= m_limits.crashesToRefuse) {
+        return part_explanation::none;
+    }
+    return wasAnswered || count <= maxExcusedCrashes ? part_explanation::excused : part_explanation::likely;
+}
+
+bool crash_detector::isPartRefused(std::uint64_t part, std::span<const std::uint64_t> parts,
+                                   core::monotonic_time now) const
+{
+    return m_table.statusOf(part, now) == suspect_status::refused
+        && explanationFor(part, parts, now) != part_explanation::excused;
+}
+
+bool crash_detector::mustWait(std::span<const std::uint64_t> parts, core::monotonic_time now) const
+{
+    return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
+        return m_unansweredRuns.contains(part) && m_table.crashCount(part, now) >= crashesToIsolate;
+    });
+}
+
+void crash_detector::recordRunStart(std::span<const std::uint64_t> parts)
+{
+    for (const std::uint64_t part : parts) {
+        ++m_unansweredRuns[part];
+    }
+}
+
+void crash_detector::recordRunProgress(std::span<const std::uint64_t> parts)
+{
+    for (const std::uint64_t part : parts) {
+        if (const auto found = m_unansweredRuns.find(part); found != m_unansweredRuns.end() && --found->second == 0) {
+            m_unansweredRuns.erase(found);
+        }
+    }
+}
+
 bool crash_detector::mayProbe(std::uint64_t fingerprint, core::monotonic_time now) const
+{
+    return mayProbe(fingerprint, firstProbeDelay, probeJitter, now);
+}
+
+bool crash_detector::mayProbeParts(std::span<const std::uint64_t> parts, core::monotonic_time now) const
+{
+    return std::all_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
+        if (!isPartRefused(part, parts, now)) {
+            return true;
+        }
+        return explanationFor(part, parts, now) == part_explanation::none
+            ? mayProbe(part, firstPartProbeDelay, partProbeJitter, now)
+            : mayProbe(part, explainedProbeDelay, explainedProbeJitter, now);
+    });
+}
+
+bool crash_detector::mayProbe(std::uint64_t fingerprint, milliseconds firstDelay, milliseconds jitterRange,
+                              core::monotonic_time now) const
 {
     const std::span<const crash> crashes = m_table.crashesOf(fingerprint, now);
-    if (crashes.empty() || m_unresolvedPerRequest.contains(fingerprint)
-        || now - m_lastCrash < crashFreeTimeBeforeProbe) {
+    if (crashes.empty() || m_unresolvedPerRequest.contains(fingerprint)) {
         return false;
     }
-    milliseconds wait = firstProbeDelay;
+    milliseconds wait = firstDelay;
     core::monotonic_time last = crashes.front().at;
     std::size_t probes = 0;
     for (const crash &known : crashes) {
@@ -88,8 +182,9 @@
             wait *= probeBackoffFactor;
         }
     }
-    const auto jitter = milliseconds((fingerprint ^ m_seed) % probeJitterMs);
-    return probes < m_limits.crashesToRefuse && now - last >= wait + jitter;
+    const auto jitter = milliseconds((fingerprint ^ m_seed) % static_cast<std::uint64_t>(jitterRange.count()));
+    const core::monotonic_time due = std::max(last + wait, m_lastCrash + crashFreeTimeBeforeProbe) + jitter;
+    return probes < m_limits.crashesToRefuse && now >= due;
 }
 
 void crash_detector::recordProbe(std::uint64_t fingerprint, const core::instance_ref &target, core::monotonic_time now)
@@ -98,6 +193,16 @@
     m_unreportedCrashes.push_back({fingerprint, {targetHash(target), now, {}, true}});
 }
 
+void crash_detector::recordPartsProbe(std::span<const std::uint64_t> parts, const core::instance_ref &target,
+                                      core::monotonic_time now)
+{
+    for (const std::uint64_t part : parts) {
+        if (isPartRefused(part, parts, now)) {
+            recordProbe(part, target, now);
+        }
+    }
+}
+
 void crash_detector::recordLostRun(const lost_run &run, core::monotonic_time now)
 {
     if (run.disconnected && startedAfterDisconnect(run, now)) {
@@ -205,7 +310,7 @@
     core::crash_news news;
     std::vector<unreported_crash> postponed;
     for (const unreported_crash &unreported : m_unreportedCrashes) {
-        const bool due = now - unreported.details.at >= reportDelay
+        const bool due = now - unreported.details.at >= (unreported.isPart ? partReportDelay : reportDelay)
             || m_table.crashCount(unreported.fingerprint, now) >= crashesToReportAtOnce;
         if (due && news.crashes.size() < maxCrashesPerReport) {
             news.crashes.push_back(
@@ -255,19 +360,29 @@
 
 void crash_detector::confirm(const unresolved_run &unresolved, std::string_view evidence, core::monotonic_time now)
 {
-    if (const auto answeredAt = lastAnswer(unresolved.run.fingerprint);
-        answeredAt && *answeredAt >= unresolved.lostAt) {
+    confirmFor(unresolved.run.fingerprint, false, unresolved, evidence, now);
+    for (const std::uint64_t part : unresolved.run.parts) {
+        confirmFor(part, true, unresolved, evidence, now);
+    }
+}
+
+void crash_detector::confirmFor(std::uint64_t fingerprint, bool isPart, const unresolved_run &unresolved,
+                                std::string_view evidence, core::monotonic_time now)
+{
+    if (const auto answeredAt = lastAnswer(fingerprint); answeredAt && *answeredAt >= unresolved.lostAt) {
         return;
     }
     const crash details{targetHash(unresolved.run.target), unresolved.lostAt,
                         unresolved.lostAt - unresolved.run.startedAt};
     m_lastCrash = std::max(m_lastCrash, unresolved.lostAt);
-    if (!m_table.recordCrash(unresolved.run.fingerprint, unresolved.run.target, unresolved.lostAt, details.runTime)) {
+    const std::size_t countBefore = m_table.crashCount(fingerprint, now);
+    if (!m_table.recordCrash(fingerprint, unresolved.run.target, unresolved.lostAt, details.runTime)) {
         return;
     }
-    m_unreportedCrashes.push_back({unresolved.run.fingerprint, details});
-    m_confirmed.push_back({unresolved.run.fingerprint, unresolved.run.target.id, details.runTime, evidence,
-                           m_table.crashCount(unresolved.run.fingerprint, now)});
+    m_unreportedCrashes.push_back({fingerprint, details, isPart});
+    if (const std::size_t count = m_table.crashCount(fingerprint, now); count > countBefore) {
+        m_confirmed.push_back({fingerprint, isPart, unresolved.run.target.id, details.runTime, evidence, count});
+    }
 }
 
 void crash_detector::decrementUnresolved(const unresolved_run &unresolved)
--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -16,6 +16,7 @@
 {
     m_limits.crashesToRefuse = std::max<std::size_t>(m_limits.crashesToRefuse, 1);
     m_limits.maxFingerprints = std::max<std::size_t>(m_limits.maxFingerprints, 1);
+    m_limits.maxCrashes = std::max(m_limits.maxCrashes, m_limits.crashesToRefuse);
 }
 
 suspect_status suspect_table::statusOf(std::uint64_t fingerprint, core::monotonic_time now) const
@@ -29,8 +30,8 @@
 
 std::size_t suspect_table::crashCount(std::uint64_t fingerprint, core::monotonic_time now) const
 {
-    // Only sequential crashes are stored, see add().
-    return crashesOf(fingerprint, now).size();
+    const std::span<const crash> known = crashesOf(fingerprint, now);
+    return known.size() < 2 ? known.size() : countSequential({known.begin(), known.end()});
 }
 
 std::size_t suspect_table::crashCountWith(std::uint64_t fingerprint, std::span<const crash> possible,
@@ -42,6 +43,30 @@
     return countSequential(std::move(all));
 }
 
+std::vector<crash>
+suspect_table::unexplainedCrashes(std::uint64_t fingerprint,
+                                  const std::function<bool(std::uint64_t other, std::size_t crashCount)> &mayExplain,
+                                  core::monotonic_time now) const
+{
+    const std::span<const crash> known = crashesOf(fingerprint, now);
+    std::vector<crash> unexplained(known.begin(), known.end());
+    for (const auto &[other, suspect] : m_entries) {
+        if (other == fingerprint || suspect.crashes.size() < m_limits.crashesToRefuse) {
+            continue;
+        }
+        const std::size_t count = crashCount(other, now);
+        if (count < m_limits.crashesToRefuse || !mayExplain(other, count)) {
+            continue;
+        }
+        std::erase_if(unexplained, [&](const crash &one) {
+            return std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](const crash &shared) {
+                return isDuplicate(one, shared);
+            });
+        });
+    }
+    return unexplained;
+}
+
 std::span<const crash> suspect_table::crashesOf(std::uint64_t fingerprint, core::monotonic_time now) const
 {
     const entry *found = find(fingerprint, now);
@@ -140,8 +165,7 @@
         return found->second;
     }
     while (m_entries.size() >= m_limits.maxFingerprints) {
-        m_entries.erase(m_order.front());
-        m_order.pop_front();
+        evict(now);
     }
     m_order.push_back(fingerprint);
     return m_entries[fingerprint];
@@ -157,19 +181,13 @@
     if (known) {
         return false;
     }
-    std::vector<crash> all = suspect.crashes;
-    all.push_back(added);
-    if (all.size() > m_limits.crashesToRefuse) {
-        // The latest crashes are kept.
-        all.erase(std::min_element(all.begin(), all.end(), [](const crash &left, const crash &right) {
-            return left.at < right.at;
-        }));
+    suspect.crashes.push_back(added);
+    if (suspect.crashes.size() > m_limits.maxCrashes) {
+        const std::size_t counted = partitionSequential(suspect.crashes);
+        suspect.crashes.erase(counted < suspect.crashes.size()
+                                  ? suspect.crashes.begin() + static_cast<std::ptrdiff_t>(counted)
+                                  : suspect.crashes.begin());
     }
-    // Crashes of runs that overlapped another stored crash don't count.
-    if (countSequential(all) < all.size()) {
-        return false;
-    }
-    suspect.crashes = std::move(all);
     return true;
 }
 
@@ -179,20 +197,37 @@
     return first.target == second.target && distance < m_limits.duplicateWindow;
 }
 
-std::size_t suspect_table::countSequential(std::vector<crash> crashes) const
+std::size_t suspect_table::partitionSequential(std::vector<crash> &crashes) const
 {
     std::sort(crashes.begin(), crashes.end(), [](const crash &left, const crash &right) {
         return left.at < right.at;
     });
-    std::size_t count = 0;
-    core::monotonic_time last{};
+    std::vector<crash> counted;
+    std::vector<crash> overlapping;
     for (const crash &next : crashes) {
-        if (count == 0 || next.at - next.runTime + m_limits.clockTolerance >= last) {
-            ++count;
-            last = next.at;
-        }
+        const bool counts = counted.empty() || next.at - next.runTime + m_limits.clockTolerance >= counted.back().at;
+        (counts ? counted : overlapping).push_back(next);
+    }
+    crashes = counted;
+    crashes.insert(crashes.end(), overlapping.begin(), overlapping.end());
+    return counted.size();
+}
+
+std::size_t suspect_table::countSequential(std::vector<crash> crashes) const
+{
+    return partitionSequential(crashes);
+}
+
+void suspect_table::evict(core::monotonic_time now)
+{
+    auto evicted = std::find_if(m_order.begin(), m_order.end(), [&](std::uint64_t fingerprint) {
+        return statusOf(fingerprint, now) != suspect_status::refused;
+    });
+    if (evicted == m_order.end()) {
+        evicted = m_order.begin();
     }
-    return count;
+    m_entries.erase(*evicted);
+    m_order.erase(evicted);
 }
 
 void suspect_table::erase(std::uint64_t fingerprint)
