--- a/libs/gateway/include/medlarrack/gateway/caller_format.hpp
+++ b/libs/gateway/include/medlarrack/gateway/caller_format.hpp
@@ -71,6 +71,10 @@
     std::optional<std::chrono::milliseconds> retryAfter;
     /// Value of a Retry-After header that can't be parsed; empty if there is none.
     std::string invalidRetryAfter;
+    /// Requests a second that the replica takes from all gateways together, as long as its answers say so.
+    std::optional<double> requestLimit;
+    /// Value of a limit that can't be parsed; empty if there is none.
+    std::string invalidRequestLimit;
 };
 
 /// A response that the gateway makes itself.
--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -79,6 +79,8 @@
     /// End of the latest quiet period: the time that a replica gave as Retry-After when it rejected a request, during
     /// which it gets no others. Not set if it never gave one.
     std::optional<core::monotonic_time> quietUntil;
+    /// Requests a second that it takes from all processes together, by its last answer.
+    std::optional<double> requestLimit;
     /// When this process first saw it in the instance list.
     core::monotonic_time listedAt{};
 
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -50,6 +50,8 @@
 
     /// Records that the replica is leaving or starts a quiet period by a Retry-After, if the response says so.
     void updateReplicaAvailability(const response_metadata &metadata);
+    /// Records the limit that the replica names in a response.
+    void updateRequestLimit(const response_metadata &metadata);
     /// Finds the route unless it is known, and dispatches the request.
     void advance();
     /// False if the request was held or answered instead.
--- a/libs/gateway/src/exchange_evidence.cpp
+++ b/libs/gateway/src/exchange_evidence.cpp
@@ -58,11 +58,32 @@
         m_services.metrics.count("medlarrack_gateway_quiet_replicas_total", "Answers of replicas that asked for quiet",
                                  {.service = m_serviceName});
     }
+    updateRequestLimit(metadata);
     if (becameUnavailable) {
         m_services.adapterWaiters.engineClosed(*m_replica);
     }
 }
 
+void exchange::updateRequestLimit(const response_metadata &metadata)
+{
+    if (!metadata.invalidRequestLimit.empty()) {
+        log::write(
+            log::level::warning, "request limit not read",
+            {{"replica", m_replicaId}, {"request_id", m_requestMetadata.id}, {"limit", metadata.invalidRequestLimit}});
+        return;
+    }
+    if (metadata.misdirected || metadata.requestLimit == m_replica->requestLimit) {
+        return;
+    }
+    m_replica->requestLimit = metadata.requestLimit;
+    log::write(log::level::info,
+               metadata.requestLimit ? "replica limits its requests" : "replica limits its requests no longer",
+               {{"replica", m_replicaId},
+                {"request_id", m_requestMetadata.id},
+                {"per_second", std::to_string(metadata.requestLimit.value_or(0))},
+                {"sent_ms_ago", inMilliseconds(m_services.clock.now() - m_sentAt)}});
+}
+
 bool exchange::holdOrRefuseIfSuspect()
 {
     if (refuseIfCrashing()) {
