Keep to the request limits that replicas name, all gateways together

What callers saw: little yet; the replica in need did. Engines that had named 2.7 and 3.3 requests a second got 44 and 33 in 4 s where 21 and 25 were allowed (LIMIT).

Cause: nothing read the limit. Class of fault: a bound that is for all gateways together, which each of them can only keep for itself (the fleet's retries were one before).

Change: - Each gateway takes an equal share of 0.8 of the limit. Agents tell the number of gateways that are connected to them, which holds for plain services too. A share can be a request in half a minute, so what isn't used expires after half a second: saved up, the shares of 68 gateways would come at once. - A limit ends with an answer without one to a request sent after it was named, or with the replica's start. Of a limit of 0, one request in 4 s notices the end. Malformed values change nothing. - Engines that name a limit get no adapters to load. What isn't admitted goes to another replica, or is refused at once with the time until the next share.

--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -487,6 +487,7 @@
         const core::monotonic_time now = clock.now();
         agent_protocol::engine_status status = makeStatus(planner, failureRate, now);
         for (const gateway_link &link : links) {
+            status.load.gatewayCount += link.lost ? 0 : 1;
             status.load.pendingPrefillTokens += link.lost ? 0 : link.pendingPrefillTokens;
         }
         const agent_protocol::engine_change change = makeChange(publishedStatus, status);
--- a/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
+++ b/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
@@ -15,7 +15,7 @@
 struct greeting
 {
     /// Version of the protocol. Agents don't check it.
-    std::uint32_t protocol = 4;
+    std::uint32_t protocol = 5;
     std::string name;
 };
 
@@ -85,6 +85,8 @@
     std::uint32_t loadIntervalMs = 0;
     /// Number of adapters that the engine's memory keeps, as learned.
     std::uint32_t rememberedAdapters = 0;
+    /// Gateways that are connected to the agent.
+    std::uint32_t gatewayCount = 0;
 };
 
 /// State of an engine, as its agent knows it.
--- a/libs/agent_protocol/src/message_codec.cpp
+++ b/libs/agent_protocol/src/message_codec.cpp
@@ -66,7 +66,7 @@
 {
     return std::tie(load.running, load.queued, load.pendingLoads, load.availableSlots, load.availableMemorySlots,
                     load.failurePercent, load.pendingPrefillTokens, load.storeLoadMs, load.memoryLoadMs,
-                    load.loadIntervalMs, load.rememberedAdapters);
+                    load.loadIntervalMs, load.rememberedAdapters, load.gatewayCount);
 }
 
 auto fields(
--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -4,6 +4,7 @@
 #include <medlarrack/catalog/replica_record.hpp>
 #include <medlarrack/core/clock.hpp>
 #include <medlarrack/gateway/replica_health.hpp>
+#include <medlarrack/gateway/request_limit.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -54,6 +55,8 @@
     catalog::recent_adapters recentAdapters;
     /// Percentage of all processes' recent requests to the engine that failed.
     std::uint32_t failurePercent = 0;
+    /// Processes that send requests to the engine, this one included; 0 until its agent reports a number.
+    std::uint32_t senderCount = 0;
     /// Prompt tokens of other processes' requests that the engine has yet to prefill.
     std::uint64_t othersPendingPrefillTokens = 0;
     /// When this process first saw this start of the engine.
@@ -79,8 +82,8 @@
     /// End of the latest quiet period: the time that a replica gave as Retry-After when it rejected a request, during
     /// which it gets no others. Not set if it never gave one.
     std::optional<core::monotonic_time> quietUntil;
-    /// Requests a second that it takes from all processes together, by its last answer.
-    std::optional<double> requestLimit;
+    /// The limit that its answers name.
+    request_limit requestLimit;
     /// When this process first saw it in the instance list.
     core::monotonic_time listedAt{};
 
--- a/libs/gateway/include/medlarrack/gateway/retry_after.hpp
+++ b/libs/gateway/include/medlarrack/gateway/retry_after.hpp
@@ -10,7 +10,7 @@
 
 /// Why a request is refused.
 enum class refusal_cause {
-    /// All available replicas are in a quiet period, which they set with a Retry-After.
+    /// All available replicas are in a quiet period, which they set with a Retry-After, or limit their requests.
     quiet,
     /// The request crashes the replicas that run it.
     crashes_replicas,
@@ -30,7 +30,8 @@
                                                    std::string_view service, core::monotonic_time now,
                                                    std::uint32_t random);
 
-/// Whether all otherwise usable replicas of a service are in a quiet period. False if none is in one.
+/// Whether all otherwise usable replicas of a service are in a quiet period or have no capacity left of the limit that
+/// they name. False if there are none of these.
 [[nodiscard]] bool allAreQuiet(const replica_table &table, std::string_view service, core::monotonic_time now);
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -47,6 +47,7 @@
     status.memoryLoadTime = milliseconds(load.memoryLoadMs);
     status.loadInterval = milliseconds(load.loadIntervalMs);
     status.recentAdapters.setCapacity(load.rememberedAdapters);
+    status.senderCount = load.gatewayCount;
 }
 
 void updateFailurePercent(replica &at, std::uint32_t failurePercent)
@@ -169,6 +170,19 @@
     for (const std::string &id : silentAgents) {
         closeLink(id, "silent");
     }
+    updateSharers(now);
+}
+
+void agent_links::updateSharers(core::monotonic_time now)
+{
+    // The same processes send requests to all replicas, also to those without an agent.
+    std::uint32_t senders = 0;
+    for (const auto &[id, known] : m_replicas.all()) {
+        senders = std::max(senders, known->agent ? known->agent->senderCount : 0);
+    }
+    for (const auto &[id, known] : m_replicas.all()) {
+        known->requestLimit.setSharers(senders, now);
+    }
 }
 
 void agent_links::open(const replica_ptr &to, agent_link &link)
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -53,6 +53,8 @@
     void mergeCrashReport(const std::string &from, agent_link &to, const core::crash_news &received);
     void closeLink(const std::string &id, std::string_view why);
     void sendUpdates(replica &of, agent_link &link);
+    /// Tells the request limits of replicas how many processes share them.
+    void updateSharers(core::monotonic_time now);
 
     asio::io_context &m_context;
     const core::clock &m_clock;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -223,7 +223,9 @@
     m_waitingForAdapter = false;
     const replica_ptr loadedReplica = m_replica;
     releaseReplica();
-    if (!holdOrRefuseIfSuspect()) {
+    if (!loadedReplica->requestLimit.admits(m_services.clock.now())) {
+        dispatch();
+    } else if (!holdOrRefuseIfSuspect()) {
         sendRequest(loadedReplica);
     }
 }
@@ -252,6 +254,7 @@
     m_sentAt = now;
     m_replicaStartedAtMs = to->agent ? to->agent->startedAtMs : to->record.startedAtMs;
     m_lastProgressAt = now;
+    to->requestLimit.recordRequest(now);
     m_services.crashDetector.recordRunStart(m_requestMetadata.sharedParts);
     m_isUnanswered = true;
     if (std::exchange(m_isCrashProbe, false)) {
--- a/libs/gateway/src/exchange_evidence.cpp
+++ b/libs/gateway/src/exchange_evidence.cpp
@@ -5,6 +5,8 @@
 
 #include <medlarrack/log/log.hpp>
 
+#include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <utility>
@@ -72,10 +74,15 @@
             {{"replica", m_replicaId}, {"request_id", m_requestMetadata.id}, {"limit", metadata.invalidRequestLimit}});
         return;
     }
-    if (metadata.misdirected || metadata.requestLimit == m_replica->requestLimit) {
+    if (metadata.misdirected) {
+        return;
+    }
+    const std::optional<double> before = m_replica->requestLimit.perSecond();
+    const double phase = std::uniform_real_distribution<double>(0, 1)(m_services.random);
+    m_replica->requestLimit.update(metadata.requestLimit, phase, m_sentAt, m_services.clock.now());
+    if (m_replica->requestLimit.perSecond() == before) {
         return;
     }
-    m_replica->requestLimit = metadata.requestLimit;
     log::write(log::level::info,
                metadata.requestLimit ? "replica limits its requests" : "replica limits its requests no longer",
                {{"replica", m_replicaId},
--- a/libs/gateway/src/exchange_responses.cpp
+++ b/libs/gateway/src/exchange_responses.cpp
@@ -51,7 +51,7 @@
     if (quiet) {
         cause = refusal_cause::quiet;
         code = "replicas_quiet";
-        why = "all replicas asked for quiet";
+        why = "all replicas asked for quiet or limit their requests";
     }
     local_response response;
     response.status = statusUnavailable;
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -57,7 +57,7 @@
 
 bool isUsable(const replica &candidate, core::monotonic_time now)
 {
-    if (!acceptsRequests(candidate, now) || !candidate.hasRampUpCapacity(now)
+    if (!acceptsRequests(candidate, now) || !candidate.hasRampUpCapacity(now) || !candidate.requestLimit.admits(now)
         || !candidate.health.mayServe(candidate.outstanding, now)) {
         return false;
     }
@@ -190,11 +190,12 @@
     return best;
 }
 
-/// Whether an engine can get the adapter as a further one: it isn't saturated and neither holds nor is loading it.
+/// Whether an engine can get the adapter as a further one: it isn't saturated, limits no requests, and neither holds
+/// nor is loading it.
 bool mayBeHome(const replica_table &table, const replica &candidate, const choice_query &query)
 {
-    return candidate.load() < saturationFraction * query.batchSize && outstandingFor(candidate, query.adapter) == 0
-        && !holdsAdapter(table, candidate, query.adapter);
+    return !candidate.requestLimit.perSecond() && candidate.load() < saturationFraction * query.batchSize
+        && outstandingFor(candidate, query.adapter) == 0 && !holdsAdapter(table, candidate, query.adapter);
 }
 
 /// Whether the engine is expected to load the adapter without the weight store.
@@ -366,7 +367,7 @@
     for (const replica_ptr &candidate : engines) {
         if (holdsAdapter(table, *candidate, query.adapter)) {
             holders.push_back(candidate);
-        } else if (outstandingFor(*candidate, query.adapter) > 0) {
+        } else if (outstandingFor(*candidate, query.adapter) > 0 && !candidate->requestLimit.perSecond()) {
             loading.push_back(candidate);
         }
     }
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -51,6 +51,7 @@
     if (restarted) {
         known.health.reset();
         known.quietUntil.reset();
+        known.requestLimit = {};
         known.othersLoad = 0;
         if (known.agent && known.agent->startedAtMs < record.startedAtMs) {
             known.agent->models = record.models;
--- a/libs/gateway/src/retry_after.cpp
+++ b/libs/gateway/src/retry_after.cpp
@@ -42,18 +42,21 @@
     return shortest.value_or(milliseconds(0));
 }
 
-/// Time until the first quiet period ends if all otherwise usable replicas are in one; else not set.
+/// Time until the first replica takes a request again if all otherwise usable ones are in a quiet period or have no
+/// capacity left of the limit that they name; else not set.
 std::optional<milliseconds> quietTime(const replica_table &table, std::string_view service, core::monotonic_time now)
 {
     std::optional<std::chrono::nanoseconds> shortest;
     for (const replica_ptr &candidate : table.findByService(service)) {
         const bool unavailable = candidate->record.leaving || candidate->health.isEjected(now)
             || (candidate->agent && !candidate->agent->engineUp);
-        if (!unavailable && !candidate->isQuiet(now)) {
+        const bool quiet = candidate->isQuiet(now);
+        const std::chrono::nanoseconds toAdmission = candidate->requestLimit.timeToAdmission(now);
+        if (!unavailable && !quiet && toAdmission.count() == 0) {
             return std::nullopt;
         }
-        if (candidate->isQuiet(now) && !candidate->record.leaving) {
-            const auto remaining = *candidate->quietUntil - now;
+        if ((quiet || toAdmission.count() > 0) && !candidate->record.leaving) {
+            const auto remaining = quiet ? std::max(*candidate->quietUntil - now, toAdmission) : toAdmission;
             shortest = std::min(shortest.value_or(remaining), remaining);
         }
     }
