Cancel runs whose part of a prompt is refused after they were sent

Cause: requests that crash replicas wait in their queues and prefills when the gateways learn of the part, and each ends one more replica, with the sound streams beside it.

Change: a run whose answer has not begun is cancelled when its request becomes refused, answered with 502 as it may have run. Probes run on. The test failed before: the run stayed until its deadline.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -257,7 +257,8 @@
     to->requestLimit.recordRequest(now);
     m_services.crashDetector.recordRunStart(m_requestMetadata.sharedParts);
     m_isUnanswered = true;
-    if (std::exchange(m_isCrashProbe, false)) {
+    m_runsAsProbe = std::exchange(m_isCrashProbe, false);
+    if (m_runsAsProbe) {
         recordCrashProbe();
         log::write(log::level::info, "refused request probed",
                    {{"request_id", m_requestMetadata.id}, {"fingerprint", m_fingerprint}, {"replica", m_replicaId}});
@@ -577,6 +578,9 @@
                          "the replica gave no whole answer in the time for the request");
         return;
     }
+    if (cancelIfCrashing(now)) {
+        return;
+    }
     const auto patience = m_responseHeadSent ? eventGapTimeout(*m_route) : answerTimeout(*m_route);
     if (now - m_lastProgressAt >= patience && !m_readPaused && now < m_deadline
         && mayRetry(*m_route, attempt_outcome::unknown, m_history)
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -81,12 +81,17 @@
     /// The run needs no longer be waited for by others with the same parts.
     void endUnansweredRun();
     void recordCrashProbe();
+    void countCrashingRequest();
+    [[nodiscard]] bool isContentRefused(core::monotonic_time now) const;
+    [[nodiscard]] bool arePartsRefused(core::monotonic_time now) const;
     /// Whether the request must not be sent now; it has been held or answered then.
     bool holdOrRefuseIfSuspect();
     /// A run ended without a response: the replica may have crashed.
     void recordLostRun(std::string_view why, bool disconnected);
     /// Refuses the request if it is suspected of crashing replicas, except when it may run as a probe; true if refused.
     bool refuseIfCrashing();
+    /// Cancels a run whose answer has not begun, if the request has become refused since it was sent; true if so.
+    bool cancelIfCrashing(core::monotonic_time now);
     void retryElsewhere(std::string_view why);
     void sendResponse();
     /// Relays the error response of an earlier attempt; false if there is none or another response has begun.
@@ -136,6 +141,8 @@
     bool m_holdLogged = false;
     /// The next attempt is a probe: the request is suspected of crashing replicas and runs once more to find out.
     bool m_isCrashProbe = false;
+    /// The current run is a probe.
+    bool m_runsAsProbe = false;
     /// The current run is counted among those whose answers have not begun.
     bool m_isUnanswered = false;
     /// The request is probably a retry after a refusal, and its caller is unlikely to retry after another one.
--- a/libs/gateway/src/exchange_evidence.cpp
+++ b/libs/gateway/src/exchange_evidence.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+constexpr std::string_view contentCrashes = "the request crashed the replicas that ran it";
+constexpr std::string_view partCrashes = "requests with a part of its prompt crashed the replicas that ran them";
+
 std::string toText(std::span<const std::uint64_t> fingerprints)
 {
     std::string text;
@@ -110,35 +113,67 @@
     return true;
 }
 
+bool exchange::isContentRefused(core::monotonic_time now) const
+{
+    return m_services.crashDetector.statusOf(m_fingerprint, now) == suspects::suspect_status::refused;
+}
+
+bool exchange::arePartsRefused(core::monotonic_time now) const
+{
+    return m_services.crashDetector.statusOfParts(m_requestMetadata.sharedParts, now)
+        == suspects::suspect_status::refused;
+}
+
 bool exchange::refuseIfCrashing()
 {
-    using suspects::suspect_status;
     const core::monotonic_time now = m_services.clock.now();
     const suspects::crash_detector &detector = m_services.crashDetector;
-    const std::span<const std::uint64_t> parts = m_requestMetadata.sharedParts;
-    const bool contentRefused = detector.statusOf(m_fingerprint, now) == suspect_status::refused;
-    const bool partsRefused = detector.statusOfParts(parts, now) == suspect_status::refused;
+    const bool contentRefused = isContentRefused(now);
+    const bool partsRefused = arePartsRefused(now);
     if (!contentRefused && !partsRefused) {
         return false;
     }
     m_isCrashProbe = m_history.runs == 0 && (!contentRefused || detector.mayProbe(m_fingerprint, now))
-        && (!partsRefused || detector.mayProbeParts(parts, now));
+        && (!partsRefused || detector.mayProbeParts(m_requestMetadata.sharedParts, now));
     if (m_isCrashProbe) {
         return false;
     }
-    m_services.metrics.count("medlarrack_gateway_crashing_requests_total",
-                             "Requests not sent because they crash replicas", {.service = m_serviceName});
-    refuse(refusal_cause::crashes_replicas, "suspected_crash",
-           contentRefused ? "the request crashed the replicas that ran it"
-                          : "requests with a part of its prompt crashed the replicas that ran them");
+    countCrashingRequest();
+    refuse(refusal_cause::crashes_replicas, "suspected_crash", contentRefused ? contentCrashes : partCrashes);
     return true;
 }
 
+bool exchange::cancelIfCrashing(core::monotonic_time now)
+{
+    if (!m_isUnanswered || m_runsAsProbe) {
+        return false;
+    }
+    const bool contentRefused = isContentRefused(now);
+    if (!contentRefused && !arePartsRefused(now)) {
+        return false;
+    }
+    countCrashingRequest();
+    const std::string_view why = contentRefused ? contentCrashes : partCrashes;
+    recordLostRun(why, false);
+    closeConnection();
+    releaseReplica();
+    constexpr int statusBadGateway = 502;
+    respondWithError(statusBadGateway, "suspected_crash", why);
+    return true;
+}
+
+void exchange::countCrashingRequest()
+{
+    m_services.metrics.count("medlarrack_gateway_crashing_requests_total",
+                             "Requests not sent, or cancelled, because they crash replicas",
+                             {.service = m_serviceName});
+}
+
 void exchange::recordCrashProbe()
 {
     const core::monotonic_time now = m_services.clock.now();
     const core::instance_ref target{m_replicaId, m_replicaStartedAtMs};
-    if (m_services.crashDetector.statusOf(m_fingerprint, now) == suspects::suspect_status::refused) {
+    if (isContentRefused(now)) {
         m_services.crashDetector.recordProbe(m_fingerprint, target, now);
     }
     m_services.crashDetector.recordPartsProbe(m_requestMetadata.sharedParts, target, now);
