--- a/libs/suspects/tests/test_crashing_parts.cpp
+++ b/libs/suspects/tests/test_crashing_parts.cpp
@@ -165,6 +165,22 @@
     checkBounds(fleet, options);
 }
 
+// Guards against a herd of processes that start at once and send what is refused until the agents have told them.
+BOOST_AUTO_TEST_CASE(all_processes_that_start_at_once_know_a_crashing_part)
+{
+    const simulation_options options;
+    crashing_parts_simulation fleet(options);
+    for (const auto at : {4s, 9s, 10s}) {
+        fleet.runUntil(at);
+        for (std::size_t process = 0; process < options.processes; ++process) {
+            fleet.restartProcess(process);
+        }
+    }
+    fleet.runUntil(options.until);
+    checkBounds(fleet, options);
+    BOOST_TEST(fleet.refusedSoundParts() == 0U);
+}
+
 // Guards against a cut in which each side learns of a crashing part for itself, and against its end.
 BOOST_AUTO_TEST_CASE(both_sides_of_a_cut_refuse_a_crashing_part)
 {
