--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -10,6 +10,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -289,8 +290,13 @@
                           static_cast<double>(routes.version()));
             metrics.gauge("medlarrack_gateway_replicas", "Replicas listed", {},
                           static_cast<double>(replicas.all().size()));
-            metrics.gauge("medlarrack_gateway_suspects", "Requests known to have crashed replicas", {},
-                          static_cast<double>(crashDetector.size()));
+            const auto isLimited = [](const auto &entry) {
+                return entry.second->requestLimit.perSecond().has_value();
+            };
+            metrics.gauge("medlarrack_gateway_limited_replicas", "Replicas whose answers name a request limit", {},
+                          static_cast<double>(std::ranges::count_if(replicas.all(), isLimited)));
+            metrics.gauge("medlarrack_gateway_suspects", "Requests and parts of prompts known to have crashed replicas",
+                          {}, static_cast<double>(crashDetector.size()));
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callerServer.busy()));
             return {statusOk, "text/plain; version=0.0.4", metrics.text()};
