--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -255,7 +255,7 @@
     m_replicaStartedAtMs = to->agent ? to->agent->startedAtMs : to->record.startedAtMs;
     m_lastProgressAt = now;
     to->requestLimit.recordRequest(now);
-    m_services.crashDetector.recordRunStart(m_requestMetadata.sharedParts);
+    m_services.crashDetector.addUnansweredRun(m_requestMetadata.sharedParts);
     m_isUnanswered = true;
     m_runsAsProbe = std::exchange(m_isCrashProbe, false);
     if (m_runsAsProbe) {
--- a/libs/gateway/src/exchange_evidence.cpp
+++ b/libs/gateway/src/exchange_evidence.cpp
@@ -209,7 +209,7 @@
 void exchange::endUnansweredRun()
 {
     if (std::exchange(m_isUnanswered, false)) {
-        m_services.crashDetector.recordRunProgress(m_requestMetadata.sharedParts);
+        m_services.crashDetector.removeUnansweredRun(m_requestMetadata.sharedParts);
     }
 }
 
--- a/libs/suspects/include/medlarrack/suspects/crash_detector.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_detector.hpp
@@ -81,9 +81,9 @@
     /// Whether a run of a request has to wait: a part of its prompt may crash targets, and this process already runs a
     /// request with that part whose answer has not begun. One run is enough to find out.
     [[nodiscard]] bool mustWait(std::span<const std::uint64_t> parts, core::monotonic_time now) const;
-    /// Records that a run with these parts begins, and that its answer begins or the run ends, whichever is first.
-    void recordRunStart(std::span<const std::uint64_t> parts);
-    void recordRunProgress(std::span<const std::uint64_t> parts);
+    /// Counts a run with these parts from its start until its answer has begun or it has ended.
+    void addUnansweredRun(std::span<const std::uint64_t> parts);
+    void removeUnansweredRun(std::span<const std::uint64_t> parts);
 
     /// Whether a refused request may be run once as a probe. Probes are rare and are sent only after a period without
     /// crashes. The answer to a probe clears a request that only ran while others crashed their targets.
@@ -157,9 +157,9 @@
     /// Whether other suspects, which a request doesn't contain, explain the crashes of a part of its prompt.
     enum class part_explanation {
         none,
-        /// They explain them, but the part has many crashes and was never answered.
+        /// They do, but the part has many crashes and was never answered: it is refused, and probed sooner.
         likely,
-        /// The part isn't refused.
+        /// They do, and the part isn't refused.
         excused,
     };
     [[nodiscard]] part_explanation explanationFor(std::uint64_t part, std::span<const std::uint64_t> parts,
--- a/libs/suspects/src/crash_detector.cpp
+++ b/libs/suspects/src/crash_detector.cpp
@@ -132,14 +132,14 @@
     });
 }
 
-void crash_detector::recordRunStart(std::span<const std::uint64_t> parts)
+void crash_detector::addUnansweredRun(std::span<const std::uint64_t> parts)
 {
     for (const std::uint64_t part : parts) {
         ++m_unansweredRuns[part];
     }
 }
 
-void crash_detector::recordRunProgress(std::span<const std::uint64_t> parts)
+void crash_detector::removeUnansweredRun(std::span<const std::uint64_t> parts)
 {
     for (const std::uint64_t part : parts) {
         if (const auto found = m_unansweredRuns.find(part); found != m_unansweredRuns.end() && --found->second == 0) {
--- a/libs/suspects/tests/crashing_parts_simulation.cpp
+++ b/libs/suspects/tests/crashing_parts_simulation.cpp
@@ -185,7 +185,7 @@
         outcome.reachedLate += outcome.fifthCrash && sinceStart() > *outcome.fifthCrash + m_options.contactTime ? 1 : 0;
     }
     auto running = std::make_shared<run>(run{sent, &to, to.incarnation, m_now, sent->runs > 1});
-    detector.recordRunStart(sent->parts);
+    detector.addUnansweredRun(sent->parts);
     if (probe) {
         detector.recordPartsProbe(sent->parts, {to.id, to.incarnation}, m_now);
     }
@@ -224,7 +224,7 @@
         }
         running->answered = true;
         crash_detector &detector = *m_processes[of->process];
-        detector.recordRunProgress(of->parts);
+        detector.removeUnansweredRun(of->parts);
         for (const std::uint64_t part : of->parts) {
             detector.recordAnswer(part, m_now);
         }
@@ -252,7 +252,7 @@
         const std::shared_ptr<request> of = lost->of;
         crash_detector &detector = *m_processes[of->process];
         if (!lost->answered) {
-            detector.recordRunProgress(of->parts);
+            detector.removeUnansweredRun(of->parts);
         }
         detector.recordLostRun({of->fingerprint,
                                 {crashed.id, lost->incarnation},
