--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -50,8 +50,10 @@
 {
     const std::span<const crash> known = crashesOf(fingerprint, now);
     std::vector<crash> unexplained(known.begin(), known.end());
-    for (const auto &[other, suspect] : m_entries) {
-        if (other == fingerprint || suspect.crashes.size() < m_limits.crashesToRefuse) {
+    for (const auto &stored : m_entries) {
+        const std::uint64_t other = stored.first;
+        const std::vector<crash> &crashes = stored.second.crashes;
+        if (other == fingerprint || crashes.size() < m_limits.crashesToRefuse) {
             continue;
         }
         const std::size_t count = crashCount(other, now);
@@ -59,7 +61,7 @@
             continue;
         }
         std::erase_if(unexplained, [&](const crash &one) {
-            return std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](const crash &shared) {
+            return std::any_of(crashes.begin(), crashes.end(), [&](const crash &shared) {
                 return isDuplicate(one, shared);
             });
         });
--- a/libs/suspects/tests/test_crashing_parts.cpp
+++ b/libs/suspects/tests/test_crashing_parts.cpp
@@ -223,7 +223,7 @@
     for (int round = 0; round < 6; ++round) {
         const auto at = start + (round + 1) * 200ms;
         const core::instance_ref target{"e-" + std::to_string(round), 1};
-        const auto other = static_cast<std::uint64_t>(100 + round);
+        const auto other = 100 + static_cast<std::uint64_t>(round);
         detector.recordLostRun({common, target, at, true, {sharedPart}}, at + 50ms);
         detector.recordLostRun({neverAnswered, target, at, true, {sharedPart}}, at + 50ms);
         detector.recordLostRun({other, target, at, true, {sharedPart, crashingPart}}, at + 50ms);
