The count of gateways has one name

Cause: the same number was gatewayCount in the agents' messages and senderCount in what a gateway keeps of them. Change: gatewayCount in both; its comment says whose count it is. No behaviour. Measured: builds without warnings; tests of gateway, platform, agent, agent_protocol, suspects and the fault matrix pass.

--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -55,8 +55,8 @@
     catalog::recent_adapters recentAdapters;
     /// Percentage of all processes' recent requests to the engine that failed.
     std::uint32_t failurePercent = 0;
-    /// Processes that send requests to the engine, this one included; 0 until its agent reports a number.
-    std::uint32_t senderCount = 0;
+    /// Gateways that are connected to its agent, this one included; 0 until the agent reports a number.
+    std::uint32_t gatewayCount = 0;
     /// Prompt tokens of other processes' requests that the engine has yet to prefill.
     std::uint64_t othersPendingPrefillTokens = 0;
     /// When this process first saw this start of the engine.
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -47,7 +47,7 @@
     status.memoryLoadTime = milliseconds(load.memoryLoadMs);
     status.loadInterval = milliseconds(load.loadIntervalMs);
     status.recentAdapters.setCapacity(load.rememberedAdapters);
-    status.senderCount = load.gatewayCount;
+    status.gatewayCount = load.gatewayCount;
 }
 
 void updateFailurePercent(replica &at, std::uint32_t failurePercent)
@@ -176,12 +176,12 @@
 void agent_links::updateSharers(core::monotonic_time now)
 {
     // The same processes send requests to all replicas, also to those without an agent.
-    std::uint32_t senders = 0;
+    std::uint32_t gateways = 0;
     for (const auto &[id, known] : m_replicas.all()) {
-        senders = std::max(senders, known->agent ? known->agent->senderCount : 0);
+        gateways = std::max(gateways, known->agent ? known->agent->gatewayCount : 0);
     }
     for (const auto &[id, known] : m_replicas.all()) {
-        known->requestLimit.setSharers(senders, now);
+        known->requestLimit.setSharers(gateways, now);
     }
 }
 
