Decide in one place how a request ends that the gateway can't go on with, and count those that end without a word

Cause: each place that gave a request up chose its status itself, and the end of a process or of a connection chose none; nothing told whether a whole request ever ended without an answer. Change: chooseEnding() decides by what is known of the request (sent to a replica, head of the response sent, overdue); exchange::abandon() and caller_server::endRequests() apply it, and a connection that is dropped under a request is logged and counted (medlarrack_gateway_unanswered_requests_total). Nobody ends requests so yet.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -36,8 +36,30 @@
 
 caller_connection::~caller_connection()
 {
-    if (m_exchange != nullptr) {
-        m_exchange->onCallerDisconnected();
+    if (const auto current = std::exchange(m_exchange, nullptr)) {
+        recordUnanswered(*current, "its connection was dropped");
+        current->onCallerDisconnected();
+    }
+}
+
+void caller_connection::recordUnanswered(const exchange &ended, std::string_view why)
+{
+    log::write(log::level::error, "request ended without an answer", {{"request_id", ended.requestId()}, {"why", why}});
+    m_services.metrics.count("medlarrack_gateway_unanswered_requests_total",
+                             "Whole requests whose connection the gateway ended without an answer or a reset", {});
+}
+
+void caller_connection::endRequest(std::string_view code, std::string_view why)
+{
+    if (m_closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_draining = true;
+    if (const auto current = m_exchange) {
+        current->abandon(code, why, stoppingRetryAfter);
+    } else if (m_parser.started()) {
+        sendErrorAndClose(statusUnavailable, code, why);
     }
 }
 
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -32,6 +32,8 @@
     void drain();
     /// The process takes no new requests from this time on: it might end before their answers. They are refused.
     void refuseRequestsFrom(core::monotonic_time time);
+    /// The process ends: answers the request in progress, or refuses the one that is being received, and closes.
+    void endRequest(std::string_view code, std::string_view why);
     /// Closes unless a request is being received or processed, or bytes of one weren't read yet.
     void closeIfIdle();
     [[nodiscard]] bool isClosed() const;
@@ -59,6 +61,8 @@
     void refuseAndClose();
     void sendErrorAndClose(int status, std::string_view code, std::string_view why);
     void close();
+    /// Logs and counts a whole request whose caller has got neither an answer nor a reset of a response that had begun.
+    void recordUnanswered(const exchange &ended, std::string_view why);
     /// Closes an idle connection.
     void closeIdle(core::monotonic_time now);
 
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -127,6 +127,14 @@
     m_acceptRetryTimer.cancel();
 }
 
+void caller_server::endRequests(std::string_view code, std::string_view why)
+{
+    // Ending one may drop a connection from the list later, but adds none.
+    for (const auto &connection : m_connections) {
+        connection->endRequest(code, why);
+    }
+}
+
 std::size_t caller_server::busy() const
 {
     return static_cast<std::size_t>(
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -29,6 +29,8 @@
     /// Stops accepting connections, apart from those that wait to be accepted, and closes those without a request.
     /// Requests that come on the others later than half a second from now are refused.
     void close();
+    /// Answers or refuses the requests in progress, as the process is about to end.
+    void endRequests(std::string_view code, std::string_view why);
     /// Connections with a request in progress.
     [[nodiscard]] std::size_t busy() const;
     /// Whether no connection has a request in progress, or bytes of one that weren't read yet.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -261,6 +261,11 @@
     }
 }
 
+std::string_view exchange::requestId() const
+{
+    return m_requestMetadata.id;
+}
+
 std::chrono::milliseconds exchange::timeLeft(core::monotonic_time now) const
 {
     return std::chrono::duration_cast<milliseconds>(m_deadline - now);
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -37,6 +37,9 @@
     void start();
     /// The caller has closed its connection: cancels the run in progress.
     void onCallerDisconnected();
+    /// The gateway can't go on with the request, as when its process ends: tells the caller so by how far the request
+    /// has come, with a refusal, an error or a reset. A refusal has the Retry-After given.
+    void abandon(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter);
     /// All bytes written to the caller have been handed to the system.
     void onCallerWritable();
     /// Checks the time-outs and dispatches a held request again; called periodically.
@@ -45,6 +48,9 @@
     void adapterLoaded() override;
     void engineLost() override;
 
+    /// Id of the caller's attempt; empty if the caller sent none.
+    [[nodiscard]] std::string_view requestId() const;
+
 private:
     http1::head_verdict onHead(const http1::message_head &head) override;
     void onBody(std::string &body) override;
@@ -151,6 +157,8 @@
     bool sendHeldError();
     /// Refuses the request with a Retry-After, or with another error if it may have run.
     void refuse(refusal_cause cause, std::string_view code, std::string_view why);
+    /// Refuses the request, which has not run.
+    void sendRefusal(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter);
     void sendLocalResponse(local_response &response, std::string_view outcome);
     /// Ends the request with the held error response, an error of the gateway, or, if a response has begun, a reset.
     void respondWithError(int status, std::string_view code, std::string_view why);
--- a/libs/gateway/src/exchange_responses.cpp
+++ b/libs/gateway/src/exchange_responses.cpp
@@ -3,6 +3,7 @@
 #include "exchange.hpp"
 #include "milliseconds.hpp"
 
+#include <medlarrack/gateway/request_ending.hpp>
 #include <medlarrack/log/log.hpp>
 
 #include <tuple>
@@ -42,7 +43,6 @@
 
 void exchange::refuse(refusal_cause cause, std::string_view code, std::string_view why)
 {
-    constexpr int statusUnavailable = 503;
     if (m_history.runs > 0) {
         if (cause != refusal_cause::crashes_replicas && returnToSilentReplica()) {
             return;
@@ -59,15 +59,53 @@
         code = "replicas_quiet";
         why = "all replicas asked for quiet or limit their requests";
     }
+    sendRefusal(code, why,
+                retryAfter(cause, m_services.replicas, m_serviceName, m_services.clock.now(),
+                           static_cast<std::uint32_t>(m_services.random())));
+}
+
+void exchange::sendRefusal(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter)
+{
+    constexpr int statusUnavailable = 503;
     local_response response;
     response.status = statusUnavailable;
     response.code = code;
     response.message = why;
-    response.retryAfter = retryAfter(cause, m_services.replicas, m_serviceName, m_services.clock.now(),
-                                     static_cast<std::uint32_t>(m_services.random()));
+    response.retryAfter = retryAfter;
     sendLocalResponse(response, "not_run");
 }
 
+void exchange::abandon(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter)
+{
+    if (m_finished) {
+        return;
+    }
+    constexpr int statusBadGateway = 502;
+    constexpr int statusGatewayTimeout = 504;
+    const auto self = shared_from_this();
+    const bool isOverdue = m_route != nullptr && m_services.clock.now() >= m_deadline;
+    const request_progress progress{m_history.runs > 0, m_responseHeadSent, isOverdue};
+    m_waitingForAdapter = false;
+    m_nextDispatchAt.reset();
+    withdrawProbe();
+    closeConnection();
+    releaseReplica();
+    switch (chooseEnding(progress)) {
+    case request_ending::refused:
+        sendRefusal(code, why, retryAfter);
+        break;
+    case request_ending::failed:
+        respondWithError(statusBadGateway, code, why);
+        break;
+    case request_ending::timed_out:
+        respondWithError(statusGatewayTimeout, code, why);
+        break;
+    case request_ending::broken_off:
+        abortResponse(why);
+        break;
+    }
+}
+
 void exchange::sendLocalResponse(local_response &response, std::string_view outcome)
 {
     response.closesConnection = m_caller->decideClose();
