End a caller's connection in one place, with a word for each request in progress

Callers saw: a whole request gets neither an answer nor a refusal when its connection is dropped with the process. Cause: seven places ended connections by themselves; the destructor closed without a word. Evidence: test_unanswered_requests on the code before: 9 of 9 states dropped without a word, counted and logged as such (held for a state, waits for its adapter, runs, overdue, response begun, asked to stop, back at a replica, body and head half in). caller_server::endRequests() gave a word in all of them already. Change: caller_connection::end() is the only way in which a connection ends; it counts a request in progress unless its caller has left. The destructor ends the request as a stop does: 503, 502, 504 or a reset. A loss because the peer acknowledged nothing in time is told from a caller that has left, and counts. A body that is half in is refused with its id and a Retry-After. A request pipelined behind one that a stop ends is refused.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -36,10 +36,40 @@
 
 caller_connection::~caller_connection()
 {
+    // Nothing behind the request in progress is begun anymore.
+    m_unparsed.clear();
+    endRequest("stopping", "this process is about to end");
+    if (!m_closed) {
+        end(connection_end::closed);
+    }
+}
+
+void caller_connection::end(connection_end how)
+{
+    m_closed = true;
     if (const auto current = std::exchange(m_exchange, nullptr)) {
-        recordUnanswered(*current, "its connection was dropped");
+        if (how == connection_end::lost && m_stream->hasTimedOut()) {
+            recordUnanswered(*current, "its caller acknowledged nothing in time");
+        } else if (how != connection_end::lost) {
+            recordUnanswered(*current, "its connection was closed");
+        }
         current->onCallerDisconnected();
     }
+    switch (how) {
+    case connection_end::finished:
+        m_stream->finish();
+        break;
+    case connection_end::finished_unread:
+        m_stream->finishUnread();
+        break;
+    case connection_end::aborted:
+        m_stream->abort();
+        break;
+    case connection_end::lost:
+    case connection_end::closed:
+        m_stream->close();
+        break;
+    }
 }
 
 void caller_connection::recordUnanswered(const exchange &ended, std::string_view why)
@@ -54,10 +84,13 @@
     if (m_closed) {
         return;
     }
-    const auto self = shared_from_this();
+    // No lock on this: the destructor ends the request too.
     m_draining = true;
+    m_refuseFrom = m_services.clock.now();
     if (const auto current = m_exchange) {
         current->abandon(code, why, stoppingRetryAfter);
+    } else if (m_parser.state() == http1::parse_state::body) {
+        refuseAndClose();
     } else if (m_parser.started()) {
         sendErrorAndClose(statusUnavailable, code, why);
     }
@@ -140,8 +173,7 @@
         // The end lies behind the request; nobody waits for an answer.
         const request_metadata request = m_services.format.readRequest(head);
         log::write(log::level::info, "request dropped, its caller has left", {{"request_id", request.id}});
-        m_closed = true;
-        m_stream->close();
+        end(connection_end::lost);
         return;
     }
     m_exchange =
@@ -174,7 +206,7 @@
     std::string out;
     m_services.format.appendLocalResponse(out, response, request.id);
     m_stream->write(out);
-    close();
+    end(connection_end::finished);
 }
 
 void caller_connection::sendErrorAndClose(int status, std::string_view code, std::string_view why)
@@ -188,13 +220,7 @@
     std::string out;
     m_services.format.appendLocalResponse(out, response, "");
     m_stream->write(out);
-    close();
-}
-
-void caller_connection::close()
-{
-    m_closed = true;
-    m_stream->finish();
+    end(connection_end::finished);
 }
 
 void caller_connection::write(std::string_view bytes)
@@ -224,7 +250,7 @@
     m_idleTimeout = m_services.routes.limits().idleTimeout;
     m_exchange = nullptr;
     if (m_closeAnnounced) {
-        close();
+        end(connection_end::finished);
         return;
     }
     if (m_refuseFrom && m_unparsed.empty() && !hasUnreadBytes()) {
@@ -238,8 +264,7 @@
 void caller_connection::onResponseAborted()
 {
     m_exchange = nullptr;
-    m_closed = true;
-    m_stream->abort();
+    end(connection_end::aborted);
 }
 
 void caller_connection::onWritten()
@@ -257,11 +282,7 @@
 void caller_connection::onLost(std::string_view)
 {
     const auto self = shared_from_this();
-    m_closed = true;
-    m_stream->close();
-    if (const auto current = std::exchange(m_exchange, nullptr)) {
-        current->onCallerDisconnected();
-    }
+    end(connection_end::lost);
 }
 
 void caller_connection::tick(core::monotonic_time now)
@@ -297,8 +318,7 @@
                {{"idle_ms", inMilliseconds(now - m_lastActivityAt)},
                 {"idle_timeout_ms", m_idleTimeout.count()},
                 {"state_version", m_services.routes.version()}});
-    m_closed = true;
-    m_stream->finishUnread();
+    end(connection_end::finished_unread);
 }
 
 void caller_connection::drain()
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -60,7 +60,21 @@
     void sendContinueIfExpected();
     void refuseAndClose();
     void sendErrorAndClose(int status, std::string_view code, std::string_view why);
-    void close();
+    enum class connection_end {
+        /// After all that was written.
+        finished,
+        /// The same, leaving unread what crosses the end.
+        finished_unread,
+        /// With a reset of the response that has begun.
+        aborted,
+        /// By the caller, or as the caller can't be reached.
+        lost,
+        /// Without a word.
+        closed,
+    };
+    /// The only way in which the connection ends. A request that is unanswered then, other than by its caller's doing,
+    /// is counted.
+    void end(connection_end how);
     /// Logs and counts a whole request whose caller has got neither an answer nor a reset of a response that had begun.
     void recordUnanswered(const exchange &ended, std::string_view why);
     /// Closes an idle connection.
--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -62,6 +62,8 @@
     [[nodiscard]] bool hasUnreadBytes() const;
     /// Whether the peer has ended or reset its stream, perhaps behind bytes that weren't read yet.
     [[nodiscard]] bool hasPeerEnded() const;
+    /// Whether the connection was given up because the peer didn't acknowledge in time what was written.
+    [[nodiscard]] bool hasTimedOut() const;
     /// Ends our side once all is written; the listener gets no more events, and what the peer still sends is dropped.
     void finish();
     /// The same, but leaves what the peer still sends unread and resets the connection over it after a while, so that a
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -127,7 +127,8 @@
             return;
         }
         if (error) {
-            lose("reset by the peer: " + error.message());
+            timedOut = error == asio::error::timed_out;
+            lose((timedOut ? "given up: " : "reset by the peer: ") + error.message());
             return;
         }
         if (listener != nullptr) {
@@ -147,6 +148,7 @@
             std::error_code error;
             const std::size_t size = socket.write_some(asio::buffer(bytes), error);
             if (error && error != asio::error::would_block) {
+                timedOut = error == asio::error::timed_out;
                 fail("not written: " + error.message());
                 return;
             }
@@ -183,6 +185,7 @@
             std::error_code error;
             const std::size_t size = socket.write_some(asio::buffer(pending), error);
             if (error && error != asio::error::would_block) {
+                timedOut = error == asio::error::timed_out;
                 lose("not written: " + error.message());
                 return;
             }
@@ -303,6 +306,7 @@
     bool awaiting = false;
     bool awaitingRoom = false;
     bool ended = false;
+    bool timedOut = false;
     bool lingering = false;
     /// Our side of the lingering connection has ended.
     bool isShutDown = false;
@@ -378,6 +382,11 @@
     return m_impl->hasPeerEnded();
 }
 
+bool byte_stream::hasTimedOut() const
+{
+    return m_impl->timedOut;
+}
+
 void byte_stream::finish()
 {
     m_impl->finish(true);
