Answer requests that were read behind the one that a stop came in

Callers saw: of two requests on one connection the second, read whole, got nothing when a stop began during the first. Cause: the first response announced the end of the connection although the next request was in the gateway's buffer. Evidence: unanswered_requests/pipelined_requests_are_answered_in_a_stop failed before (no second answer), and so did a_request_that_is_ended_gets_a_word for a request that runs before another one (no 503 for the second). Change: a draining connection announces its end with the last request that was read.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -235,7 +235,8 @@
 
 bool caller_connection::decideClose()
 {
-    m_closeAnnounced = m_draining || !m_keepAlive;
+    // What was read behind the request is answered too.
+    m_closeAnnounced = !m_keepAlive || (m_draining && m_unparsed.empty());
     return m_closeAnnounced;
 }
 
