Answer every request before a planned stop ends the process

Callers saw: a request in progress at the end of the drain time, run-once ones included, lost its connection without an answer. Cause: the end of the drain time ended the process, whatever was in progress; nobody was told, and pipelined requests behind a response that announced the close were read and dropped. Class: a process ends without settling what it owes. The log had "stopped unanswered=1" and "request ended without an answer". Requests that come past the end are refused when they are read, not at the next tick.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -16,6 +16,8 @@
 
 /// Other processes take the request at once.
 constexpr std::chrono::milliseconds stoppingRetryAfter{50};
+/// Time in which a process that ends reads what the system has received, so that each request in it is refused.
+constexpr std::chrono::milliseconds lastReadTime{100};
 
 constexpr int statusBadRequest = 400;
 constexpr int statusRequestTimeout = 408;
@@ -55,11 +57,17 @@
         return;
     }
     const auto self = shared_from_this();
+    const core::monotonic_time now = m_services.clock.now();
     m_draining = true;
+    m_refuseFrom = std::min(m_refuseFrom.value_or(now), now);
     if (const auto current = m_exchange) {
         current->abandon(code, why, stoppingRetryAfter);
+    } else if (hasUnreadBytes() && now - *m_refuseFrom < lastReadTime) {
+        return;
     } else if (m_parser.started()) {
         sendErrorAndClose(statusUnavailable, code, why);
+    } else {
+        closeIdle(now);
     }
 }
 
@@ -133,7 +141,7 @@
         return;
     }
     if (m_refuseFrom && m_services.clock.now() >= *m_refuseFrom) {
-        refuseAndClose();
+        refuseRequest();
         return;
     }
     if (m_stream->hasPeerEnded()) {
@@ -160,7 +168,7 @@
     }
 }
 
-void caller_connection::refuseAndClose()
+void caller_connection::refuseRequest()
 {
     const request_metadata request = m_services.format.readRequest(m_parser.head());
     log::write(log::level::info, "request refused by a stopping process", {{"request_id", request.id}});
@@ -169,12 +177,17 @@
     response.code = "stopping";
     response.message = "this process is about to end";
     response.retryAfter = stoppingRetryAfter;
-    response.closesConnection = true;
+    response.closesConnection = decideClose();
     response.omitsBody = m_parser.head().method == "HEAD";
     std::string out;
     m_services.format.appendLocalResponse(out, response, request.id);
     m_stream->write(out);
-    close();
+    if (m_closeAnnounced) {
+        close();
+        return;
+    }
+    m_parser.reset();
+    m_continueSent = false;
 }
 
 void caller_connection::sendErrorAndClose(int status, std::string_view code, std::string_view why)
@@ -209,7 +222,9 @@
 
 bool caller_connection::decideClose()
 {
-    m_closeAnnounced = m_draining || !m_keepAlive;
+    // Pipelined requests have been received, so they are answered too.
+    const bool hasNextRequest = !m_unparsed.empty() || hasUnreadBytes();
+    m_closeAnnounced = !m_keepAlive || (m_draining && !hasNextRequest);
     return m_closeAnnounced;
 }
 
@@ -227,7 +242,7 @@
         close();
         return;
     }
-    if (m_refuseFrom && m_unparsed.empty() && !hasUnreadBytes()) {
+    if (m_refuseFrom && m_lastActivityAt >= *m_refuseFrom && m_unparsed.empty() && !hasUnreadBytes()) {
         closeIdle(m_lastActivityAt);
         return;
     }
@@ -308,7 +323,7 @@
 
 void caller_connection::refuseRequestsFrom(core::monotonic_time time)
 {
-    m_refuseFrom = time;
+    m_refuseFrom = std::min(m_refuseFrom.value_or(time), time);
 }
 
 void caller_connection::closeIfIdle()
@@ -323,6 +338,11 @@
     return m_closed;
 }
 
+bool caller_connection::isOpen() const
+{
+    return m_stream->isOpen();
+}
+
 bool caller_connection::hasUnsentBytes() const
 {
     return m_stream->isOpen() && m_stream->queued() > 0;
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -32,12 +32,15 @@
     void drain();
     /// The process takes no new requests from this time on: it might end before their answers. They are refused.
     void refuseRequestsFrom(core::monotonic_time time);
-    /// The process ends: answers the request in progress, or refuses the one that is being received, and closes.
+    /// The process ends: answers the request in progress, refuses those that were received behind it or in part, and
+    /// closes. Called again until the connection is closed.
     void endRequest(std::string_view code, std::string_view why);
     /// Closes unless a request is being received or processed, or bytes of one weren't read yet.
     void closeIfIdle();
     [[nodiscard]] bool isClosed() const;
     [[nodiscard]] bool isIdle() const;
+    /// Whether the caller may not have got its last bytes, also after the connection is closed.
+    [[nodiscard]] bool isOpen() const;
     /// Whether bytes of an answer wait for a caller that reads slowly, also after the connection is closed.
     [[nodiscard]] bool hasUnsentBytes() const;
     [[nodiscard]] bool hasUnreadBytes() const;
@@ -58,7 +61,7 @@
     void parse();
     void startExchange();
     void sendContinueIfExpected();
-    void refuseAndClose();
+    void refuseRequest();
     void sendErrorAndClose(int status, std::string_view code, std::string_view why);
     void close();
     /// Logs and counts a whole request whose caller has got neither an answer nor a reset of a response that had begun.
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -72,6 +72,9 @@
     if (m_draining) {
         connection->drain();
     }
+    if (m_refuseFrom) {
+        connection->refuseRequestsFrom(*m_refuseFrom);
+    }
     m_connections.push_back(connection);
     connection->start();
 }
@@ -98,8 +101,8 @@
             connection->closeIfIdle();
         }
     }
-    std::erase_if(m_connections, [](const auto &connection) {
-        return connection->isClosed() && !connection->hasUnsentBytes();
+    std::erase_if(m_connections, [this](const auto &connection) {
+        return connection->isClosed() && (m_draining ? !connection->isOpen() : !connection->hasUnsentBytes());
     });
 }
 
@@ -111,6 +114,14 @@
     }
 }
 
+void caller_server::refuseRequestsFrom(core::monotonic_time time)
+{
+    m_refuseFrom = time;
+    for (const auto &connection : m_connections) {
+        connection->refuseRequestsFrom(time);
+    }
+}
+
 void caller_server::close()
 {
     if (std::exchange(m_closing, true)) {
@@ -118,10 +129,7 @@
     }
     // The system has made these connections, and their requests may be on the way. Closing would reset them.
     acceptWaiting();
-    const core::monotonic_time refuseFrom = m_services.clock.now() + unreadRequestTime;
-    for (const auto &connection : m_connections) {
-        connection->refuseRequestsFrom(refuseFrom);
-    }
+    refuseRequestsFrom(m_services.clock.now() + unreadRequestTime);
     std::error_code ignored;
     m_acceptor.close(ignored);
     m_acceptRetryTimer.cancel();
@@ -143,6 +151,13 @@
         }));
 }
 
+bool caller_server::isEmpty() const
+{
+    return std::ranges::none_of(m_connections, [](const auto &connection) {
+        return connection->isOpen();
+    });
+}
+
 bool caller_server::isDrained() const
 {
     return std::all_of(m_connections.begin(), m_connections.end(), [](const auto &connection) {
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -10,6 +10,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace medlarrack::gateway {
@@ -26,15 +27,20 @@
     void tick(core::monotonic_time now);
     /// Closes each connection after its next response, whose head says so; new ones are still accepted.
     void drain();
+    /// Requests that come from this time on are refused.
+    void refuseRequestsFrom(core::monotonic_time time);
     /// Stops accepting connections, apart from those that wait to be accepted, and closes those without a request.
     /// Requests that come on the others later than half a second from now are refused.
     void close();
-    /// Answers or refuses the requests in progress, as the process is about to end.
+    /// Answers or refuses the requests in progress and closes their connections, as the process is about to end. Called
+    /// again until all are closed.
     void endRequests(std::string_view code, std::string_view why);
     /// Connections with a request in progress.
     [[nodiscard]] std::size_t busy() const;
     /// Whether no connection has a request in progress, or bytes of one that weren't read yet.
     [[nodiscard]] bool isDrained() const;
+    /// Whether all callers have got their last bytes and have closed too.
+    [[nodiscard]] bool isEmpty() const;
 
 private:
     void accept();
@@ -47,6 +53,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_acceptRetryTimer;
     std::vector<std::shared_ptr<caller_connection>> m_connections;
+    std::optional<core::monotonic_time> m_refuseFrom;
     bool m_draining = false;
     bool m_closing = false;
 };
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -4,6 +4,7 @@
 #include "store_reader.hpp"
 
 #include <medlarrack/core/hash.hpp>
+#include <medlarrack/gateway/drain_schedule.hpp>
 #include <medlarrack/gateway/gateway_service.hpp>
 #include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/page_server.hpp>
@@ -27,9 +28,6 @@
 constexpr milliseconds tickInterval{25};
 /// Interval for closing expired idle connections; short compared to their idle times of seconds.
 constexpr milliseconds idleConnectionCheckInterval{500};
-/// Time for which the process still accepts connections when it is shutting down. The load balancer probes readiness
-/// once a second and stops sending connections after two failed probes.
-constexpr milliseconds listenAfterStop{2'500};
 /// Poll interval of the store in percent of the change bound: leaves time to repeat one failed call within the bound.
 constexpr int pollIntervalPercent = 38;
 /// Replicas whose entries expired in an outage of the store are listed again within about two seconds of its return.
@@ -212,7 +210,7 @@
             connections.closeExpired();
         }
         log::flush();
-        if (onDrainComplete && isDrainComplete(now)) {
+        if (drainSchedule && continueDrain(now)) {
             log::write(log::level::info, "stopped", {{"unanswered", static_cast<std::uint64_t>(callerServer.busy())}});
             log::flush();
             std::exchange(onDrainComplete, nullptr)();
@@ -256,32 +254,34 @@
 
     void drain(std::function<void()> onDone)
     {
-        draining = true;
-        drainStartedAt = clock.now();
+        drainSchedule.emplace(clock.now(), settings.drainTime);
         onDrainComplete = std::move(onDone);
         callerServer.drain();
+        callerServer.refuseRequestsFrom(drainSchedule->end());
         log::write(log::level::info, "stopping", {{"busy", static_cast<std::uint64_t>(callerServer.busy())}});
     }
 
-    bool isDrainComplete(core::monotonic_time now)
+    /// Returns whether the process may end.
+    bool continueDrain(core::monotonic_time now)
     {
-        if (now - drainStartedAt >= settings.drainTime) {
-            return true;
+        const drain_step before = drainSchedule->step();
+        const drain_step step = drainSchedule->update(now, callerServer.isDrained(), callerServer.isEmpty());
+        if (step >= drain_step::closing) {
+            callerServer.close();
         }
-        if (now - drainStartedAt < listenAfterStop) {
-            return false;
+        if (step == drain_step::ending && before < step) {
+            log::write(log::level::info, "requests in progress ended by a stop",
+                       {{"busy", static_cast<std::uint64_t>(callerServer.busy())}});
         }
-        if (!std::exchange(callersClosed, true)) {
-            // Connections accepted just now are read until the next tick.
-            callerServer.close();
-            return false;
+        if (step >= drain_step::ending) {
+            callerServer.endRequests("stopping", "this process is about to end");
         }
-        return callerServer.isDrained();
+        return step == drain_step::done;
     }
 
     [[nodiscard]] bool isReady() const
     {
-        return !draining && !routes.isEmpty() && !replicas.all().empty();
+        return !drainSchedule && !routes.isEmpty() && !replicas.all().empty();
     }
 
     http1::page serveAdminPage(std::string_view target)
@@ -335,10 +335,8 @@
     asio::steady_timer tickTimer;
     store_reader store;
     core::monotonic_time nextIdleConnectionCheck{};
-    core::monotonic_time drainStartedAt{};
+    std::optional<drain_schedule> drainSchedule;
     std::function<void()> onDrainComplete;
-    bool draining = false;
-    bool callersClosed = false;
 };
 
 gateway_service::gateway_service(asio::io_context &context, const gateway_settings &settings,
