Take the length of a planned stop from the platform's grace

Callers saw: with a grace below 7 s the process was killed with requests in progress; with a longer one requests were cut although time was left. Cause: drain_time_ms was a constant that knew one grace, and the deploy template passed bounds.gracePeriodS on to nothing. Settings read in the middle of a stop count for the next one.

--- a/libs/gateway/include/medlarrack/gateway/drain_schedule.hpp
+++ b/libs/gateway/include/medlarrack/gateway/drain_schedule.hpp
@@ -22,7 +22,8 @@
 class drain_schedule
 {
 public:
-    drain_schedule(core::monotonic_time startedAt, std::chrono::milliseconds drainTime);
+    /// The process is killed when the grace is over.
+    drain_schedule(core::monotonic_time startedAt, std::chrono::milliseconds gracePeriod);
 
     /// Time from which no request is in progress any more.
     [[nodiscard]] core::monotonic_time end() const;
--- a/libs/gateway/include/medlarrack/gateway/gateway_service.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_service.hpp
@@ -28,9 +28,9 @@
     /// Starts listening and reading the store; false with a reason if an address is invalid or in use.
     [[nodiscard]] bool start(core::reason &why);
     /// Fails the readiness probe from now on, completes the requests in progress, and calls back when all of them have
-    /// ended or the drain time has passed.
+    /// ended or the grace is nearly over. The others are answered before it calls back.
     void drain(std::function<void()> onDone);
-    /// Applies the settings that can change at run time: retry bound and drain time.
+    /// Applies the settings that can change at run time: retry bound and the grace of a later stop.
     void reload(const gateway_settings &settings);
 
     [[nodiscard]] std::uint16_t callersPort() const;
--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -30,8 +30,8 @@
     /// Time within which a published change must be in force, the shortest of those promised. The poll interval of the
     /// store is a fraction of it.
     std::chrono::milliseconds changeBound{2'000};
-    /// Time that requests in progress have to complete when the process is asked to stop.
-    std::chrono::milliseconds drainTime{7'000};
+    /// Time from the signal to stop until the process is killed. Requests in progress have most of it to complete.
+    std::chrono::milliseconds gracePeriod{8'000};
     /// Bound on the retries of a service over all gateways, as a share of its requests within retryWindow.
     double retryRatio = 0.2;
     std::chrono::seconds retryWindow{10};
--- a/libs/gateway/src/drain_schedule.cpp
+++ b/libs/gateway/src/drain_schedule.cpp
@@ -1,5 +1,7 @@
 #include <medlarrack/gateway/drain_schedule.hpp>
 
+#include <algorithm>
+
 namespace medlarrack::gateway {
 
 namespace {
@@ -12,11 +14,19 @@
 /// Time for which the process waits until callers have read their last bytes.
 constexpr milliseconds flushTime{300};
 
+/// Time before the end of the grace for answering the requests that are still in progress. Includes a margin for a busy
+/// machine.
+milliseconds timeToEnd(milliseconds gracePeriod)
+{
+    constexpr milliseconds longest{1'000};
+    return std::min(gracePeriod / 8, longest);
+}
+
 } // namespace
 
-drain_schedule::drain_schedule(core::monotonic_time startedAt, milliseconds drainTime)
+drain_schedule::drain_schedule(core::monotonic_time startedAt, milliseconds gracePeriod)
     : m_startedAt(startedAt)
-    , m_end(startedAt + drainTime)
+    , m_end(startedAt + gracePeriod - timeToEnd(gracePeriod))
 {
 }
 
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -254,7 +254,7 @@
 
     void drain(std::function<void()> onDone)
     {
-        drainSchedule.emplace(clock.now(), settings.drainTime);
+        drainSchedule.emplace(clock.now(), settings.gracePeriod);
         onDrainComplete = std::move(onDone);
         callerServer.drain();
         callerServer.refuseRequestsFrom(drainSchedule->end());
@@ -362,7 +362,7 @@
 {
     m_impl->settings.retryRatio = settings.retryRatio;
     m_impl->settings.retryWindow = settings.retryWindow;
-    m_impl->settings.drainTime = settings.drainTime;
+    m_impl->settings.gracePeriod = settings.gracePeriod;
     m_impl->settings.responseBounds = settings.responseBounds;
 }
 
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -12,7 +12,8 @@
 constexpr std::int64_t largestKb = 1'048'576;
 constexpr milliseconds shortestChangeBound{100};
 constexpr milliseconds longestChangeBound{60'000};
-constexpr milliseconds longestDrainTime{600'000};
+constexpr double shortestGraceSeconds = 0.5;
+constexpr double longestGraceSeconds = 600;
 constexpr std::chrono::seconds shortestRetryWindow{1};
 constexpr std::chrono::seconds longestRetryWindow{3'600};
 /// Share of the allowed retries that is used. The rest is a margin: gateways count a request up to half a second apart
@@ -42,7 +43,9 @@
     reader.require("agent_port");
     reader.integer("agent_port", value.agentPort, 1, highestPort);
     reader.duration("change_bound_ms", value.changeBound, shortestChangeBound, longestChangeBound);
-    reader.duration("drain_time_ms", value.drainTime, milliseconds(0), longestDrainTime);
+    double graceSeconds = std::chrono::duration<double>(value.gracePeriod).count();
+    reader.number("grace_period_s", graceSeconds, shortestGraceSeconds, longestGraceSeconds);
+    value.gracePeriod = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(graceSeconds));
     reader.number("retry_ratio", value.retryRatio, 0, 1);
     std::int64_t retryWindow = value.retryWindow.count();
     reader.integer("retry_window_s", retryWindow, shortestRetryWindow.count(), longestRetryWindow.count());
--- a/review/standins/harness.cpp
+++ b/review/standins/harness.cpp
@@ -523,7 +523,8 @@
     std::ofstream out(path);
     out << "{\n    \"name\": \"" << name << "\",\n    \"data_centre\": \"osijek\",\n    \"callers\": \""
         << callers.text() << "\",\n    \"admin\": \"" << admin.text() << "\",\n    \"store\": \"" << storeAt.text()
-        << "\",\n    \"change_bound_ms\": 2000,\n    \"retry_ratio\": 0.2,\n    \"retry_window_s\": 10,\n"
+        << "\",\n    \"change_bound_ms\": 2000,\n    \"grace_period_s\": 8,\n    \"retry_ratio\": 0.2,\n    "
+           "\"retry_window_s\": 10,\n"
         << "    \"agent_port\": " << agentPort << "\n}\n";
     return path;
 }
