Don't run queued handlers on a service that has ended

Callers saw nothing: in the programs the context stops before the services end. Under the address sanitizer a test that ends a gateway_service while its context runs on read freed memory in tick(), once, beside other load.

Cause: cancelling a timer or closing an acceptor doesn't take back a handler that is already queued as successful, and one that is queued as aborted runs too. The tick of the gateway, and the tick, the accept handler and the clean-up of links of the agent captured their service; the accept and retry handlers of caller_server captured the server.

The handlers hold weak references now, as those of store_reader, page_server, call_client, sidecar and entry already did.

Before, in the usual build: the tick of the gateway reads the clock twice after the service is gone, and the accepted connection ends test_platform with a double free. With the address sanitizer: heap-use-after-free in gateway_service::impl::tick(), caller_server::addConnection() and the agent's accept handler, which looked at a member of the freed service even when aborted; the agent's case doesn't fail without the sanitizer. After: the three cases pass in both builds (the sanitizer's run was a program of these cases alone).

Not run: the whole suite under the sanitizer, soak.

--- a/libs/agent/include/medlarrack/agent/agent_service.hpp
+++ b/libs/agent/include/medlarrack/agent/agent_service.hpp
@@ -30,7 +30,7 @@
 
 private:
     class impl;
-    std::unique_ptr<impl> m_impl;
+    std::shared_ptr<impl> m_impl;
 };
 
 } // namespace medlarrack::agent
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -131,7 +131,7 @@
 
 } // namespace
 
-class agent_service::impl
+class agent_service::impl : public std::enable_shared_from_this<impl>
 {
 public:
     impl(asio::io_context &ioContext, const agent_settings &agentSettings, const engine_format &engineFormat,
@@ -230,14 +230,15 @@
 
     void accept()
     {
-        acceptor.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
-            if (stopped || error == asio::error::operation_aborted) {
+        acceptor.async_accept([weak = weak_from_this()](const std::error_code &error, asio::ip::tcp::socket socket) {
+            const auto self = weak.lock();
+            if (self == nullptr || self->stopped || error == asio::error::operation_aborted) {
                 return;
             }
             if (!error) {
-                addLink(std::move(socket));
+                self->addLink(std::move(socket));
             }
-            accept();
+            self->accept();
         });
     }
 
@@ -271,10 +272,12 @@
         link.lost = true;
         planner.setInUse(link.name, {}, clock.now());
         log::write(log::level::info, "gateway link lost", {{"gateway", link.name}, {"why", why}});
-        asio::post(context, [this] {
-            links.remove_if([](const gateway_link &candidate) {
-                return candidate.lost;
-            });
+        asio::post(context, [weak = weak_from_this()] {
+            if (const auto self = weak.lock(); self != nullptr) {
+                self->links.remove_if([](const gateway_link &candidate) {
+                    return candidate.lost;
+                });
+            }
         });
     }
 
@@ -406,9 +409,10 @@
     void scheduleTick(std::chrono::milliseconds delay)
     {
         timer.expires_after(delay);
-        timer.async_wait([this](const std::error_code &error) {
-            if (!error && !stopped) {
-                tick();
+        timer.async_wait([weak = weak_from_this()](const std::error_code &error) {
+            const auto self = weak.lock();
+            if (self != nullptr && !error && !self->stopped) {
+                self->tick();
             }
         });
     }
@@ -586,7 +590,7 @@
 
 agent_service::agent_service(asio::io_context &context, const agent_settings &settings, const engine_format &format,
                              const core::clock &clock)
-    : m_impl(std::make_unique<impl>(context, settings, format, clock))
+    : m_impl(std::make_shared<impl>(context, settings, format, clock))
 {
 }
 
--- a/libs/gateway/include/medlarrack/gateway/gateway_service.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_service.hpp
@@ -38,7 +38,7 @@
 
 private:
     class impl;
-    std::unique_ptr<impl> m_impl;
+    std::shared_ptr<impl> m_impl;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -44,25 +44,27 @@
 
 void caller_server::accept()
 {
-    m_acceptor.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted || (error && m_closing)) {
-            return;
-        }
-        if (error) {
-            log::write(log::level::warning, "failed to accept connection", {{"why", error.message()}});
-            m_acceptRetryTimer.expires_after(acceptRetryDelay);
-            m_acceptRetryTimer.async_wait([this](const std::error_code &waitError) {
-                if (!waitError) {
-                    accept();
-                }
-            });
-            return;
-        }
-        addConnection(std::move(socket));
-        if (!m_closing) {
-            accept();
-        }
-    });
+    m_acceptor.async_accept(
+        [this, weak = std::weak_ptr(m_self)](const std::error_code &error, asio::ip::tcp::socket socket) {
+            // Closing the acceptor doesn't stop a handler that is already queued.
+            if (weak.expired() || error == asio::error::operation_aborted || (error && m_closing)) {
+                return;
+            }
+            if (error) {
+                log::write(log::level::warning, "failed to accept connection", {{"why", error.message()}});
+                m_acceptRetryTimer.expires_after(acceptRetryDelay);
+                m_acceptRetryTimer.async_wait([this, weak](const std::error_code &waitError) {
+                    if (!weak.expired() && !waitError) {
+                        accept();
+                    }
+                });
+                return;
+            }
+            addConnection(std::move(socket));
+            if (!m_closing) {
+                accept();
+            }
+        });
 }
 
 void caller_server::addConnection(asio::ip::tcp::socket socket)
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -49,6 +49,8 @@
     std::vector<std::shared_ptr<caller_connection>> m_connections;
     bool m_draining = false;
     bool m_closing = false;
+    /// Expires with the server, for handlers that may run later.
+    std::shared_ptr<caller_server> m_self{this, [](caller_server *) {}};
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -40,7 +40,7 @@
 
 } // namespace
 
-class gateway_service::impl
+class gateway_service::impl : public std::enable_shared_from_this<impl>
 {
 public:
     impl(asio::io_context &owner, const gateway_settings &given, const caller_format &callerFormat,
@@ -219,9 +219,10 @@
             return;
         }
         tickTimer.expires_after(tickInterval);
-        tickTimer.async_wait([this](const std::error_code &error) {
-            if (!error) {
-                tick();
+        tickTimer.async_wait([weak = weak_from_this()](const std::error_code &error) {
+            // Cancelling the timer doesn't stop a handler that is already queued.
+            if (const auto self = weak.lock(); self != nullptr && !error) {
+                self->tick();
             }
         });
     }
@@ -344,7 +345,7 @@
 gateway_service::gateway_service(asio::io_context &context, const gateway_settings &settings,
                                  const caller_format &callers, const catalog::store_format &store,
                                  const core::clock &clock)
-    : m_impl(std::make_unique<impl>(context, settings, callers, store, clock))
+    : m_impl(std::make_shared<impl>(context, settings, callers, store, clock))
 {
 }
 
