--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -56,6 +56,8 @@
     std::optional<core::monotonic_time> m_refuseFrom;
     bool m_draining = false;
     bool m_closing = false;
+    /// Expires with the server, for handlers that may run later.
+    std::shared_ptr<caller_server> m_self{this, [](caller_server *) {}};
 };
 
 } // namespace medlarrack::gateway
