Let a finished connection read what came while the process stood still

Callers saw: a refusal or a last response that is lost to a reset, as the process closed over bytes that had come. Cause: after a pause of over a second, the end of the wait for late bytes and the bytes themselves are ready at once; the read took 32 KB and extended the wait, but the end of the first wait, already due, closed all the same. Evidence: byte_stream_suite/a_finished_connection_of_a_process_that_stood_still_reads_what_has_come failed before (the peer's next write met a reset). Change: an end of a wait that was extended is ignored; bytes that are unread at the end are dropped and the wait begins again, within the same 15 s in total.

--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -273,12 +273,30 @@
     {
         timer.expires_at(std::min(asio::steady_timer::clock_type::now() + lingerTime, lingerEnd));
         timer.async_wait([self = shared_from_this()](const std::error_code &waited) {
-            if (!waited) {
+            // Both can be ready at once if the process stood still: the end of the wait and bytes that came before it.
+            const auto now = asio::steady_timer::clock_type::now();
+            if (waited || self->timer.expiry() > now) {
+                return;
+            }
+            if (self->wantsBytes && self->dropUnread() && now < self->lingerEnd) {
+                self->closeAfterLinger();
+            } else {
                 self->close();
             }
         });
     }
 
+    /// Returns whether there was anything to drop.
+    bool dropUnread()
+    {
+        std::error_code error;
+        const std::size_t unread = socket.available(error);
+        for (std::size_t dropped = 0; !error && dropped < unread;) {
+            dropped += socket.read_some(asio::buffer(scratch()), error);
+        }
+        return unread > 0;
+    }
+
     void close()
     {
         listener = nullptr;
--- a/libs/http1/tests/test_byte_stream.cpp
+++ b/libs/http1/tests/test_byte_stream.cpp
@@ -5,6 +5,8 @@
 #include <asio/read.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 using namespace medlarrack::http1;
 using medlarrack::http1::testing::runUntil;
 
@@ -25,6 +27,12 @@
         stream->startReading();
     }
 
+    void runFor(std::chrono::milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
     /// Waits until the peer sees the end of the stream.
     void awaitEnd()
     {
@@ -116,4 +124,24 @@
     }));
 }
 
+// Guards against a response that is lost to a reset because the process stood still over the time for late bytes, and
+// closes over those that have come meanwhile.
+BOOST_AUTO_TEST_CASE(a_finished_connection_of_a_process_that_stood_still_reads_what_has_come)
+{
+    stream->write("response");
+    stream->finish();
+    runFor(std::chrono::milliseconds(50));
+    asio::write(peer, asio::buffer(std::string(200'000, 'x')));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'100));
+    runFor(std::chrono::milliseconds(50));
+    std::error_code error;
+    asio::write(peer, asio::buffer(std::string_view("more")), error);
+    BOOST_TEST(!error);
+    runFor(std::chrono::milliseconds(50));
+    std::string received(8, ' ');
+    asio::read(peer, asio::buffer(received), error);
+    BOOST_TEST(!error);
+    BOOST_TEST(received == "response");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
