Keep connections of callers that pause but whose hosts acknowledge

Callers saw: a caller that read nothing for 1.5 s lost its connection with all that it was owed. Cause: TCP_USER_TIMEOUT, there to notice hosts without power, also counts the time in which a host acknowledges that it has no room. Evidence: byte_stream_suite/a_peer_that_does_not_read_for_a_while_gets_all failed before (lost after 1.7 s). Whether the host answers is read every 250 ms from the system while bytes are on their way: unanswered retransmissions or window probes for 1.5 s end the connection as before. Connections to replicas and agents are unchanged. The counter of unanswered requests names the cause (dropped, unreachable).

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -49,9 +49,9 @@
     m_closed = true;
     if (const auto current = std::exchange(m_exchange, nullptr)) {
         if (how == connection_end::lost && m_stream->hasTimedOut()) {
-            recordUnanswered(*current, "its caller acknowledged nothing in time");
+            recordUnanswered(*current, "unreachable", "its caller acknowledged or read nothing in time");
         } else if (how != connection_end::lost) {
-            recordUnanswered(*current, "its connection was closed");
+            recordUnanswered(*current, "dropped", "its connection was closed");
         }
         current->onCallerDisconnected();
     }
@@ -72,11 +72,13 @@
     }
 }
 
-void caller_connection::recordUnanswered(const exchange &ended, std::string_view why)
+void caller_connection::recordUnanswered(const exchange &ended, std::string_view cause, std::string_view why)
 {
-    log::write(log::level::error, "request ended without an answer", {{"request_id", ended.requestId()}, {"why", why}});
+    log::write(log::level::error, "request ended without an answer",
+               {{"request_id", ended.requestId()}, {"cause", cause}, {"why", why}});
     m_services.metrics.count("medlarrack_gateway_unanswered_requests_total",
-                             "Whole requests whose connection the gateway ended without an answer or a reset", {});
+                             "Whole requests whose connection the gateway ended without an answer or a reset",
+                             {.code = std::string(cause)});
 }
 
 void caller_connection::endRequest(std::string_view code, std::string_view why)
@@ -180,6 +182,8 @@
         std::make_shared<exchange>(m_services, static_cast<caller_channel &>(*this), head, std::move(m_parser.body()));
     m_parser.reset();
     m_continueSent = false;
+    // A caller may pause as long as it may be idle.
+    m_stream->setUnreadLimit(std::max(m_idleTimeout, m_services.routes.limits().idleTimeout));
     const auto started = m_exchange;
     started->start();
 }
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -76,7 +76,7 @@
     /// is counted.
     void end(connection_end how);
     /// Logs and counts a whole request whose caller has got neither an answer nor a reset of a response that had begun.
-    void recordUnanswered(const exchange &ended, std::string_view why);
+    void recordUnanswered(const exchange &ended, std::string_view cause, std::string_view why);
     /// Closes an idle connection.
     void closeIdle(core::monotonic_time now);
 
--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -62,7 +62,10 @@
     [[nodiscard]] bool hasUnreadBytes() const;
     /// Whether the peer has ended or reset its stream, perhaps behind bytes that weren't read yet.
     [[nodiscard]] bool hasPeerEnded() const;
-    /// Whether the connection was given up because the peer didn't acknowledge in time what was written.
+    /// Time for which the peer may leave unread what was written, as long as its host acknowledges it. Without a limit
+    /// of its own, this is as short as the time for acknowledgements.
+    void setUnreadLimit(std::chrono::milliseconds limit);
+    /// Whether the connection was given up because the peer didn't acknowledge or read in time what was written.
     [[nodiscard]] bool hasTimedOut() const;
     /// Ends our side once all is written; the listener gets no more events, and what the peer still sends is dropped.
     void finish();
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 #include <array>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string>
+#include <sys/ioctl.h>
 
 namespace medlarrack::http1 {
 
@@ -17,7 +19,8 @@
 constexpr std::size_t readBytes = 32'768;
 /// Written bytes that stay unacknowledged this long end the connection: a peer without power or behind a partition
 /// answers nothing. Below the time after which callers abandon a stream (2 s).
-constexpr unsigned unacknowledgedLimitMs = 1'500;
+constexpr std::chrono::milliseconds unacknowledgedLimit{1'500};
+constexpr std::chrono::milliseconds acknowledgementCheckInterval{250};
 /// How long a finished connection stays open after the last byte of the peer, so that a late byte doesn't reset it
 /// before the peer has read our last bytes.
 constexpr std::chrono::milliseconds lingerTime{1'000};
@@ -38,6 +41,7 @@
     impl(asio::io_context &context, asio::ip::tcp::socket opened)
         : socket(std::move(opened))
         , timer(context)
+        , watchTimer(context)
     {
         if (socket.is_open()) {
             connected = true;
@@ -50,8 +54,76 @@
         std::error_code ignored;
         socket.non_blocking(true, ignored);
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        limitUnacknowledged(unreadLimit);
+    }
+
+    void setUnreadLimit(std::chrono::milliseconds limit)
+    {
+        limit = std::max(limit, unacknowledgedLimit);
+        if (limit != unreadLimit) {
+            unreadLimit = limit;
+            limitUnacknowledged(limit);
+        }
+    }
+
+    /// The system counts also what the peer has acknowledged to have no room for.
+    void limitUnacknowledged(std::chrono::milliseconds limit)
+    {
+        std::error_code ignored;
         using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-        socket.set_option(user_timeout(static_cast<int>(unacknowledgedLimitMs)), ignored);
+        socket.set_option(user_timeout(static_cast<int>(limit.count())), ignored);
+    }
+
+    /// Checks that the peer acknowledges what is on its way, if the system's own limit is longer.
+    void watchAcknowledgements()
+    {
+        if (unreadLimit <= unacknowledgedLimit || watching) {
+            return;
+        }
+        watching = true;
+        lastHeardAt = asio::steady_timer::clock_type::now();
+        checkAcknowledgements();
+    }
+
+    void checkAcknowledgements()
+    {
+        watchTimer.expires_after(acknowledgementCheckInterval);
+        watchTimer.async_wait([self = shared_from_this()](const std::error_code &waited) {
+            if (waited || !self->socket.is_open()) {
+                return;
+            }
+            if (!self->awaitsAcknowledgement()) {
+                self->watching = false;
+            } else if (self->isPeerSilent()) {
+                self->timedOut = true;
+                self->lose("not acknowledged in time");
+            } else {
+                self->checkAcknowledgements();
+            }
+        });
+    }
+
+    [[nodiscard]] bool awaitsAcknowledgement()
+    {
+        int unacknowledged = 0;
+        return !pending.empty()
+            || (::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0);
+    }
+
+    [[nodiscard]] bool isPeerSilent()
+    {
+        tcp_info info{};
+        socklen_t size = sizeof(info);
+        if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+            return false;
+        }
+        const auto now = asio::steady_timer::clock_type::now();
+        // Both are 0 while the peer answers, also if it answers that it has no room.
+        if (info.tcpi_retransmits == 0 && info.tcpi_probes == 0) {
+            lastHeardAt = now;
+        }
+        return now - lastHeardAt >= unacknowledgedLimit
+            && std::chrono::milliseconds(info.tcpi_last_ack_recv) >= unacknowledgedLimit;
     }
 
     void connect(const asio::ip::tcp::endpoint &to, std::chrono::milliseconds limit)
@@ -144,6 +216,7 @@
         if (!socket.is_open() || lingering) {
             return;
         }
+        watchAcknowledgements();
         if (connected && pending.empty()) {
             std::error_code error;
             const std::size_t size = socket.write_some(asio::buffer(bytes), error);
@@ -302,6 +375,7 @@
         listener = nullptr;
         std::error_code ignored;
         timer.cancel();
+        watchTimer.cancel();
         socket.close(ignored);
     }
 
@@ -316,6 +390,11 @@
 
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
+    asio::steady_timer watchTimer;
+    /// Whether acknowledgements are checked; then, when the peer was last known to answer.
+    bool watching = false;
+    asio::steady_timer::time_point lastHeardAt{};
+    std::chrono::milliseconds unreadLimit = unacknowledgedLimit;
     byte_stream_listener *listener = nullptr;
     std::string pending;
     std::size_t sentBytes = 0;
@@ -400,6 +479,11 @@
     return m_impl->hasPeerEnded();
 }
 
+void byte_stream::setUnreadLimit(std::chrono::milliseconds limit)
+{
+    m_impl->setUnreadLimit(limit);
+}
+
 bool byte_stream::hasTimedOut() const
 {
     return m_impl->timedOut;
--- a/libs/http1/tests/test_byte_stream.cpp
+++ b/libs/http1/tests/test_byte_stream.cpp
@@ -5,6 +5,7 @@
 #include <asio/read.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <linux/filter.h>
 #include <thread>
 
 using namespace medlarrack::http1;
@@ -12,6 +13,24 @@
 
 namespace {
 
+constexpr auto acknowledgementTime = std::chrono::milliseconds(1'500);
+
+struct loss_listener : byte_stream_listener
+{
+    void onBytes(std::string_view) override
+    {
+    }
+    void onPeerEnd() override
+    {
+    }
+    void onLost(std::string_view) override
+    {
+        lost = true;
+    }
+
+    bool lost = false;
+};
+
 /// Both ends of a connection on loopback.
 struct byte_stream_fixture
 {
@@ -33,6 +52,14 @@
         context.run_for(time);
     }
 
+    /// The peer gets no more packets, as if it had lost power.
+    void unplugPeer()
+    {
+        sock_filter dropAll{BPF_RET | BPF_K, 0, 0, 0};
+        const sock_fprog program{1, &dropAll};
+        BOOST_REQUIRE(::setsockopt(peer.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) == 0);
+    }
+
     /// Waits until the peer sees the end of the stream.
     void awaitEnd()
     {
@@ -144,4 +171,79 @@
     BOOST_TEST(received == "response");
 }
 
+// Guards against a peer that pauses, while its host acknowledges, and loses what it was owed.
+BOOST_AUTO_TEST_CASE(a_peer_that_does_not_read_for_a_while_gets_all)
+{
+    loss_listener listener;
+    stream->setListener(&listener);
+    stream->setUnreadLimit(std::chrono::seconds(30));
+    const std::string bytes(16'000'000, 'x');
+    stream->write(bytes);
+    BOOST_TEST(stream->queued() > 0U);
+    runFor(2 * acknowledgementTime);
+    BOOST_TEST_REQUIRE(!listener.lost);
+    std::size_t received = 0;
+    std::array<char, 65'536> buffer{};
+    std::error_code failed;
+    std::function<void()> read = [&] {
+        peer.async_read_some(asio::buffer(buffer), [&](const std::error_code &error, std::size_t size) {
+            failed = error;
+            received += size;
+            if (!error) {
+                read();
+            }
+        });
+    };
+    read();
+    BOOST_TEST(runUntil(context, [&] {
+        return failed || received == bytes.size();
+    }));
+    BOOST_TEST(!failed);
+    BOOST_TEST(!listener.lost);
+}
+
+// Guards against memory that is held for as long as a peer likes that reads nothing.
+BOOST_AUTO_TEST_CASE(a_peer_that_does_not_read_until_the_limit_is_given_up)
+{
+    loss_listener listener;
+    stream->setListener(&listener);
+    stream->setUnreadLimit(std::chrono::seconds(3));
+    stream->write(std::string(16'000'000, 'x'));
+    BOOST_TEST(runUntil(context, [&] {
+        return listener.lost;
+    }));
+    BOOST_TEST(stream->hasTimedOut());
+}
+
+// Guards against a peer without power, or behind a partition, that isn't noticed.
+BOOST_AUTO_TEST_CASE(a_peer_that_acknowledges_nothing_is_given_up)
+{
+    loss_listener listener;
+    stream->setListener(&listener);
+    stream->setUnreadLimit(std::chrono::seconds(60));
+    unplugPeer();
+    const auto start = std::chrono::steady_clock::now();
+    stream->write("response");
+    BOOST_TEST(runUntil(context, [&] {
+        return listener.lost;
+    }));
+    BOOST_TEST(stream->hasTimedOut());
+    BOOST_TEST((std::chrono::steady_clock::now() - start >= acknowledgementTime));
+}
+
+// Guards against one that loses power after it had stopped reading.
+BOOST_AUTO_TEST_CASE(a_peer_that_has_stopped_reading_and_acknowledges_nothing_is_given_up)
+{
+    loss_listener listener;
+    stream->setListener(&listener);
+    stream->setUnreadLimit(std::chrono::seconds(60));
+    stream->write(std::string(16'000'000, 'x'));
+    runFor(std::chrono::milliseconds(300));
+    unplugPeer();
+    BOOST_TEST(runUntil(context, [&] {
+        return listener.lost;
+    }));
+    BOOST_TEST(stream->hasTimedOut());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
