Go back to a replica that paused if the one after it breaks off

Callers saw: on a route with two attempts, 502 or a reset stream when the first replica paused and the second broke off. Cause: the way back was open only to rejected requests, and counted against the route's attempts, which limit replicas. Evidence: whole_requests_silence/a_stream_whose_second_replica_breaks_off_goes_on_at_the_one_that_paused and a_request_whose_second_replica_breaks_off_goes_back_once failed before (reset; 502, one request at the first replica). Change: a run that may have run at the second goes back too, once, also as the last attempt; the same replica is no further one, so a request still reaches at most maxAttempts of them. Crash suspicion, versions, outdated engines and the retry budget's account apply as before; routes that run once never leave a silent replica, so they are not affected.

--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -234,7 +234,8 @@
 {
     const core::monotonic_time now = m_services.clock.now();
     const replica_ptr silent = m_services.replicas.find(std::exchange(m_silentReplica, {}));
-    if (silent == nullptr || now >= m_deadline || m_history.runs >= m_route->maxAttempts
+    // The route limits the replicas, and this one has had the request.
+    if (silent == nullptr || now >= m_deadline || m_history.runs > m_route->maxAttempts
         || !acceptsRequests(*silent, now) || !silent->requestLimit.admits(now) || isContentRefused(now)
         || arePartsRefused(now) || m_services.crashDetector.mustWait(m_requestMetadata.sharedParts, now)
         || (m_origin != resumption::unknownOrigin && !mayResume(*silent, m_origin))) {
--- a/libs/gateway/src/exchange_reading.cpp
+++ b/libs/gateway/src/exchange_reading.cpp
@@ -326,7 +326,7 @@
     releaseReplica();
     if (end == attempt_outcome::not_run && m_history.runs == 0) {
         refuse(refusal_cause::rejected, "not_reached", why);
-    } else if (end != attempt_outcome::not_run || !returnToSilentReplica()) {
+    } else if (!returnToSilentReplica()) {
         constexpr int statusBadGateway = 502;
         respondWithError(statusBadGateway, "attempt_failed", why);
     }
