Refuse at once what a stopping process can't finish

Callers saw: requests sent 0.1 to 2.4 s after a stop began were passed on though their time-out lay far beyond its end, run-once ones included, and were cut. Cause: whether a request can be finished in the time that is left wasn't asked when it was taken. Class: work is taken without a look at what is left to do it in. Evidence: planned_stop/a_request_that_cannot_be_finished_in_the_time_that_is_left_is_refused; before, the request was passed on and got no word in the 20 s of the test.

--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -12,6 +12,7 @@
 #include <medlarrack/gateway/caller_retry_detector.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
+#include <medlarrack/gateway/stop_admission.hpp>
 #include <medlarrack/metrics/registry.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 #include <medlarrack/resumption/stream_directory.hpp>
@@ -24,7 +25,7 @@
 
 namespace medlarrack::gateway {
 
-/// References to what all exchanges of the process share.
+/// What all exchanges of the process share, most of it by reference.
 struct exchange_services
 {
     const core::clock &clock;
@@ -49,6 +50,7 @@
     /// For the jitter in the Retry-After of refusals.
     std::minstd_rand &random;
     run_stopper &runStopper;
+    stop_admission stopAdmission{};
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -256,6 +256,7 @@
     {
         drainSchedule.emplace(clock.now(), settings.gracePeriod);
         onDrainComplete = std::move(onDone);
+        services.stopAdmission.beginStop(drainSchedule->end());
         callerServer.drain();
         callerServer.refuseRequestsFrom(drainSchedule->end());
         log::write(log::level::info, "stopping", {{"busy", static_cast<std::uint64_t>(callerServer.busy())}});
