Listen in a planned stop as long as requests come that can be finished

Callers saw: with four gateways told to stop 0.5 s apart all had closed their doors 2.5 s later, and callers found no connection although each had 4 s and more left. Cause: listening ended a fixed time after the signal. Change: after these 2.5 s a gateway closes its door when no request has come for 0.7 s, and 0.5 s before the end at the latest; what it takes by then is decided by stop_admission. Readiness is refused from the signal on, as before. Evidence: planned_stop/connections_are_accepted_as_long_as_requests_come_that_can_be_finished, a read each 0.5 s for 6 s; before, "connect: Connection refused". A stop to which nobody turns any more ends 2.5 s after the signal as before.

--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -266,7 +266,8 @@
     bool continueDrain(core::monotonic_time now)
     {
         const drain_step before = drainSchedule->step();
-        const drain_step step = drainSchedule->update(now, callerServer.isDrained(), callerServer.isEmpty());
+        const drain_step step = drainSchedule->update(
+            now, {callerServer.isDrained(), callerServer.isEmpty(), services.stopAdmission.lastRequestAt()});
         if (step >= drain_step::closing) {
             callerServer.close();
         }
