--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -257,6 +257,7 @@
     {
         drainSchedule.emplace(clock.now(), settings.gracePeriod);
         onDrainComplete = std::move(onDone);
+        services.stopAdmission.beginStop(drainSchedule->end());
         callerServer.drain();
         callerServer.refuseRequestsFrom(drainSchedule->end());
         log::write(log::level::info, "stopping", {{"busy", static_cast<std::uint64_t>(callerServer.busy())}});
@@ -266,7 +267,8 @@
     bool continueDrain(core::monotonic_time now)
     {
         const drain_step before = drainSchedule->step();
-        const drain_step step = drainSchedule->update(now, callerServer.isDrained(), callerServer.isEmpty());
+        const drain_step step = drainSchedule->update(
+            now, {callerServer.isDrained(), callerServer.isEmpty(), services.stopAdmission.lastRequestAt()});
         if (step >= drain_step::closing) {
             callerServer.close();
         }
