Count a planned stop from the last tick if the process stood still

Callers saw: nothing yet; by reading, a process that stands still when it is told to stop counted its grace from the delivery of the signal and was killed before it had answered. Cause: the grace runs from the sending. Change: the stop begins at the last tick, at most. Evidence: planned_stop/a_stop_that_meets_a_frozen_process_counts_from_the_last_sign_of_life failed before (no 502 at 7.1 s).

--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -201,6 +201,7 @@
     void tick()
     {
         const core::monotonic_time now = clock.now();
+        lastTickAt = now;
         replicas.removeExpired(now);
         callerServer.tick(now);
         agents.tick();
@@ -254,7 +255,8 @@
 
     void drain(std::function<void()> onDone)
     {
-        drainSchedule.emplace(clock.now(), settings.gracePeriod);
+        // The signal may have been sent at any time since the last tick if the process stood still.
+        drainSchedule.emplace(std::min(clock.now(), lastTickAt + tickInterval), settings.gracePeriod);
         onDrainComplete = std::move(onDone);
         services.stopAdmission.beginStop(drainSchedule->end());
         callerServer.drain();
@@ -336,6 +338,7 @@
     http1::page_server adminServer;
     asio::steady_timer tickTimer;
     store_reader store;
+    core::monotonic_time lastTickAt{};
     core::monotonic_time nextIdleConnectionCheck{};
     std::optional<drain_schedule> drainSchedule;
     std::function<void()> onDrainComplete;
