Read on after an answer whose last bytes paused its connection

Callers saw the next answer of that replica never come: a connection that an exchange pauses on the bytes that complete the answer went back to the pool paused, and nobody resumed it. It could happen to streams whose caller reads slowly (by reading the code, not shown there).

There is no test of the client connection alone yet.

--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -199,7 +199,10 @@
     const bool allSent = m_stream->sent() >= m_requestEnd;
     m_reusable = m_reusable && allSent && !m_skippedAny;
     call_observer *observer = std::exchange(m_observer, nullptr);
-    if (!m_reusable) {
+    if (m_reusable) {
+        // The observer may have paused on the last bytes; the next answer would never be read.
+        m_stream->startReading();
+    } else {
         m_stream->close();
     }
     observer->onComplete();
