Bound what the process holds of answers that are being collected

A faulty replica that sends bodies without end made the gateway keep up to 4 MB for each of its requests. Each answer was bounded, their sum was not: 200 requests at 8 such replicas took the process from 10 to 653 MB, and a machine with 260 MB would have lost all its callers' requests.

What is collected now counts in a byte_account with a quarter of the new setting memory_limit_mb (limits.memoryMb in the deployment). Beyond it a replica's connections are paused until there is room; the oldest answer always goes on. A large error response is held for a retry only if there is room. Gauges for the bytes, the limit and those that wait are on /metrics.

--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -36,11 +36,16 @@
     double retryRatio = 0.2;
     std::chrono::seconds retryWindow{10};
     response_bounds responseBounds;
+    /// Memory that the process may use. A share of it is for what is kept for others.
+    std::uint32_t memoryLimitMb = 256;
     /// Longest answer of the store.
     std::uint32_t maxStoreAnswerKb = 32'768;
     std::string logLevel = "info";
 };
 
+/// Bytes that may be kept for others.
+[[nodiscard]] std::size_t maxHeldBytes(const gateway_settings &settings);
+
 /// This gateway's budget for the retries of one service. Gateways don't exchange counts: each applies the ratio to its
 /// own requests.
 [[nodiscard]] overload::retry_budget makeRetryBudget(const gateway_settings &settings);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -211,6 +211,7 @@
 
 void exchange::releaseReplica()
 {
+    dropBody();
     if (m_replica == nullptr) {
         return;
     }
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -11,6 +11,7 @@
 #include <medlarrack/gateway/run_stop.hpp>
 #include <medlarrack/gateway/stream_ending.hpp>
 #include <medlarrack/http1/client_connection.hpp>
+#include <medlarrack/overload/byte_account.hpp>
 
 #include <chrono>
 #include <memory>
@@ -109,6 +110,13 @@
     void hold(std::string_view why, std::chrono::milliseconds interval = heldDispatchInterval);
     void waitForAdapter(const replica_choice &choice);
     void sendRequest(const replica_ptr &to);
+    /// Keeps bytes of a body until it is whole, and stops reading it while the process has no room for more.
+    void collectBody(std::string_view bytes);
+    void onRoomForBody();
+    /// Keeps the error response for the case that no other replica gives a better one, if there is room.
+    void holdErrorResponse();
+    /// Gives back what has been collected of a body.
+    void dropBody();
     void relayEvents(std::string &body);
     /// The exchange may have ended when this returns.
     void failRunOfOtherOrigin(std::string &body);
@@ -248,8 +256,12 @@
     http1::message_head m_responseHead;
     response_metadata m_responseMetadata;
     std::string m_responseBody;
+    std::unique_ptr<overload::byte_holding> m_bodyHolding;
+    /// The connection is paused until the process has room for more of the body.
+    bool m_awaitsRoom = false;
     /// A replica's error response that was held back to try another replica.
     std::optional<std::pair<http1::message_head, std::string>> m_heldErrorResponse;
+    std::unique_ptr<overload::byte_holding> m_heldErrorHolding;
     event_splitter m_eventSplitter;
     /// Events that earlier replicas sent.
     std::size_t m_eventsBeforeRun = 0;
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -172,7 +172,7 @@
         log::write(log::level::info, "refused request probed",
                    {{"request_id", m_requestMetadata.id}, {"fingerprint", m_fingerprint}, {"replica", m_replicaId}});
     }
-    m_responseBody.clear();
+    dropBody();
     m_responseBytes = 0;
     m_eventsBeforeRun = m_eventSplitter.eventCount();
     m_partialEventBytes = 0;
@@ -258,7 +258,7 @@
     const auto patience = m_responseHeadSent ? eventGapTimeout(*m_route) : answerTimeout(*m_route);
     // For the way back, if the other replica rejects the request.
     constexpr std::uint32_t reservedRetries = 1;
-    if (!mayAskToStop(now) || now - m_lastProgressAt < patience || m_readPaused || now >= m_deadline
+    if (!mayAskToStop(now) || now - m_lastProgressAt < patience || m_readPaused || m_awaitsRoom || now >= m_deadline
         || m_connection->hasUnreadBytes() || !mayRetry(*m_route, attempt_outcome::unknown, m_history)
         || !canGoOnElsewhere(now) || !m_services.retryBudgetFor(m_serviceName).tryRetry(now, reservedRetries)) {
         return;
--- a/libs/gateway/src/exchange_reading.cpp
+++ b/libs/gateway/src/exchange_reading.cpp
@@ -103,11 +103,12 @@
         return;
     }
     m_lastProgressAt = m_services.clock.now();
-    m_responseBody += body;
-    body.clear();
     if (m_responseBytes > kilobytes(bounds.maxBodyKb)) {
         failEndlessResponse("body");
+        return;
     }
+    collectBody(body);
+    body.clear();
 }
 
 void exchange::recordEndlessResponse(std::string_view what)
@@ -126,8 +127,7 @@
 {
     const auto self = shared_from_this();
     recordEndlessResponse(what);
-    // Not held back as the answer to relay if no other replica gives one.
-    m_responseBody.clear();
+    dropBody();
     onAttemptFailed(attempt_outcome::unknown, "the response exceeds its bound", false);
 }
 
@@ -223,7 +223,7 @@
         if (mayRetry(*m_route, attempt_outcome::unknown, m_history)
             && m_services.retryBudgetFor(m_serviceName).tryRetry(m_services.clock.now())) {
             const int status = m_responseHead.status;
-            m_heldErrorResponse.emplace(std::move(m_responseHead), std::move(m_responseBody));
+            holdErrorResponse();
             retryElsewhere("the replica answered " + std::to_string(status));
             return;
         }
--- a/libs/gateway/src/exchange_responses.cpp
+++ b/libs/gateway/src/exchange_responses.cpp
@@ -19,11 +19,17 @@
         m_requestHead.method == "HEAD" || m_responseHead.status == 204 || m_responseHead.status == 304;
     m_services.format.appendResponseHead(out, m_responseHead, hasNoBody ? body_framing::none : body_framing::length,
                                          m_responseBody.size(), m_caller->decideClose());
-    if (!hasNoBody) {
+    // Copying a short body is cheaper than another system call.
+    constexpr std::size_t maxCopiedBytes = 65'536;
+    const bool isCopied = !hasNoBody && m_responseBody.size() <= maxCopiedBytes;
+    if (isCopied) {
         out += m_responseBody;
     }
     m_responseHeadSent = true;
     m_caller->write(out);
+    if (!hasNoBody && !isCopied) {
+        m_caller->write(m_responseBody);
+    }
     if (m_responseHead.status < firstErrorStatus) {
         clearPartsOfSuspicion();
     }
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -13,6 +13,7 @@
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/overload/byte_account.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 #include <medlarrack/resumption/stream_directory.hpp>
 #include <medlarrack/suspects/crash_detector.hpp>
@@ -49,6 +50,8 @@
     /// For the jitter in the Retry-After of refusals.
     std::minstd_rand &random;
     run_stopper &runStopper;
+    /// What the process keeps for others; its holders are the replicas.
+    overload::byte_account &heldBytes;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -61,6 +61,7 @@
                  })
         , runStopper(owner, callerFormat)
         , random(static_cast<std::minstd_rand::result_type>(time.wallNow().time_since_epoch().count()))
+        , heldBytes(maxHeldBytes(given), kilobytes(given.responseBounds.maxBodyKb), http1::byte_stream::readBytes)
         , services{time,
                    callerFormat,
                    routes,
@@ -84,7 +85,8 @@
                        store.refreshSoon();
                    },
                    random,
-                   runStopper}
+                   runStopper,
+                   heldBytes}
         , callerServer(owner, services)
         , adminServer(owner,
                       [this](std::string_view target) {
@@ -307,6 +309,12 @@
                           {}, static_cast<double>(crashDetector.size()));
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callerServer.busy()));
+            metrics.gauge("medlarrack_gateway_held_bytes", "Bytes of responses that are collected", {},
+                          static_cast<double>(heldBytes.heldBytes()));
+            metrics.gauge("medlarrack_gateway_max_held_bytes", "Their bound for the process", {},
+                          static_cast<double>(heldBytes.limit()));
+            metrics.gauge("medlarrack_gateway_waiting_for_memory", "Responses that aren't read on until there is room",
+                          {}, static_cast<double>(heldBytes.waiting()));
             return {statusOk, "text/plain; version=0.0.4", metrics.text()};
         }
         return {statusNotFound, "text/plain", "no such page\n"};
@@ -329,6 +337,7 @@
     std::map<std::string, overload::retry_budget, std::less<>> retryBudgets;
     http_run_stopper runStopper;
     std::minstd_rand random;
+    overload::byte_account heldBytes;
     exchange_services services;
     caller_server callerServer;
     http1::page_server adminServer;
@@ -366,6 +375,7 @@
     m_impl->settings.retryWindow = settings.retryWindow;
     m_impl->settings.drainTime = settings.drainTime;
     m_impl->settings.responseBounds = settings.responseBounds;
+    m_impl->heldBytes.setLimits(maxHeldBytes(settings), kilobytes(settings.responseBounds.maxBodyKb));
 }
 
 std::uint16_t gateway_service::callersPort() const
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -10,6 +10,10 @@
 
 constexpr std::int64_t highestPort = 65'535;
 constexpr std::int64_t largestKb = 1'048'576;
+constexpr std::int64_t leastMemoryMb = 32;
+constexpr std::int64_t largestMemoryMb = 1'048'576;
+/// The rest is for tables, buffers of connections and copies in progress.
+constexpr std::size_t heldShareDivisor = 4;
 constexpr milliseconds shortestChangeBound{100};
 constexpr milliseconds longestChangeBound{60'000};
 constexpr milliseconds longestDrainTime{600'000};
@@ -50,12 +54,22 @@
     reader.integer("max_response_kb", value.responseBounds.maxBodyKb, 1, largestKb);
     reader.integer("max_event_kb", value.responseBounds.maxEventKb, 1, largestKb);
     reader.integer("max_stream_kb", value.responseBounds.maxStreamKb, 1, largestKb);
+    reader.integer("memory_limit_mb", value.memoryLimitMb, leastMemoryMb, largestMemoryMb);
+    if (kilobytes(value.responseBounds.maxBodyKb) > maxHeldBytes(value) / 2) {
+        reader.addFault("max_response_kb", "is more than an eighth of memory_limit_mb");
+    }
     reader.integer("max_store_answer_kb", value.maxStoreAnswerKb, 1, largestKb);
     reader.word("log_level", value.logLevel, {"debug", "info", "warning", "error"});
 }
 
 } // namespace
 
+std::size_t maxHeldBytes(const gateway_settings &settings)
+{
+    constexpr std::size_t bytesPerMb = 1'048'576;
+    return settings.memoryLimitMb * bytesPerMb / heldShareDivisor;
+}
+
 overload::retry_budget makeRetryBudget(const gateway_settings &settings)
 {
     return {settings.retryRatio * usedShareOfRetries, extraRetriesPerWindow, settings.retryWindow};
--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -40,6 +40,9 @@
 class byte_stream : public std::enable_shared_from_this<byte_stream>
 {
 public:
+    /// Bytes taken from a connection at once at most. Most answers fit.
+    static constexpr std::size_t readBytes = 32'768;
+
     explicit byte_stream(asio::io_context &context);
     byte_stream(asio::io_context &context, asio::ip::tcp::socket socket);
     byte_stream(const byte_stream &) = delete;
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/// Bytes taken from a connection at once. Most answers fit.
-constexpr std::size_t readBytes = 32'768;
 /// Written bytes that stay unacknowledged this long end the connection: a peer without power or behind a partition
 /// answers nothing. Below the time after which callers abandon a stream (2 s).
 constexpr unsigned unacknowledgedLimitMs = 1'500;
@@ -24,9 +22,9 @@
 /// The same in total. The rest of a refused body takes some seconds on a slow link.
 constexpr std::chrono::milliseconds maxLingerTime{15'000};
 
-std::array<char, readBytes> &scratch()
+std::array<char, byte_stream::readBytes> &scratch()
 {
-    static std::array<char, readBytes> buffer;
+    static std::array<char, byte_stream::readBytes> buffer;
     return buffer;
 }
 
