--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -14,6 +14,7 @@
 #include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/gateway/stop_admission.hpp>
 #include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/overload/byte_account.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 #include <medlarrack/resumption/stream_directory.hpp>
 #include <medlarrack/suspects/crash_detector.hpp>
@@ -50,6 +51,8 @@
     /// For the jitter in the Retry-After of refusals.
     std::minstd_rand &random;
     run_stopper &runStopper;
+    /// What the process keeps for others; its holders are the replicas.
+    overload::byte_account &heldBytes;
     stop_admission stopAdmission{};
 };
 
