Fail a response whose head announces more than its bound

Callers waited for bytes that could only be thrown away: the body of a response was collected up to its bound although its Content-Length already exceeded it, and a sender that stalled held the request until its deadline. Change: such a response counts as one without end when its head comes; those to HEAD, rejections and event streams are exempt.

--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -112,6 +112,8 @@
     bool refuseIfTooLate(core::monotonic_time now);
     void waitForAdapter(const replica_choice &choice);
     void sendRequest(const replica_ptr &to);
+    /// Whether the head states a body that exceeds its bound.
+    [[nodiscard]] bool announcesTooMuch(const http1::message_head &head) const;
     /// Keeps bytes of a body until it is whole, and stops reading it while the process has no room for more.
     void collectBody(std::string_view bytes);
     void onRoomForBody();
--- a/libs/gateway/src/exchange_collecting.cpp
+++ b/libs/gateway/src/exchange_collecting.cpp
@@ -3,6 +3,7 @@
 #include "exchange.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace medlarrack::gateway {
@@ -26,6 +27,16 @@
 
 } // namespace
 
+bool exchange::announcesTooMuch(const http1::message_head &head) const
+{
+    // The parser has checked that it is a number.
+    const std::string_view text = head.value("Content-Length");
+    std::uint64_t length = 0;
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length > kilobytes(m_services.responseBounds.maxBodyKb) && m_requestHead.method != "HEAD"
+        && !m_responseMetadata.notRun && !isReplicaStream();
+}
+
 void exchange::collectBody(std::string_view bytes)
 {
     appendTightly(m_responseBody, bytes);
--- a/libs/gateway/src/exchange_reading.cpp
+++ b/libs/gateway/src/exchange_reading.cpp
@@ -70,6 +70,10 @@
     } else {
         m_responseHead.status = head.status;
     }
+    if (announcesTooMuch(head)) {
+        failEndlessResponse("announced body");
+        return http1::head_verdict::skip;
+    }
     return http1::head_verdict::take;
 }
 
