End a gateway's connections to callers before what answers them

What the ends logged was never flushed. Change: the reader outlives the connections, and the program flushes its log after the service has ended.

--- a/apps/medlarrack-gateway/main.cpp
+++ b/apps/medlarrack-gateway/main.cpp
@@ -9,6 +9,8 @@
 #include <asio/io_context.hpp>
 
 #include <iostream>
+#include <optional>
+#include <utility>
 
 namespace {
 
@@ -35,27 +37,30 @@
     const core::system_clock clock;
     const platform::caller_codec callers;
     const platform::store_codec store;
-    gateway::gateway_service service(context, settings, callers, store, clock);
+    std::optional<gateway::gateway_service> service(std::in_place, context, settings, callers, store, clock);
     core::reason why;
-    if (!service.start(why)) {
+    if (!service->start(why)) {
         log::write(log::level::error, why.message, {{"code", why.code}});
         log::flush();
         return daemon::exitFailure;
     }
     log::write(log::level::info, "started", {{"version", MEDLARRACK_VERSION}});
     if (options.printPort) {
-        std::cout << "listening callers " << service.callersPort() << "\nlistening admin " << service.adminPort()
+        std::cout << "listening callers " << service->callersPort() << "\nlistening admin " << service->adminPort()
                   << std::endl;
     }
     const auto terminate = [&] {
-        service.drain([&context] {
+        service->drain([&context] {
             context.stop();
         });
     };
     const daemon::signals signals(context, terminate, [&] {
-        reload(options.settingsPath, service);
+        reload(options.settingsPath, *service);
     });
     context.run();
+    // Its end may still answer requests, and logs that.
+    service.reset();
+    log::flush();
     return daemon::exitOk;
 }
 
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -85,17 +85,17 @@
                    random,
                    runStopper,
                    heldBytes}
+        , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
+                given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
+                [this](const store_update &update) {
+                    applyUpdate(update);
+                })
         , callerServer(owner, services)
         , adminServer(owner,
                       [this](std::string_view target) {
                           return serveAdminPage(target);
                       })
         , tickTimer(owner)
-        , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
-                given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
-                [this](const store_update &update) {
-                    applyUpdate(update);
-                })
     {
     }
 
@@ -344,10 +344,11 @@
     std::minstd_rand random;
     overload::byte_account heldBytes;
     exchange_services services;
+    store_reader store;
+    // Ends before what the requests in progress use, which it answers then.
     caller_server callerServer;
     http1::page_server adminServer;
     asio::steady_timer tickTimer;
-    store_reader store;
     core::monotonic_time lastTickAt{};
     core::monotonic_time nextIdleConnectionCheck{};
     std::optional<drain_schedule> drainSchedule;
