--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -16,6 +16,8 @@
 
 /// Other processes take the request at once.
 constexpr std::chrono::milliseconds stoppingRetryAfter{50};
+/// Time in which a process that ends reads what the system has received, so that each request in it is refused.
+constexpr std::chrono::milliseconds lastReadTime{100};
 
 constexpr int statusBadRequest = 400;
 constexpr int statusRequestTimeout = 408;
@@ -36,8 +38,73 @@
 
 caller_connection::~caller_connection()
 {
-    if (m_exchange != nullptr) {
-        m_exchange->onCallerDisconnected();
+    // Nothing behind the request in progress is begun anymore.
+    m_unparsed.clear();
+    m_keepAlive = false;
+    endRequest("stopping", "this process is about to end");
+    if (!m_closed) {
+        end(connection_end::closed);
+    }
+}
+
+void caller_connection::end(connection_end how)
+{
+    m_closed = true;
+    if (const auto current = std::exchange(m_exchange, nullptr)) {
+        if (how == connection_end::lost && m_stream->hasTimedOut()) {
+            recordUnanswered(*current, "unreachable", "its caller acknowledged or read nothing in time");
+        } else if (how != connection_end::lost) {
+            recordUnanswered(*current, "dropped", "its connection was closed");
+        }
+        current->onCallerDisconnected();
+    }
+    switch (how) {
+    case connection_end::finished:
+        m_stream->finish();
+        break;
+    case connection_end::finished_unread:
+        m_stream->finishUnread();
+        break;
+    case connection_end::aborted:
+        m_stream->abort();
+        break;
+    case connection_end::lost:
+    case connection_end::closed:
+        m_stream->close();
+        break;
+    }
+}
+
+void caller_connection::recordUnanswered(const exchange &ended, std::string_view cause, std::string_view why)
+{
+    log::write(log::level::error, "request ended without an answer",
+               {{"request_id", ended.requestId()}, {"cause", cause}, {"why", why}});
+    m_services.metrics.count("medlarrack_gateway_unanswered_requests_total",
+                             "Whole requests whose connection the gateway ended without an answer or a reset",
+                             {.code = std::string(cause)});
+}
+
+void caller_connection::endRequest(std::string_view code, std::string_view why)
+{
+    if (m_closed) {
+        return;
+    }
+    // No lock on this: the destructor ends the request too.
+    const core::monotonic_time now = m_services.clock.now();
+    m_draining = true;
+    m_refuseFrom = std::min(m_refuseFrom.value_or(now), now);
+    if (const auto current = m_exchange) {
+        current->abandon(code, why, stoppingRetryAfter);
+    } else if (hasUnreadBytes() && now - *m_refuseFrom < lastReadTime) {
+        return;
+    } else if (m_parser.state() == http1::parse_state::body) {
+        // The rest of the body is not read.
+        m_keepAlive = false;
+        refuseRequest();
+    } else if (m_parser.started()) {
+        sendErrorAndClose(statusUnavailable, code, why);
+    } else {
+        closeIdle(now);
     }
 }
 
@@ -110,22 +177,25 @@
         sendErrorAndClose(statusBadRequest, "malformed_request", "no host, or a target that is no path");
         return;
     }
-    if (m_refuseFrom && m_services.clock.now() >= *m_refuseFrom) {
-        refuseAndClose();
+    const core::monotonic_time now = m_services.clock.now();
+    m_services.stopAdmission.recordRequest(now);
+    if (m_refuseFrom && now >= *m_refuseFrom) {
+        refuseRequest();
         return;
     }
     if (m_stream->hasPeerEnded()) {
         // The end lies behind the request; nobody waits for an answer.
         const request_metadata request = m_services.format.readRequest(head);
         log::write(log::level::info, "request dropped, its caller has left", {{"request_id", request.id}});
-        m_closed = true;
-        m_stream->close();
+        end(connection_end::lost);
         return;
     }
     m_exchange =
         std::make_shared<exchange>(m_services, static_cast<caller_channel &>(*this), head, std::move(m_parser.body()));
     m_parser.reset();
     m_continueSent = false;
+    // A caller may pause as long as it may be idle.
+    m_stream->setUnreadLimit(std::max(m_idleTimeout, m_services.routes.limits().idleTimeout));
     const auto started = m_exchange;
     started->start();
 }
@@ -138,7 +208,7 @@
     }
 }
 
-void caller_connection::refuseAndClose()
+void caller_connection::refuseRequest()
 {
     const request_metadata request = m_services.format.readRequest(m_parser.head());
     log::write(log::level::info, "request refused by a stopping process", {{"request_id", request.id}});
@@ -147,12 +217,17 @@
     response.code = "stopping";
     response.message = "this process is about to end";
     response.retryAfter = stoppingRetryAfter;
-    response.closesConnection = true;
+    response.closesConnection = decideClose();
     response.omitsBody = m_parser.head().method == "HEAD";
     std::string out;
     m_services.format.appendLocalResponse(out, response, request.id);
     m_stream->write(out);
-    close();
+    if (m_closeAnnounced) {
+        end(connection_end::finished);
+        return;
+    }
+    m_parser.reset();
+    m_continueSent = false;
 }
 
 void caller_connection::sendErrorAndClose(int status, std::string_view code, std::string_view why)
@@ -166,13 +241,7 @@
     std::string out;
     m_services.format.appendLocalResponse(out, response, "");
     m_stream->write(out);
-    close();
-}
-
-void caller_connection::close()
-{
-    m_closed = true;
-    m_stream->finish();
+    end(connection_end::finished);
 }
 
 void caller_connection::write(std::string_view bytes)
@@ -187,7 +256,9 @@
 
 bool caller_connection::decideClose()
 {
-    m_closeAnnounced = m_draining || !m_keepAlive;
+    // Pipelined requests have been received, so they are answered too.
+    const bool hasNextRequest = !m_unparsed.empty() || hasUnreadBytes();
+    m_closeAnnounced = !m_keepAlive || (m_draining && !hasNextRequest);
     return m_closeAnnounced;
 }
 
@@ -202,10 +273,10 @@
     m_idleTimeout = m_services.routes.limits().idleTimeout;
     m_exchange = nullptr;
     if (m_closeAnnounced) {
-        close();
+        end(connection_end::finished);
         return;
     }
-    if (m_refuseFrom && m_unparsed.empty() && !hasUnreadBytes()) {
+    if (m_refuseFrom && m_lastActivityAt >= *m_refuseFrom && m_unparsed.empty() && !hasUnreadBytes()) {
         closeIdle(m_lastActivityAt);
         return;
     }
@@ -216,8 +287,7 @@
 void caller_connection::onResponseAborted()
 {
     m_exchange = nullptr;
-    m_closed = true;
-    m_stream->abort();
+    end(connection_end::aborted);
 }
 
 void caller_connection::onWritten()
@@ -235,11 +305,7 @@
 void caller_connection::onLost(std::string_view)
 {
     const auto self = shared_from_this();
-    m_closed = true;
-    m_stream->close();
-    if (const auto current = std::exchange(m_exchange, nullptr)) {
-        current->onCallerDisconnected();
-    }
+    end(connection_end::lost);
 }
 
 void caller_connection::tick(core::monotonic_time now)
@@ -275,8 +341,7 @@
                {{"idle_ms", inMilliseconds(now - m_lastActivityAt)},
                 {"idle_timeout_ms", m_idleTimeout.count()},
                 {"state_version", m_services.routes.version()}});
-    m_closed = true;
-    m_stream->finishUnread();
+    end(connection_end::finished_unread);
 }
 
 void caller_connection::drain()
@@ -286,7 +351,7 @@
 
 void caller_connection::refuseRequestsFrom(core::monotonic_time time)
 {
-    m_refuseFrom = time;
+    m_refuseFrom = std::min(m_refuseFrom.value_or(time), time);
 }
 
 void caller_connection::closeIfIdle()
@@ -301,6 +366,11 @@
     return m_closed;
 }
 
+bool caller_connection::isOpen() const
+{
+    return m_stream->isOpen();
+}
+
 bool caller_connection::hasUnsentBytes() const
 {
     return m_stream->isOpen() && m_stream->queued() > 0;
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -32,10 +32,15 @@
     void drain();
     /// The process takes no new requests from this time on: it might end before their answers. They are refused.
     void refuseRequestsFrom(core::monotonic_time time);
+    /// The process ends: answers the request in progress, refuses those that were received behind it or in part, and
+    /// closes. Called again until the connection is closed.
+    void endRequest(std::string_view code, std::string_view why);
     /// Closes unless a request is being received or processed, or bytes of one weren't read yet.
     void closeIfIdle();
     [[nodiscard]] bool isClosed() const;
     [[nodiscard]] bool isIdle() const;
+    /// Whether the caller may not have got its last bytes, also after the connection is closed.
+    [[nodiscard]] bool isOpen() const;
     /// Whether bytes of an answer wait for a caller that reads slowly, also after the connection is closed.
     [[nodiscard]] bool hasUnsentBytes() const;
     [[nodiscard]] bool hasUnreadBytes() const;
@@ -56,9 +61,25 @@
     void parse();
     void startExchange();
     void sendContinueIfExpected();
-    void refuseAndClose();
+    void refuseRequest();
     void sendErrorAndClose(int status, std::string_view code, std::string_view why);
-    void close();
+    enum class connection_end {
+        /// After all that was written.
+        finished,
+        /// The same, leaving unread what crosses the end.
+        finished_unread,
+        /// With a reset of the response that has begun.
+        aborted,
+        /// By the caller, or as the caller can't be reached.
+        lost,
+        /// Without a word.
+        closed,
+    };
+    /// The only way in which the connection ends. A request that is unanswered then, other than by its caller's doing,
+    /// is counted.
+    void end(connection_end how);
+    /// Logs and counts a whole request whose caller has got neither an answer nor a reset of a response that had begun.
+    void recordUnanswered(const exchange &ended, std::string_view cause, std::string_view why);
     /// Closes an idle connection.
     void closeIdle(core::monotonic_time now);
 
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -44,25 +44,27 @@
 
 void caller_server::accept()
 {
-    m_acceptor.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted || (error && m_closing)) {
-            return;
-        }
-        if (error) {
-            log::write(log::level::warning, "failed to accept connection", {{"why", error.message()}});
-            m_acceptRetryTimer.expires_after(acceptRetryDelay);
-            m_acceptRetryTimer.async_wait([this](const std::error_code &waitError) {
-                if (!waitError) {
-                    accept();
-                }
-            });
-            return;
-        }
-        addConnection(std::move(socket));
-        if (!m_closing) {
-            accept();
-        }
-    });
+    m_acceptor.async_accept(
+        [this, weak = std::weak_ptr(m_self)](const std::error_code &error, asio::ip::tcp::socket socket) {
+            // Closing the acceptor doesn't stop a handler that is already queued.
+            if (weak.expired() || error == asio::error::operation_aborted || (error && m_closing)) {
+                return;
+            }
+            if (error) {
+                log::write(log::level::warning, "failed to accept connection", {{"why", error.message()}});
+                m_acceptRetryTimer.expires_after(acceptRetryDelay);
+                m_acceptRetryTimer.async_wait([this, weak](const std::error_code &waitError) {
+                    if (!weak.expired() && !waitError) {
+                        accept();
+                    }
+                });
+                return;
+            }
+            addConnection(std::move(socket));
+            if (!m_closing) {
+                accept();
+            }
+        });
 }
 
 void caller_server::addConnection(asio::ip::tcp::socket socket)
@@ -72,6 +74,9 @@
     if (m_draining) {
         connection->drain();
     }
+    if (m_refuseFrom) {
+        connection->refuseRequestsFrom(*m_refuseFrom);
+    }
     m_connections.push_back(connection);
     connection->start();
 }
@@ -98,8 +103,8 @@
             connection->closeIfIdle();
         }
     }
-    std::erase_if(m_connections, [](const auto &connection) {
-        return connection->isClosed() && !connection->hasUnsentBytes();
+    std::erase_if(m_connections, [this](const auto &connection) {
+        return connection->isClosed() && (m_draining ? !connection->isOpen() : !connection->hasUnsentBytes());
     });
 }
 
@@ -111,6 +116,14 @@
     }
 }
 
+void caller_server::refuseRequestsFrom(core::monotonic_time time)
+{
+    m_refuseFrom = time;
+    for (const auto &connection : m_connections) {
+        connection->refuseRequestsFrom(time);
+    }
+}
+
 void caller_server::close()
 {
     if (std::exchange(m_closing, true)) {
@@ -118,15 +131,20 @@
     }
     // The system has made these connections, and their requests may be on the way. Closing would reset them.
     acceptWaiting();
-    const core::monotonic_time refuseFrom = m_services.clock.now() + unreadRequestTime;
-    for (const auto &connection : m_connections) {
-        connection->refuseRequestsFrom(refuseFrom);
-    }
+    refuseRequestsFrom(m_services.clock.now() + unreadRequestTime);
     std::error_code ignored;
     m_acceptor.close(ignored);
     m_acceptRetryTimer.cancel();
 }
 
+void caller_server::endRequests(std::string_view code, std::string_view why)
+{
+    // Ending one may drop a connection from the list later, but adds none.
+    for (const auto &connection : m_connections) {
+        connection->endRequest(code, why);
+    }
+}
+
 std::size_t caller_server::busy() const
 {
     return static_cast<std::size_t>(
@@ -135,6 +153,13 @@
         }));
 }
 
+bool caller_server::isEmpty() const
+{
+    return std::ranges::none_of(m_connections, [](const auto &connection) {
+        return connection->isOpen();
+    });
+}
+
 bool caller_server::isDrained() const
 {
     return std::all_of(m_connections.begin(), m_connections.end(), [](const auto &connection) {
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -211,6 +211,7 @@
 
 void exchange::releaseReplica()
 {
+    dropBody();
     if (m_replica == nullptr) {
         return;
     }
@@ -255,12 +256,21 @@
     m_services.metrics.observeSeconds("medlarrack_gateway_request_seconds", "Time from request to end of answer",
                                       {.code = std::string(outcome)},
                                       std::chrono::duration<double>(now - m_startedAt).count());
+    if (m_route != nullptr && m_history.runs > 0) {
+        m_services.stopAdmission.recordDuration(m_route->name,
+                                                std::chrono::duration_cast<milliseconds>(now - m_startedAt));
+    }
     releaseReplica();
     if (m_caller != nullptr) {
         std::exchange(m_caller, nullptr)->onResponseComplete();
     }
 }
 
+std::string_view exchange::requestId() const
+{
+    return m_requestMetadata.id;
+}
+
 std::chrono::milliseconds exchange::timeLeft(core::monotonic_time now) const
 {
     return std::chrono::duration_cast<milliseconds>(m_deadline - now);
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -11,6 +11,7 @@
 #include <medlarrack/gateway/run_stop.hpp>
 #include <medlarrack/gateway/stream_ending.hpp>
 #include <medlarrack/http1/client_connection.hpp>
+#include <medlarrack/overload/byte_account.hpp>
 
 #include <chrono>
 #include <memory>
@@ -37,6 +38,9 @@
     void start();
     /// The caller has closed its connection: cancels the run in progress.
     void onCallerDisconnected();
+    /// The gateway can't go on with the request, as when its process ends: tells the caller so by how far the request
+    /// has come, with a refusal, an error or a reset. A refusal has the Retry-After given.
+    void abandon(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter);
     /// All bytes written to the caller have been handed to the system.
     void onCallerWritable();
     /// Checks the time-outs and dispatches a held request again; called periodically.
@@ -45,6 +49,9 @@
     void adapterLoaded() override;
     void engineLost() override;
 
+    /// Id of the caller's attempt; empty if the caller sent none.
+    [[nodiscard]] std::string_view requestId() const;
+
 private:
     http1::head_verdict onHead(const http1::message_head &head) override;
     void onBody(std::string &body) override;
@@ -101,8 +108,19 @@
     void leaveSilentReplica();
     /// Holds the request until the next dispatch.
     void hold(std::string_view why, std::chrono::milliseconds interval = heldDispatchInterval);
+    /// Refuses a request that has not run and can't be finished before the process ends; true if refused.
+    bool refuseIfTooLate(core::monotonic_time now);
     void waitForAdapter(const replica_choice &choice);
     void sendRequest(const replica_ptr &to);
+    /// Whether the head states a body that exceeds its bound.
+    [[nodiscard]] bool announcesTooMuch(const http1::message_head &head) const;
+    /// Keeps bytes of a body until it is whole, and stops reading it while the process has no room for more.
+    void collectBody(std::string_view bytes);
+    void onRoomForBody();
+    /// Keeps the error response for the case that no other replica gives a better one, if there is room.
+    void holdErrorResponse();
+    /// Gives back what has been collected of a body.
+    void dropBody();
     void relayEvents(std::string &body);
     /// The exchange may have ended when this returns.
     void failRunOfOtherOrigin(std::string &body);
@@ -151,6 +169,8 @@
     bool sendHeldError();
     /// Refuses the request with a Retry-After, or with another error if it may have run.
     void refuse(refusal_cause cause, std::string_view code, std::string_view why);
+    /// Refuses the request, which has not run.
+    void sendRefusal(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter);
     void sendLocalResponse(local_response &response, std::string_view outcome);
     /// Ends the request with the held error response, an error of the gateway, or, if a response has begun, a reset.
     void respondWithError(int status, std::string_view code, std::string_view why);
@@ -240,8 +260,12 @@
     http1::message_head m_responseHead;
     response_metadata m_responseMetadata;
     std::string m_responseBody;
+    std::unique_ptr<overload::byte_holding> m_bodyHolding;
+    /// The connection is paused until the process has room for more of the body.
+    bool m_awaitsRoom = false;
     /// A replica's error response that was held back to try another replica.
     std::optional<std::pair<http1::message_head, std::string>> m_heldErrorResponse;
+    std::unique_ptr<overload::byte_holding> m_heldErrorHolding;
     event_splitter m_eventSplitter;
     /// Events that earlier replicas sent.
     std::size_t m_eventsBeforeRun = 0;
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -22,6 +22,8 @@
 /// connection just as the request is sent, it is unknown whether the request ran.
 constexpr milliseconds maxIdleIfNotRepeatable{400};
 constexpr milliseconds maxIdleIfRepeatable{60'000};
+/// Other processes take the request at once.
+constexpr milliseconds stoppingRetryAfter{50};
 
 } // namespace
 
@@ -58,7 +60,7 @@
         }
         return;
     }
-    if (holdOrRefuseIfSuspect()) {
+    if (refuseIfTooLate(now) || holdOrRefuseIfSuspect()) {
         return;
     }
     replica_choice choice = chooseReplica(now, m_holdDeadline);
@@ -89,6 +91,20 @@
     }
 }
 
+bool exchange::refuseIfTooLate(core::monotonic_time now)
+{
+    const late_request request{.route = m_route->name,
+                               .streaming = m_route->streaming,
+                               .mayRepeat = mayRetryAfterStart(*m_route),
+                               .latencyTarget = m_route->latencyTarget,
+                               .timeLeft = timeLeft(now)};
+    if (m_history.runs > 0 || m_services.stopAdmission.canFinish(request, now)) {
+        return false;
+    }
+    sendRefusal("stopping", "this process ends before the request could be finished", stoppingRetryAfter);
+    return true;
+}
+
 void exchange::waitForAdapter(const replica_choice &choice)
 {
     const core::monotonic_time now = m_services.clock.now();
@@ -172,7 +188,7 @@
         log::write(log::level::info, "refused request probed",
                    {{"request_id", m_requestMetadata.id}, {"fingerprint", m_fingerprint}, {"replica", m_replicaId}});
     }
-    m_responseBody.clear();
+    dropBody();
     m_responseBytes = 0;
     m_eventsBeforeRun = m_eventSplitter.eventCount();
     m_partialEventBytes = 0;
@@ -234,7 +250,8 @@
 {
     const core::monotonic_time now = m_services.clock.now();
     const replica_ptr silent = m_services.replicas.find(std::exchange(m_silentReplica, {}));
-    if (silent == nullptr || now >= m_deadline || m_history.runs >= m_route->maxAttempts
+    // The route limits the replicas, and this one has had the request.
+    if (silent == nullptr || now >= m_deadline || m_history.runs > m_route->maxAttempts
         || !acceptsRequests(*silent, now) || !silent->requestLimit.admits(now) || isContentRefused(now)
         || arePartsRefused(now) || m_services.crashDetector.mustWait(m_requestMetadata.sharedParts, now)
         || (m_origin != resumption::unknownOrigin && !mayResume(*silent, m_origin))) {
@@ -258,7 +275,7 @@
     const auto patience = m_responseHeadSent ? eventGapTimeout(*m_route) : answerTimeout(*m_route);
     // For the way back, if the other replica rejects the request.
     constexpr std::uint32_t reservedRetries = 1;
-    if (!mayAskToStop(now) || now - m_lastProgressAt < patience || m_readPaused || now >= m_deadline
+    if (!mayAskToStop(now) || now - m_lastProgressAt < patience || m_readPaused || m_awaitsRoom || now >= m_deadline
         || m_connection->hasUnreadBytes() || !mayRetry(*m_route, attempt_outcome::unknown, m_history)
         || !canGoOnElsewhere(now) || !m_services.retryBudgetFor(m_serviceName).tryRetry(now, reservedRetries)) {
         return;
--- a/libs/gateway/src/exchange_reading.cpp
+++ b/libs/gateway/src/exchange_reading.cpp
@@ -70,6 +70,10 @@
     } else {
         m_responseHead.status = head.status;
     }
+    if (announcesTooMuch(head)) {
+        failEndlessResponse("announced body");
+        return http1::head_verdict::skip;
+    }
     return http1::head_verdict::take;
 }
 
@@ -103,11 +107,12 @@
         return;
     }
     m_lastProgressAt = m_services.clock.now();
-    m_responseBody += body;
-    body.clear();
     if (m_responseBytes > kilobytes(bounds.maxBodyKb)) {
         failEndlessResponse("body");
+        return;
     }
+    collectBody(body);
+    body.clear();
 }
 
 void exchange::recordEndlessResponse(std::string_view what)
@@ -126,8 +131,7 @@
 {
     const auto self = shared_from_this();
     recordEndlessResponse(what);
-    // Not held back as the answer to relay if no other replica gives one.
-    m_responseBody.clear();
+    dropBody();
     onAttemptFailed(attempt_outcome::unknown, "the response exceeds its bound", false);
 }
 
@@ -223,7 +227,7 @@
         if (mayRetry(*m_route, attempt_outcome::unknown, m_history)
             && m_services.retryBudgetFor(m_serviceName).tryRetry(m_services.clock.now())) {
             const int status = m_responseHead.status;
-            m_heldErrorResponse.emplace(std::move(m_responseHead), std::move(m_responseBody));
+            holdErrorResponse();
             retryElsewhere("the replica answered " + std::to_string(status));
             return;
         }
@@ -326,7 +330,7 @@
     releaseReplica();
     if (end == attempt_outcome::not_run && m_history.runs == 0) {
         refuse(refusal_cause::rejected, "not_reached", why);
-    } else if (end != attempt_outcome::not_run || !returnToSilentReplica()) {
+    } else if (!returnToSilentReplica()) {
         constexpr int statusBadGateway = 502;
         respondWithError(statusBadGateway, "attempt_failed", why);
     }
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -4,6 +4,7 @@
 #include "store_reader.hpp"
 
 #include <medlarrack/core/hash.hpp>
+#include <medlarrack/gateway/drain_schedule.hpp>
 #include <medlarrack/gateway/gateway_service.hpp>
 #include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/page_server.hpp>
@@ -27,9 +28,6 @@
 constexpr milliseconds tickInterval{25};
 /// Interval for closing expired idle connections; short compared to their idle times of seconds.
 constexpr milliseconds idleConnectionCheckInterval{500};
-/// Time for which the process still accepts connections when it is shutting down. The load balancer probes readiness
-/// once a second and stops sending connections after two failed probes.
-constexpr milliseconds listenAfterStop{2'500};
 /// Poll interval of the store in percent of the change bound: leaves time to repeat one failed call within the bound.
 constexpr int pollIntervalPercent = 38;
 /// Replicas whose entries expired in an outage of the store are listed again within about two seconds of its return.
@@ -40,7 +38,7 @@
 
 } // namespace
 
-class gateway_service::impl
+class gateway_service::impl : public std::enable_shared_from_this<impl>
 {
 public:
     impl(asio::io_context &owner, const gateway_settings &given, const caller_format &callerFormat,
@@ -61,6 +59,7 @@
                  })
         , runStopper(owner, callerFormat)
         , random(static_cast<std::minstd_rand::result_type>(time.wallNow().time_since_epoch().count()))
+        , heldBytes(maxHeldBytes(given), kilobytes(given.responseBounds.maxBodyKb), http1::byte_stream::readBytes)
         , services{time,
                    callerFormat,
                    routes,
@@ -84,18 +83,19 @@
                        store.refreshSoon();
                    },
                    random,
-                   runStopper}
+                   runStopper,
+                   heldBytes}
+        , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
+                given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
+                [this](const store_update &update) {
+                    applyUpdate(update);
+                })
         , callerServer(owner, services)
         , adminServer(owner,
                       [this](std::string_view target) {
                           return serveAdminPage(target);
                       })
         , tickTimer(owner)
-        , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
-                given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
-                [this](const store_update &update) {
-                    applyUpdate(update);
-                })
     {
     }
 
@@ -203,6 +203,7 @@
     void tick()
     {
         const core::monotonic_time now = clock.now();
+        lastTickAt = now;
         replicas.removeExpired(now);
         callerServer.tick(now);
         agents.tick();
@@ -212,16 +213,17 @@
             connections.closeExpired();
         }
         log::flush();
-        if (onDrainComplete && isDrainComplete(now)) {
+        if (drainSchedule && continueDrain(now)) {
             log::write(log::level::info, "stopped", {{"unanswered", static_cast<std::uint64_t>(callerServer.busy())}});
             log::flush();
             std::exchange(onDrainComplete, nullptr)();
             return;
         }
         tickTimer.expires_after(tickInterval);
-        tickTimer.async_wait([this](const std::error_code &error) {
-            if (!error) {
-                tick();
+        tickTimer.async_wait([weak = weak_from_this()](const std::error_code &error) {
+            // Cancelling the timer doesn't stop a handler that is already queued.
+            if (const auto self = weak.lock(); self != nullptr && !error) {
+                self->tick();
             }
         });
     }
@@ -256,32 +258,37 @@
 
     void drain(std::function<void()> onDone)
     {
-        draining = true;
-        drainStartedAt = clock.now();
+        // The signal may have been sent at any time since the last tick if the process stood still.
+        drainSchedule.emplace(std::min(clock.now(), lastTickAt + tickInterval), settings.gracePeriod);
         onDrainComplete = std::move(onDone);
+        services.stopAdmission.beginStop(drainSchedule->end());
         callerServer.drain();
+        callerServer.refuseRequestsFrom(drainSchedule->end());
         log::write(log::level::info, "stopping", {{"busy", static_cast<std::uint64_t>(callerServer.busy())}});
     }
 
-    bool isDrainComplete(core::monotonic_time now)
+    /// Returns whether the process may end.
+    bool continueDrain(core::monotonic_time now)
     {
-        if (now - drainStartedAt >= settings.drainTime) {
-            return true;
+        const drain_step before = drainSchedule->step();
+        const drain_step step = drainSchedule->update(
+            now, {callerServer.isDrained(), callerServer.isEmpty(), services.stopAdmission.lastRequestAt()});
+        if (step >= drain_step::closing) {
+            callerServer.close();
         }
-        if (now - drainStartedAt < listenAfterStop) {
-            return false;
+        if (step == drain_step::ending && before < step) {
+            log::write(log::level::info, "requests in progress ended by a stop",
+                       {{"busy", static_cast<std::uint64_t>(callerServer.busy())}});
         }
-        if (!std::exchange(callersClosed, true)) {
-            // Connections accepted just now are read until the next tick.
-            callerServer.close();
-            return false;
+        if (step >= drain_step::ending) {
+            callerServer.endRequests("stopping", "this process is about to end");
         }
-        return callerServer.isDrained();
+        return step == drain_step::done;
     }
 
     [[nodiscard]] bool isReady() const
     {
-        return !draining && !routes.isEmpty() && !replicas.all().empty();
+        return !drainSchedule && !routes.isEmpty() && !replicas.all().empty();
     }
 
     http1::page serveAdminPage(std::string_view target)
@@ -307,6 +314,12 @@
                           {}, static_cast<double>(crashDetector.size()));
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callerServer.busy()));
+            metrics.gauge("medlarrack_gateway_held_bytes", "Bytes of responses that are collected", {},
+                          static_cast<double>(heldBytes.heldBytes()));
+            metrics.gauge("medlarrack_gateway_max_held_bytes", "Their bound for the process", {},
+                          static_cast<double>(heldBytes.limit()));
+            metrics.gauge("medlarrack_gateway_waiting_for_memory", "Responses that aren't read on until there is room",
+                          {}, static_cast<double>(heldBytes.waiting()));
             return {statusOk, "text/plain; version=0.0.4", metrics.text()};
         }
         return {statusNotFound, "text/plain", "no such page\n"};
@@ -329,22 +342,23 @@
     std::map<std::string, overload::retry_budget, std::less<>> retryBudgets;
     http_run_stopper runStopper;
     std::minstd_rand random;
+    overload::byte_account heldBytes;
     exchange_services services;
+    store_reader store;
+    // Ends before what the requests in progress use, which it answers then.
     caller_server callerServer;
     http1::page_server adminServer;
     asio::steady_timer tickTimer;
-    store_reader store;
+    core::monotonic_time lastTickAt{};
     core::monotonic_time nextIdleConnectionCheck{};
-    core::monotonic_time drainStartedAt{};
+    std::optional<drain_schedule> drainSchedule;
     std::function<void()> onDrainComplete;
-    bool draining = false;
-    bool callersClosed = false;
 };
 
 gateway_service::gateway_service(asio::io_context &context, const gateway_settings &settings,
                                  const caller_format &callers, const catalog::store_format &store,
                                  const core::clock &clock)
-    : m_impl(std::make_unique<impl>(context, settings, callers, store, clock))
+    : m_impl(std::make_shared<impl>(context, settings, callers, store, clock))
 {
 }
 
@@ -364,8 +378,9 @@
 {
     m_impl->settings.retryRatio = settings.retryRatio;
     m_impl->settings.retryWindow = settings.retryWindow;
-    m_impl->settings.drainTime = settings.drainTime;
+    m_impl->settings.gracePeriod = settings.gracePeriod;
     m_impl->settings.responseBounds = settings.responseBounds;
+    m_impl->heldBytes.setLimits(maxHeldBytes(settings), kilobytes(settings.responseBounds.maxBodyKb));
 }
 
 std::uint16_t gateway_service::callersPort() const
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -10,9 +10,14 @@
 
 constexpr std::int64_t highestPort = 65'535;
 constexpr std::int64_t largestKb = 1'048'576;
+constexpr std::int64_t leastMemoryMb = 32;
+constexpr std::int64_t largestMemoryMb = 1'048'576;
+/// The rest is for tables, buffers of connections and copies in progress.
+constexpr std::size_t heldShareDivisor = 4;
 constexpr milliseconds shortestChangeBound{100};
 constexpr milliseconds longestChangeBound{60'000};
-constexpr milliseconds longestDrainTime{600'000};
+constexpr double shortestGraceSeconds = 0.5;
+constexpr double longestGraceSeconds = 600;
 constexpr std::chrono::seconds shortestRetryWindow{1};
 constexpr std::chrono::seconds longestRetryWindow{3'600};
 /// Share of the allowed retries that is used. The rest is a margin: gateways count a request up to half a second apart
@@ -42,7 +47,9 @@
     reader.require("agent_port");
     reader.integer("agent_port", value.agentPort, 1, highestPort);
     reader.duration("change_bound_ms", value.changeBound, shortestChangeBound, longestChangeBound);
-    reader.duration("drain_time_ms", value.drainTime, milliseconds(0), longestDrainTime);
+    double graceSeconds = std::chrono::duration<double>(value.gracePeriod).count();
+    reader.number("grace_period_s", graceSeconds, shortestGraceSeconds, longestGraceSeconds);
+    value.gracePeriod = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(graceSeconds));
     reader.number("retry_ratio", value.retryRatio, 0, 1);
     std::int64_t retryWindow = value.retryWindow.count();
     reader.integer("retry_window_s", retryWindow, shortestRetryWindow.count(), longestRetryWindow.count());
@@ -50,12 +57,22 @@
     reader.integer("max_response_kb", value.responseBounds.maxBodyKb, 1, largestKb);
     reader.integer("max_event_kb", value.responseBounds.maxEventKb, 1, largestKb);
     reader.integer("max_stream_kb", value.responseBounds.maxStreamKb, 1, largestKb);
+    reader.integer("memory_limit_mb", value.memoryLimitMb, leastMemoryMb, largestMemoryMb);
+    if (kilobytes(value.responseBounds.maxBodyKb) > maxHeldBytes(value) / 2) {
+        reader.addFault("max_response_kb", "is more than an eighth of memory_limit_mb");
+    }
     reader.integer("max_store_answer_kb", value.maxStoreAnswerKb, 1, largestKb);
     reader.word("log_level", value.logLevel, {"debug", "info", "warning", "error"});
 }
 
 } // namespace
 
+std::size_t maxHeldBytes(const gateway_settings &settings)
+{
+    constexpr std::size_t bytesPerMb = 1'048'576;
+    return settings.memoryLimitMb * bytesPerMb / heldShareDivisor;
+}
+
 overload::retry_budget makeRetryBudget(const gateway_settings &settings)
 {
     return {settings.retryRatio * usedShareOfRetries, extraRetriesPerWindow, settings.retryWindow};
--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -40,6 +40,9 @@
 class byte_stream : public std::enable_shared_from_this<byte_stream>
 {
 public:
+    /// Bytes taken from a connection at once at most. Most answers fit.
+    static constexpr std::size_t readBytes = 32'768;
+
     explicit byte_stream(asio::io_context &context);
     byte_stream(asio::io_context &context, asio::ip::tcp::socket socket);
     byte_stream(const byte_stream &) = delete;
@@ -62,6 +65,11 @@
     [[nodiscard]] bool hasUnreadBytes() const;
     /// Whether the peer has ended or reset its stream, perhaps behind bytes that weren't read yet.
     [[nodiscard]] bool hasPeerEnded() const;
+    /// Time for which the peer may leave unread what was written, as long as its host acknowledges it. Without a limit
+    /// of its own, this is as short as the time for acknowledgements.
+    void setUnreadLimit(std::chrono::milliseconds limit);
+    /// Whether the connection was given up because the peer didn't acknowledge or read in time what was written.
+    [[nodiscard]] bool hasTimedOut() const;
     /// Ends our side once all is written; the listener gets no more events, and what the peer still sends is dropped.
     void finish();
     /// The same, but leaves what the peer still sends unread and resets the connection over it after a while, so that a
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -5,28 +5,29 @@
 
 #include <algorithm>
 #include <array>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string>
+#include <sys/ioctl.h>
 
 namespace medlarrack::http1 {
 
 namespace {
 
-/// Bytes taken from a connection at once. Most answers fit.
-constexpr std::size_t readBytes = 32'768;
 /// Written bytes that stay unacknowledged this long end the connection: a peer without power or behind a partition
 /// answers nothing. Below the time after which callers abandon a stream (2 s).
-constexpr unsigned unacknowledgedLimitMs = 1'500;
+constexpr std::chrono::milliseconds unacknowledgedLimit{1'500};
+constexpr std::chrono::milliseconds acknowledgementCheckInterval{250};
 /// How long a finished connection stays open after the last byte of the peer, so that a late byte doesn't reset it
 /// before the peer has read our last bytes.
 constexpr std::chrono::milliseconds lingerTime{1'000};
 /// The same in total. The rest of a refused body takes some seconds on a slow link.
 constexpr std::chrono::milliseconds maxLingerTime{15'000};
 
-std::array<char, readBytes> &scratch()
+std::array<char, byte_stream::readBytes> &scratch()
 {
-    static std::array<char, readBytes> buffer;
+    static std::array<char, byte_stream::readBytes> buffer;
     return buffer;
 }
 
@@ -38,6 +39,7 @@
     impl(asio::io_context &context, asio::ip::tcp::socket opened)
         : socket(std::move(opened))
         , timer(context)
+        , watchTimer(context)
     {
         if (socket.is_open()) {
             connected = true;
@@ -50,8 +52,76 @@
         std::error_code ignored;
         socket.non_blocking(true, ignored);
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        limitUnacknowledged(unreadLimit);
+    }
+
+    void setUnreadLimit(std::chrono::milliseconds limit)
+    {
+        limit = std::max(limit, unacknowledgedLimit);
+        if (limit != unreadLimit) {
+            unreadLimit = limit;
+            limitUnacknowledged(limit);
+        }
+    }
+
+    /// The system counts also what the peer has acknowledged to have no room for.
+    void limitUnacknowledged(std::chrono::milliseconds limit)
+    {
+        std::error_code ignored;
         using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-        socket.set_option(user_timeout(static_cast<int>(unacknowledgedLimitMs)), ignored);
+        socket.set_option(user_timeout(static_cast<int>(limit.count())), ignored);
+    }
+
+    /// Checks that the peer acknowledges what is on its way, if the system's own limit is longer.
+    void watchAcknowledgements()
+    {
+        if (unreadLimit <= unacknowledgedLimit || watching) {
+            return;
+        }
+        watching = true;
+        lastHeardAt = asio::steady_timer::clock_type::now();
+        checkAcknowledgements();
+    }
+
+    void checkAcknowledgements()
+    {
+        watchTimer.expires_after(acknowledgementCheckInterval);
+        watchTimer.async_wait([self = shared_from_this()](const std::error_code &waited) {
+            if (waited || !self->socket.is_open()) {
+                return;
+            }
+            if (!self->awaitsAcknowledgement()) {
+                self->watching = false;
+            } else if (self->isPeerSilent()) {
+                self->timedOut = true;
+                self->lose("not acknowledged in time");
+            } else {
+                self->checkAcknowledgements();
+            }
+        });
+    }
+
+    [[nodiscard]] bool awaitsAcknowledgement()
+    {
+        int unacknowledged = 0;
+        return !pending.empty()
+            || (::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0);
+    }
+
+    [[nodiscard]] bool isPeerSilent()
+    {
+        tcp_info info{};
+        socklen_t size = sizeof(info);
+        if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+            return false;
+        }
+        const auto now = asio::steady_timer::clock_type::now();
+        // Both are 0 while the peer answers, also if it answers that it has no room.
+        if (info.tcpi_retransmits == 0 && info.tcpi_probes == 0) {
+            lastHeardAt = now;
+        }
+        return now - lastHeardAt >= unacknowledgedLimit
+            && std::chrono::milliseconds(info.tcpi_last_ack_recv) >= unacknowledgedLimit;
     }
 
     void connect(const asio::ip::tcp::endpoint &to, std::chrono::milliseconds limit)
@@ -127,7 +197,8 @@
             return;
         }
         if (error) {
-            lose("reset by the peer: " + error.message());
+            timedOut = error == asio::error::timed_out;
+            lose((timedOut ? "given up: " : "reset by the peer: ") + error.message());
             return;
         }
         if (listener != nullptr) {
@@ -143,10 +214,12 @@
         if (!socket.is_open() || lingering) {
             return;
         }
+        watchAcknowledgements();
         if (connected && pending.empty()) {
             std::error_code error;
             const std::size_t size = socket.write_some(asio::buffer(bytes), error);
             if (error && error != asio::error::would_block) {
+                timedOut = error == asio::error::timed_out;
                 fail("not written: " + error.message());
                 return;
             }
@@ -183,6 +256,7 @@
             std::error_code error;
             const std::size_t size = socket.write_some(asio::buffer(pending), error);
             if (error && error != asio::error::would_block) {
+                timedOut = error == asio::error::timed_out;
                 lose("not written: " + error.message());
                 return;
             }
@@ -270,17 +344,36 @@
     {
         timer.expires_at(std::min(asio::steady_timer::clock_type::now() + lingerTime, lingerEnd));
         timer.async_wait([self = shared_from_this()](const std::error_code &waited) {
-            if (!waited) {
+            // Both can be ready at once if the process stood still: the end of the wait and bytes that came before it.
+            const auto now = asio::steady_timer::clock_type::now();
+            if (waited || self->timer.expiry() > now) {
+                return;
+            }
+            if (self->wantsBytes && self->dropUnread() && now < self->lingerEnd) {
+                self->closeAfterLinger();
+            } else {
                 self->close();
             }
         });
     }
 
+    /// Returns whether there was anything to drop.
+    bool dropUnread()
+    {
+        std::error_code error;
+        const std::size_t unread = socket.available(error);
+        for (std::size_t dropped = 0; !error && dropped < unread;) {
+            dropped += socket.read_some(asio::buffer(scratch()), error);
+        }
+        return unread > 0;
+    }
+
     void close()
     {
         listener = nullptr;
         std::error_code ignored;
         timer.cancel();
+        watchTimer.cancel();
         socket.close(ignored);
     }
 
@@ -295,6 +388,11 @@
 
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
+    asio::steady_timer watchTimer;
+    /// Whether acknowledgements are checked; then, when the peer was last known to answer.
+    bool watching = false;
+    asio::steady_timer::time_point lastHeardAt{};
+    std::chrono::milliseconds unreadLimit = unacknowledgedLimit;
     byte_stream_listener *listener = nullptr;
     std::string pending;
     std::size_t sentBytes = 0;
@@ -303,6 +401,7 @@
     bool awaiting = false;
     bool awaitingRoom = false;
     bool ended = false;
+    bool timedOut = false;
     bool lingering = false;
     /// Our side of the lingering connection has ended.
     bool isShutDown = false;
@@ -378,6 +477,16 @@
     return m_impl->hasPeerEnded();
 }
 
+void byte_stream::setUnreadLimit(std::chrono::milliseconds limit)
+{
+    m_impl->setUnreadLimit(limit);
+}
+
+bool byte_stream::hasTimedOut() const
+{
+    return m_impl->timedOut;
+}
+
 void byte_stream::finish()
 {
     m_impl->finish(true);
