Tests: a stopped stand-in keeps its port

whole_requests_silence/a_stream_that_several_replicas_cannot_be_reached_for_goes_on_at_the_one_that_paused failed at times beside other test programs, odd_entries_suite/good_changes_after_odd_entries_are_in_force and gateway_suite/any_request_is_retried_after_proof_that_it_did_not_run once each. Cause: a stand-in that was stopped freed its port, a stand-in of another test took it, and answered or counted a request that was not its own (the log of a failure shows "replica asks for quiet" from a replica that was stopped). Change: the port stays bound, without a listener, so that connections are refused. That the two others failed by the same cause is suspected: each got a request that its test does not send.

--- a/libs/http1/tests/scripted_server.hpp
+++ b/libs/http1/tests/scripted_server.hpp
@@ -42,9 +42,13 @@
 
     scripted_server(asio::io_context &context, std::function<scripted_answer(const seen_request &)> script)
         : m_script(std::move(script))
-        , m_acceptor(context, {asio::ip::address_v4::loopback(), 0})
-        , m_endpoint(m_acceptor.local_endpoint())
+        , m_acceptor(context, asio::ip::tcp::v4())
+        , m_portHolder(context)
     {
+        m_acceptor.set_option(shared_port(true));
+        m_acceptor.bind({asio::ip::address_v4::loopback(), 0});
+        m_acceptor.listen();
+        m_endpoint = m_acceptor.local_endpoint();
         accept();
     }
 
@@ -53,8 +57,12 @@
         return m_endpoint;
     }
 
+    /// Refuses connections from now on. The port stays taken, so that no server of another test answers there.
     void stop()
     {
+        m_portHolder.open(asio::ip::tcp::v4());
+        m_portHolder.set_option(shared_port(true));
+        m_portHolder.bind(m_endpoint);
         m_acceptor.close();
         for (const auto &one : m_connections) {
             std::error_code ignored;
@@ -201,8 +209,11 @@
         one.socket.close(ignored);
     }
 
+    using shared_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
     std::function<scripted_answer(const seen_request &)> m_script;
     asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::tcp::socket m_portHolder;
     asio::ip::tcp::endpoint m_endpoint;
     std::vector<std::shared_ptr<connection>> m_connections;
 };
