--- a/libs/gateway/include/medlarrack/gateway/drain_schedule.hpp
+++ b/libs/gateway/include/medlarrack/gateway/drain_schedule.hpp
@@ -18,16 +18,6 @@
     done,
 };
 
-/// What a planned stop has left to do.
-struct drain_progress
-{
-    /// No request is in progress or unread.
-    bool isDrained = false;
-    /// All callers have got their last bytes.
-    bool isEmpty = false;
-    core::monotonic_time lastRequestAt{};
-};
-
 /// Decides how far a planned stop has come.
 class drain_schedule
 {
@@ -38,9 +28,10 @@
     /// Time from which no request is in progress any more.
     [[nodiscard]] core::monotonic_time end() const;
     [[nodiscard]] drain_step step() const;
-    /// Called periodically. A step that the caller hasn't acted on yet isn't passed over, except `closing` when time is
-    /// over, which `ending` includes.
-    drain_step update(core::monotonic_time now, const drain_progress &progress);
+    /// Called periodically. `isDrained` says that no request is in progress or unread, `isEmpty` that all callers have
+    /// got their last bytes. A step that the caller hasn't acted on yet isn't passed over, except `closing` when time
+    /// is over, which `ending` includes.
+    drain_step update(core::monotonic_time now, bool isDrained, bool isEmpty);
 
 private:
     core::monotonic_time m_startedAt;
--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -177,9 +177,7 @@
         sendErrorAndClose(statusBadRequest, "malformed_request", "no host, or a target that is no path");
         return;
     }
-    const core::monotonic_time now = m_services.clock.now();
-    m_services.stopAdmission.recordRequest(now);
-    if (m_refuseFrom && now >= *m_refuseFrom) {
+    if (m_refuseFrom && m_services.clock.now() >= *m_refuseFrom) {
         refuseRequest();
         return;
     }
--- a/libs/gateway/src/drain_schedule.cpp
+++ b/libs/gateway/src/drain_schedule.cpp
@@ -8,13 +8,9 @@
 
 using std::chrono::milliseconds;
 
-/// Time for which the process at least accepts connections. The load balancer probes readiness once a second and stops
+/// Time for which the process still accepts connections. The load balancer probes readiness once a second and stops
 /// sending connections after two failed probes.
 constexpr milliseconds listenAfterStop{2'500};
-/// The load balancer has other processes if no request comes for this time.
-constexpr milliseconds quietTime{700};
-/// Time before the end from which nothing is worth accepting.
-constexpr milliseconds lastListenTime{500};
 /// Time for which the process waits until callers have read their last bytes.
 constexpr milliseconds flushTime{300};
 
@@ -44,18 +40,17 @@
     return m_step;
 }
 
-drain_step drain_schedule::update(core::monotonic_time now, const drain_progress &progress)
+drain_step drain_schedule::update(core::monotonic_time now, bool isDrained, bool isEmpty)
 {
-    const bool isOver = now >= m_end || (m_step == drain_step::closing && progress.isDrained);
-    const bool isAsked = now - progress.lastRequestAt < quietTime && now < m_end - lastListenTime;
+    const bool isOver = now >= m_end || (m_step == drain_step::closing && isDrained);
     if (m_step == drain_step::ending) {
-        if (progress.isEmpty || now - m_endingSince >= flushTime) {
+        if (isEmpty || now - m_endingSince >= flushTime) {
             m_step = drain_step::done;
         }
     } else if (m_step < drain_step::ending && isOver) {
         m_step = drain_step::ending;
         m_endingSince = now;
-    } else if (m_step == drain_step::serving && now - m_startedAt >= listenAfterStop && !isAsked) {
+    } else if (m_step == drain_step::serving && now - m_startedAt >= listenAfterStop) {
         m_step = drain_step::closing;
     }
     return m_step;
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -271,8 +271,7 @@
     bool continueDrain(core::monotonic_time now)
     {
         const drain_step before = drainSchedule->step();
-        const drain_step step = drainSchedule->update(
-            now, {callerServer.isDrained(), callerServer.isEmpty(), services.stopAdmission.lastRequestAt()});
+        const drain_step step = drainSchedule->update(now, callerServer.isDrained(), callerServer.isEmpty());
         if (step >= drain_step::closing) {
             callerServer.close();
         }
