Revert "Refuse at once what a stopping process can't finish"

Refusing everything is no mend. Requests that can't be finished are still taken in the first 3 s of a stop; they get a word at its end.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -256,10 +256,6 @@
     m_services.metrics.observeSeconds("medlarrack_gateway_request_seconds", "Time from request to end of answer",
                                       {.code = std::string(outcome)},
                                       std::chrono::duration<double>(now - m_startedAt).count());
-    if (m_route != nullptr && m_history.runs > 0) {
-        m_services.stopAdmission.recordDuration(m_route->name,
-                                                std::chrono::duration_cast<milliseconds>(now - m_startedAt));
-    }
     releaseReplica();
     if (m_caller != nullptr) {
         std::exchange(m_caller, nullptr)->onResponseComplete();
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -108,8 +108,6 @@
     void leaveSilentReplica();
     /// Holds the request until the next dispatch.
     void hold(std::string_view why, std::chrono::milliseconds interval = heldDispatchInterval);
-    /// Refuses a request that has not run and can't be finished before the process ends; true if refused.
-    bool refuseIfTooLate(core::monotonic_time now);
     void waitForAdapter(const replica_choice &choice);
     void sendRequest(const replica_ptr &to);
     /// Whether the head states a body that exceeds its bound.
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -22,8 +22,6 @@
 /// connection just as the request is sent, it is unknown whether the request ran.
 constexpr milliseconds maxIdleIfNotRepeatable{400};
 constexpr milliseconds maxIdleIfRepeatable{60'000};
-/// Other processes take the request at once.
-constexpr milliseconds stoppingRetryAfter{50};
 
 } // namespace
 
@@ -60,7 +58,7 @@
         }
         return;
     }
-    if (refuseIfTooLate(now) || holdOrRefuseIfSuspect()) {
+    if (holdOrRefuseIfSuspect()) {
         return;
     }
     replica_choice choice = chooseReplica(now, m_holdDeadline);
@@ -91,20 +89,6 @@
     }
 }
 
-bool exchange::refuseIfTooLate(core::monotonic_time now)
-{
-    const late_request request{.route = m_route->name,
-                               .streaming = m_route->streaming,
-                               .mayRepeat = mayRetryAfterStart(*m_route),
-                               .latencyTarget = m_route->latencyTarget,
-                               .timeLeft = timeLeft(now)};
-    if (m_history.runs > 0 || m_services.stopAdmission.canFinish(request, now)) {
-        return false;
-    }
-    sendRefusal("stopping", "this process ends before the request could be finished", stoppingRetryAfter);
-    return true;
-}
-
 void exchange::waitForAdapter(const replica_choice &choice)
 {
     const core::monotonic_time now = m_services.clock.now();
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -12,7 +12,6 @@
 #include <medlarrack/gateway/caller_retry_detector.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
-#include <medlarrack/gateway/stop_admission.hpp>
 #include <medlarrack/metrics/registry.hpp>
 #include <medlarrack/overload/byte_account.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
@@ -26,7 +25,7 @@
 
 namespace medlarrack::gateway {
 
-/// What all exchanges of the process share, most of it by reference.
+/// References to what all exchanges of the process share.
 struct exchange_services
 {
     const core::clock &clock;
@@ -53,7 +52,6 @@
     run_stopper &runStopper;
     /// What the process keeps for others; its holders are the replicas.
     overload::byte_account &heldBytes;
-    stop_admission stopAdmission{};
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -261,7 +261,6 @@
         // The signal may have been sent at any time since the last tick if the process stood still.
         drainSchedule.emplace(std::min(clock.now(), lastTickAt + tickInterval), settings.gracePeriod);
         onDrainComplete = std::move(onDone);
-        services.stopAdmission.beginStop(drainSchedule->end());
         callerServer.drain();
         callerServer.refuseRequestsFrom(drainSchedule->end());
         log::write(log::level::info, "stopping", {{"busy", static_cast<std::uint64_t>(callerServer.busy())}});
