Don't read on from a connection that was lost while it was paused

A review by reading found that a run asked to stop can lose its connection while its body waits for memory; when there was room, the gateway read on from no connection and ended. Change: nothing is resumed then.

--- a/libs/gateway/src/exchange_collecting.cpp
+++ b/libs/gateway/src/exchange_collecting.cpp
@@ -53,6 +53,10 @@
 void exchange::onRoomForBody()
 {
     m_awaitsRoom = false;
+    if (m_connection == nullptr) {
+        // Lost while it was paused.
+        return;
+    }
     // The replica wasn't silent meanwhile.
     m_lastProgressAt = m_services.clock.now();
     m_connection->resume();
