--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -261,7 +261,6 @@
         // The signal may have been sent at any time since the last tick if the process stood still.
         drainSchedule.emplace(std::min(clock.now(), lastTickAt + tickInterval), settings.gracePeriod);
         onDrainComplete = std::move(onDone);
-        services.stopAdmission.beginStop(drainSchedule->end());
         callerServer.drain();
         callerServer.refuseRequestsFrom(drainSchedule->end());
         log::write(log::level::info, "stopping", {{"busy", static_cast<std::uint64_t>(callerServer.busy())}});
@@ -271,8 +270,7 @@
     bool continueDrain(core::monotonic_time now)
     {
         const drain_step before = drainSchedule->step();
-        const drain_step step = drainSchedule->update(
-            now, {callerServer.isDrained(), callerServer.isEmpty(), services.stopAdmission.lastRequestAt()});
+        const drain_step step = drainSchedule->update(now, callerServer.isDrained(), callerServer.isEmpty());
         if (step >= drain_step::closing) {
             callerServer.close();
         }
