--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -75,8 +75,8 @@
         /// Without a word.
         closed,
     };
-    /// The only way in which the connection ends. A request that is unanswered then, other than by its caller's doing,
-    /// is counted.
+    /// The only way in which the connection ends. A request in progress that is unanswered then, other than by its
+    /// caller's doing, is counted; requests that have not been begun are not.
     void end(connection_end how);
     /// Logs and counts a whole request whose caller has got neither an answer nor a reset of a response that had begun.
     void recordUnanswered(const exchange &ended, std::string_view cause, std::string_view why);
