Tests: the scripted server sends without waiting for its peer

The test program of the platform never ended on x86-64: in odd_entries/good_changes_after_odd_entries_are_in_force the stand-in of the store gave an answer larger than the kernel's buffers take in a blocking write, on the thread that also runs the client which reads it.

The stand-in's bytes now go through queued_output: what the kernel doesn't take at once follows when the socket is writable, in the order given, and a close or a reset waits for what was sent before it. The raw peers of libs/http and libs/peer have loops of their own, apart from those of the servers that they write to, so they stay.

--- a/libs/http1/tests/scripted_server.hpp
+++ b/libs/http1/tests/scripted_server.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "queued_output.hpp"
+
 #include <medlarrack/http1/message_parser.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/write.hpp>
+#include <asio/post.hpp>
 
 #include <functional>
 #include <memory>
@@ -66,31 +68,30 @@
         m_acceptor.close();
         for (const auto &one : m_connections) {
             std::error_code ignored;
-            one->socket.close(ignored);
+            one->socket->close(ignored);
         }
     }
 
     /// Sends bytes that nobody asked for on the newest connection.
     void sendUnasked(std::string_view bytes)
     {
-        asio::write(m_connections.back()->socket, asio::buffer(bytes));
+        m_connections.back()->output.send(bytes);
     }
 
     /// Sends bytes on a connection, as numbered in seen_request, unless the other side has closed it.
     void sendOn(std::size_t number, std::string_view bytes)
     {
-        std::error_code ignored;
-        asio::write(m_connections.at(number - 1)->socket, asio::buffer(bytes), ignored);
+        m_connections.at(number - 1)->output.send(bytes);
     }
 
     void closeOn(std::size_t number)
     {
-        close(*m_connections.at(number - 1), false);
+        closeAfterOutput(m_connections.at(number - 1), false);
     }
 
     void closeNewest(bool reset)
     {
-        close(*m_connections.back(), reset);
+        closeAfterOutput(m_connections.back(), reset);
     }
 
     std::vector<seen_request> requests;
@@ -102,11 +103,13 @@
     struct connection
     {
         explicit connection(asio::ip::tcp::socket taken)
-            : socket(std::move(taken))
+            : socket(std::make_shared<asio::ip::tcp::socket>(std::move(taken)))
+            , output(socket)
         {
         }
 
-        asio::ip::tcp::socket socket;
+        queued_output::socket_ptr socket;
+        queued_output output;
         message_parser parser{message_kind::request, 65'536};
         std::array<char, 16'384> buffer{};
         std::size_t number = 0;
@@ -132,17 +135,17 @@
 
     void read(const std::shared_ptr<connection> &from)
     {
-        from->socket.async_read_some(asio::buffer(from->buffer),
-                                     [this, from](const std::error_code &error, std::size_t size) {
-                                         if (error) {
-                                             closedByPeer += error == asio::error::operation_aborted ? 0 : 1;
-                                             return;
-                                         }
-                                         take(from, {from->buffer.data(), size});
-                                         if (from->socket.is_open()) {
-                                             read(from);
-                                         }
-                                     });
+        from->socket->async_read_some(asio::buffer(from->buffer),
+                                      [this, from](const std::error_code &error, std::size_t size) {
+                                          if (error) {
+                                              closedByPeer += error == asio::error::operation_aborted ? 0 : 1;
+                                              return;
+                                          }
+                                          take(from, {from->buffer.data(), size});
+                                          if (from->socket->is_open()) {
+                                              read(from);
+                                          }
+                                      });
     }
 
     void take(const std::shared_ptr<connection> &from, std::string_view bytes)
@@ -170,10 +173,9 @@
         }
     }
 
-    void give(const std::shared_ptr<connection> &to, const scripted_answer &answer)
+    static void give(const std::shared_ptr<connection> &to, const scripted_answer &answer)
     {
-        std::error_code ignored;
-        asio::write(to->socket, asio::buffer(answer.bytes), ignored);
+        to->output.send(answer.bytes);
         if (!answer.endless.empty()) {
             constexpr std::size_t blockBytes = 16'384;
             auto block = std::make_shared<std::string>();
@@ -184,29 +186,44 @@
             return;
         }
         if (answer.then != scripted_answer::ending::keep) {
-            close(*to, answer.then == scripted_answer::ending::reset);
+            closeAfterOutput(to, answer.then == scripted_answer::ending::reset);
         }
     }
 
-    void repeat(const std::shared_ptr<connection> &to, const std::shared_ptr<std::string> &block)
+    static void repeat(const std::shared_ptr<connection> &to, const std::shared_ptr<std::string> &block)
     {
-        asio::async_write(to->socket, asio::buffer(*block),
-                          [this, to, block](const std::error_code &error, std::size_t) {
-                              if (!error) {
-                                  repeat(to, block);
-                              }
-                          });
+        to->output.send(*block);
+        to->output.then([block, weak = std::weak_ptr(to)](bool sent) {
+            const auto self = weak.lock();
+            if (!sent || !self) {
+                return;
+            }
+            // Through the loop, so that the other side's reads get their turn.
+            asio::post(self->socket->get_executor(), [block, weak] {
+                if (const auto stillThere = weak.lock()) {
+                    repeat(stillThere, block);
+                }
+            });
+        });
+    }
+
+    /// Closes a connection once all that was sent on it has left.
+    static void closeAfterOutput(const std::shared_ptr<connection> &one, bool reset)
+    {
+        one->output.then([socket = one->socket, reset](bool) {
+            close(*socket, reset);
+        });
     }
 
-    static void close(connection &one, bool reset)
+    static void close(asio::ip::tcp::socket &socket, bool reset)
     {
         std::error_code ignored;
         if (reset) {
-            one.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
         } else {
-            one.socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+            socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
         }
-        one.socket.close(ignored);
+        socket.close(ignored);
     }
 
     using shared_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
--- a/libs/http1/tests/test_byte_stream.cpp
+++ b/libs/http1/tests/test_byte_stream.cpp
@@ -3,6 +3,7 @@
 #include <medlarrack/http1/byte_stream.hpp>
 
 #include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <linux/filter.h>
--- a/libs/http1/tests/test_client_connection.cpp
+++ b/libs/http1/tests/test_client_connection.cpp
@@ -3,6 +3,7 @@
 #include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/client_connection.hpp>
 
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <functional>
@@ -18,6 +19,8 @@
 
 namespace {
 
+using ending = scripted_answer::ending;
+
 constexpr std::chrono::seconds connectLimit{10};
 
 class recorder final : public call_observer
@@ -133,6 +136,29 @@
     BOOST_TEST(answeredBefore == expected, boost::test_tools::per_element());
 }
 
+// Guards against a stand-in that waits, on the thread that also reads its answer, until an answer larger than the
+// kernel's buffers is taken: neither would go on, and the test program would never end.
+BOOST_DATA_TEST_CASE_F(fixture, an_answer_larger_than_the_buffers_of_the_kernel_arrives_whole_and_in_order,
+                       boost::unit_test::data::make({false, true}), closes)
+{
+    constexpr std::size_t bodyBytes = 48'000'000;
+    std::string body;
+    for (std::size_t number = 0; body.size() < bodyBytes; ++number) {
+        body += std::to_string(number) + ' ';
+    }
+    answer = {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+              closes ? ending::close : ending::keep};
+    call();
+    BOOST_TEST(seen.complete);
+    BOOST_TEST((seen.bytes == body));
+    if (!closes) {
+        server.sendOn(1, "late");
+    }
+    BOOST_TEST(runUntil(context, [&] {
+        return !connection->isReusable();
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(bytes_after_an_answer_cost_the_connection)
 {
     answer.bytes += "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
