Log and count requests that come after the end of their connection

A try that ended as "cut, no answer" left no line in the logs of the gateways: a request that crossed the close of its connection and one that was lost behind an end that nobody counts looked alike.

A stream that ends now hands what its peer sends from then on to an observer, read or left unread; the gateway's one parses it and logs and counts each whole request among it, with the end that it met and its fate. Nothing is read that wasn't read before (the unread rest is peeked at).

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "caller_connection.hpp"
 
+#include "late_request_recorder.hpp"
 #include "milliseconds.hpp"
 
 #include <medlarrack/log/log.hpp>
@@ -27,8 +28,10 @@
 
 } // namespace
 
-caller_connection::caller_connection(exchange_services &services, std::shared_ptr<http1::byte_stream> stream)
-    : m_services(services)
+caller_connection::caller_connection(std::weak_ptr<void> server, exchange_services &services,
+                                     std::shared_ptr<http1::byte_stream> stream)
+    : m_server(std::move(server))
+    , m_services(services)
     , m_stream(std::move(stream))
     , m_parser(http1::message_kind::request, services.routes.limits().maxHeadBytes)
     , m_lastActivityAt(services.clock.now())
@@ -58,6 +61,9 @@
         }
         current->onCallerDisconnected();
     }
+    if (how != connection_end::lost) {
+        recordLateRequests(how);
+    }
     switch (how) {
     case connection_end::finished:
         m_stream->finish();
@@ -75,6 +81,33 @@
     }
 }
 
+std::string_view caller_connection::nameOf(connection_end how) const
+{
+    switch (how) {
+    case connection_end::finished:
+        return m_closeAnnounced ? "announced" : "error";
+    case connection_end::finished_unread:
+        return "idle";
+    case connection_end::aborted:
+        return "reset";
+    case connection_end::lost:
+    case connection_end::closed:
+        break;
+    }
+    return "closed";
+}
+
+void caller_connection::recordLateRequests(connection_end how)
+{
+    auto recorder = std::make_unique<late_request_recorder>(m_server, m_services.metrics, m_services.format,
+                                                            nameOf(how), m_services.routes.limits().maxHeadBytes);
+    // Bytes that were read are dropped with the connection.
+    if (!m_unparsed.empty()) {
+        recorder->onDropped(m_unparsed);
+    }
+    m_stream->observeLateBytes(std::move(recorder));
+}
+
 void caller_connection::recordUnanswered(const exchange &ended, std::string_view cause, std::string_view why)
 {
     log::write(log::level::error, "request ended without an answer",
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -22,7 +22,9 @@
                                 private caller_channel
 {
 public:
-    caller_connection(exchange_services &services, std::shared_ptr<http1::byte_stream> stream);
+    /// The connection's bytes may be watched longer than its server lives, which `server` tells.
+    caller_connection(std::weak_ptr<void> server, exchange_services &services,
+                      std::shared_ptr<http1::byte_stream> stream);
     ~caller_connection() override;
 
     void start();
@@ -78,11 +80,16 @@
     /// The only way in which the connection ends. A request in progress that is unanswered then, other than by its
     /// caller's doing, is counted; requests that have not been begun are not.
     void end(connection_end how);
+    /// The end as it is named in the log.
+    [[nodiscard]] std::string_view nameOf(connection_end how) const;
+    /// Has whole requests recorded that were received behind the last one that was begun, or will be.
+    void recordLateRequests(connection_end how);
     /// Logs and counts a whole request whose caller has got neither an answer nor a reset of a response that had begun.
     void recordUnanswered(const exchange &ended, std::string_view cause, std::string_view why);
     /// Closes an idle connection.
     void closeIdle(core::monotonic_time now);
 
+    std::weak_ptr<void> m_server;
     exchange_services &m_services;
     std::shared_ptr<http1::byte_stream> m_stream;
     http1::message_parser m_parser;
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -70,7 +70,7 @@
 void caller_server::addConnection(asio::ip::tcp::socket socket)
 {
     auto stream = std::make_shared<http1::byte_stream>(m_context, std::move(socket));
-    auto connection = std::make_shared<caller_connection>(m_services, std::move(stream));
+    auto connection = std::make_shared<caller_connection>(m_self, m_services, std::move(stream));
     if (m_draining) {
         connection->drain();
     }
--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -35,6 +35,21 @@
     virtual void onLost(std::string_view why) = 0;
 };
 
+/// Gets what the peer sends after the end of a stream was decided.
+class late_bytes_observer
+{
+public:
+    late_bytes_observer() = default;
+    late_bytes_observer(const late_bytes_observer &) = delete;
+    late_bytes_observer &operator=(const late_bytes_observer &) = delete;
+    virtual ~late_bytes_observer() = default;
+
+    /// Bytes were read and dropped. They are valid during the call only.
+    virtual void onDropped(std::string_view bytes) = 0;
+    /// The connection is being closed over bytes that weren't read; up to `readBytes` of them. Last event.
+    virtual void onClosed(std::string_view unread) = 0;
+};
+
 /// A TCP connection that reads into one buffer shared by all connections of the process and writes without waiting as
 /// long as the system takes the bytes. Not thread-safe; all streams belong to one thread.
 class byte_stream : public std::enable_shared_from_this<byte_stream>
@@ -70,6 +85,8 @@
     void setUnreadLimit(std::chrono::milliseconds limit);
     /// Whether the connection was given up because the peer didn't acknowledge or read in time what was written.
     [[nodiscard]] bool hasTimedOut() const;
+    /// Observes what comes after one of the following calls that end the stream.
+    void observeLateBytes(std::unique_ptr<late_bytes_observer> observer);
     /// Ends our side once all is written; the listener gets no more events, and what the peer still sends is dropped.
     void finish();
     /// The same, but leaves what the peer still sends unread and resets the connection over it after a while, so that a
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <string>
 #include <sys/ioctl.h>
+#include <utility>
 
 namespace medlarrack::http1 {
 
@@ -203,8 +204,11 @@
         }
         if (listener != nullptr) {
             listener->onBytes({scratch().data(), size});
-        } else if (isShutDown) {
-            closeAfterLinger();
+        } else {
+            reportDropped({scratch().data(), size});
+            if (isShutDown) {
+                closeAfterLinger();
+            }
         }
         awaitBytes();
     }
@@ -363,14 +367,38 @@
         std::error_code error;
         const std::size_t unread = socket.available(error);
         for (std::size_t dropped = 0; !error && dropped < unread;) {
-            dropped += socket.read_some(asio::buffer(scratch()), error);
+            const std::size_t size = socket.read_some(asio::buffer(scratch()), error);
+            reportDropped({scratch().data(), size});
+            dropped += size;
         }
         return unread > 0;
     }
 
+    void reportDropped(std::string_view bytes)
+    {
+        if (lateBytes != nullptr && !bytes.empty()) {
+            lateBytes->onDropped(bytes);
+        }
+    }
+
+    void reportUnread()
+    {
+        const auto observer = std::exchange(lateBytes, nullptr);
+        if (observer == nullptr) {
+            return;
+        }
+        std::size_t size = 0;
+        if (hasUnreadBytes()) {
+            std::error_code error;
+            size = socket.receive(asio::buffer(scratch()), asio::socket_base::message_peek, error);
+        }
+        observer->onClosed({scratch().data(), size});
+    }
+
     void close()
     {
         listener = nullptr;
+        reportUnread();
         std::error_code ignored;
         timer.cancel();
         watchTimer.cancel();
@@ -394,6 +422,7 @@
     asio::steady_timer::time_point lastHeardAt{};
     std::chrono::milliseconds unreadLimit = unacknowledgedLimit;
     byte_stream_listener *listener = nullptr;
+    std::unique_ptr<late_bytes_observer> lateBytes;
     std::string pending;
     std::size_t sentBytes = 0;
     bool connected = false;
@@ -487,6 +516,11 @@
     return m_impl->timedOut;
 }
 
+void byte_stream::observeLateBytes(std::unique_ptr<late_bytes_observer> observer)
+{
+    m_impl->lateBytes = std::move(observer);
+}
+
 void byte_stream::finish()
 {
     m_impl->finish(true);
