--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -99,8 +99,10 @@
 
 void caller_connection::recordLateRequests(connection_end how)
 {
+    const std::size_t maxHeadBytes = std::max(m_maxHeadBytes, m_services.routes.limits().maxHeadBytes);
+    const bool isBetweenRequests = !m_parser.started() || m_parser.state() == http1::parse_state::complete;
     auto recorder = std::make_unique<late_request_recorder>(m_server, m_services.metrics, m_services.format,
-                                                            nameOf(how), m_services.routes.limits().maxHeadBytes);
+                                                            nameOf(how), maxHeadBytes, isBetweenRequests);
     // Bytes that were read are dropped with the connection.
     if (!m_unparsed.empty()) {
         recorder->onDropped(m_unparsed);
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -387,12 +387,14 @@
         if (observer == nullptr) {
             return;
         }
+        // Not the shared buffer: the bytes of another stream in it may be in use while this one is closed.
+        std::array<char, readBytes> peeked;
         std::size_t size = 0;
         if (hasUnreadBytes()) {
             std::error_code error;
-            size = socket.receive(asio::buffer(scratch()), asio::socket_base::message_peek, error);
+            size = socket.receive(asio::buffer(peeked), asio::socket_base::message_peek, error);
         }
-        observer->onClosed({scratch().data(), size});
+        observer->onClosed({peeked.data(), size});
     }
 
     void close()
