Count idle time from when the caller's response has left

Found by the review of: the idle time began when a replica's response was complete, also while megabytes of it still waited for a caller that reads slowly. Such a caller met the close sooner than its response stated, or right behind the last byte of it, though it had the response just then.

While bytes of the last response wait in the process, the connection is not idle. What the system holds for the caller is not counted: how fast it is acknowledged is known only in time of the system, not of the clock that is passed in.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -357,6 +357,10 @@
     }
     const catalog::request_limits &limits = m_services.routes.limits();
     m_idleAllowance.onStateChange(limits.idleTimeout);
+    // Its caller has yet to take the last response.
+    if (hasUnsentBytes()) {
+        m_lastActivityAt = now;
+    }
     const bool headTimedOut = m_parser.started() && m_parser.state() == http1::parse_state::head
         && now - m_requestStartedAt >= limits.headTimeout;
     const bool isOverdue = headTimedOut || now - m_lastActivityAt >= m_idleAllowance.timeout();
