Begin no pipelined request while its caller leaves answers unread

What callers saw: nothing yet. One caller that pipelines small requests for answers of 4 MB and reads nothing had all of them run and queued; a gateway has 260 MB for all callers.

Cause: the next request of a connection was begun as soon as the answer before it was written, whether or not the caller took it.

The next pipelined request is now not begun while more than 64 KB of the connection's answers wait to be taken; it waits unparsed, and the bytes behind it in the socket. Such a connection isn't idle: it is not closed over what waits, a process that stops waits for it, and refuses it once it takes no more requests. A caller that reads nothing is given up after the idle time-out by the system, as before. Two gauges tell of the bytes and of the connections.

Not bounded: one answer for each connection, over all connections.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -14,6 +14,8 @@
 
 /// Pipelined bytes that are buffered while a request is processed.
 constexpr std::size_t maxReadAheadBytes = 65'536;
+/// Bytes of answers that may wait for a caller while its next pipelined request is begun.
+constexpr std::size_t maxUntakenBytes = 65'536;
 
 /// Other processes take the request at once.
 constexpr std::chrono::milliseconds stoppingRetryAfter{50};
@@ -126,6 +128,12 @@
     const core::monotonic_time now = m_services.clock.now();
     m_draining = true;
     m_refuseFrom = std::min(m_refuseFrom.value_or(now), now);
+    if (m_awaitsTaking) {
+        goOn();
+        if (m_closed) {
+            return;
+        }
+    }
     if (const auto current = m_exchange) {
         current->abandon(code, why, stoppingRetryAfter);
     } else if (hasUnreadBytes() && now - *m_refuseFrom < lastReadTime) {
@@ -167,6 +175,10 @@
     while (!m_closed && m_exchange == nullptr && !m_unparsed.empty()) {
         const catalog::request_limits &limits = m_services.routes.limits();
         if (!m_parser.started()) {
+            m_awaitsTaking = m_stream->queued() > maxUntakenBytes && !refusesRequests();
+            if (m_awaitsTaking) {
+                break;
+            }
             m_requestStartedAt = m_lastActivityAt;
             m_maxHeadBytes = 0;
             m_maxBodyBytes = 0;
@@ -200,6 +212,19 @@
     m_parsing = false;
 }
 
+bool caller_connection::refusesRequests() const
+{
+    return m_refuseFrom && m_services.clock.now() >= *m_refuseFrom;
+}
+
+void caller_connection::goOn()
+{
+    m_awaitsTaking = false;
+    m_lastActivityAt = m_services.clock.now();
+    m_stream->startReading();
+    parse();
+}
+
 void caller_connection::startExchange()
 {
     const http1::message_head &head = m_parser.head();
@@ -210,7 +235,7 @@
         sendErrorAndClose(statusBadRequest, "malformed_request", "no host, or a target that is no path");
         return;
     }
-    if (m_refuseFrom && m_services.clock.now() >= *m_refuseFrom) {
+    if (refusesRequests()) {
         refuseRequest();
         return;
     }
@@ -328,6 +353,9 @@
 {
     if (m_exchange != nullptr) {
         m_exchange->onCallerWritable();
+    } else if (m_awaitsTaking) {
+        const auto self = shared_from_this();
+        goOn();
     }
 }
 
@@ -353,6 +381,13 @@
         current->tick(now);
         return;
     }
+    if (m_awaitsTaking) {
+        // The stream gives up a caller that takes nothing.
+        if (refusesRequests()) {
+            goOn();
+        }
+        return;
+    }
     const catalog::request_limits &limits = m_services.routes.limits();
     m_idleAllowance.onStateChange(limits.idleTimeout);
     const bool headTimedOut = m_parser.started() && m_parser.state() == http1::parse_state::head
@@ -407,7 +442,17 @@
 
 bool caller_connection::hasUnsentBytes() const
 {
-    return m_stream->isOpen() && m_stream->queued() > 0;
+    return untakenBytes() > 0;
+}
+
+std::size_t caller_connection::untakenBytes() const
+{
+    return m_stream->isOpen() ? m_stream->queued() : 0;
+}
+
+bool caller_connection::awaitsTaking() const
+{
+    return m_awaitsTaking && !m_closed;
 }
 
 bool caller_connection::hasUnreadBytes() const
@@ -417,7 +462,7 @@
 
 bool caller_connection::isIdle() const
 {
-    return m_exchange == nullptr && !m_parser.started();
+    return m_exchange == nullptr && !m_parser.started() && !m_awaitsTaking;
 }
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -46,6 +46,10 @@
     [[nodiscard]] bool isOpen() const;
     /// Whether bytes of an answer wait for a caller that reads slowly, also after the connection is closed.
     [[nodiscard]] bool hasUnsentBytes() const;
+    /// The number of these bytes.
+    [[nodiscard]] std::size_t untakenBytes() const;
+    /// Whether the next pipelined request isn't begun until the caller takes its answers.
+    [[nodiscard]] bool awaitsTaking() const;
     [[nodiscard]] bool hasUnreadBytes() const;
 
 private:
@@ -62,6 +66,9 @@
     void onResponseAborted() override;
 
     void parse();
+    /// Begins the request that has waited until the caller took its answers.
+    void goOn();
+    [[nodiscard]] bool refusesRequests() const;
     void startExchange();
     void sendContinueIfExpected();
     void refuseRequest();
@@ -111,6 +118,7 @@
     bool m_closeAnnounced = false;
     bool m_closed = false;
     bool m_parsing = false;
+    bool m_awaitsTaking = false;
     bool m_continueSent = false;
 };
 
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -153,6 +153,22 @@
         }));
 }
 
+std::size_t caller_server::untakenBytes() const
+{
+    std::size_t sum = 0;
+    for (const auto &connection : m_connections) {
+        sum += connection->untakenBytes();
+    }
+    return sum;
+}
+
+std::size_t caller_server::awaitingCallers() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_connections, [](const auto &connection) {
+        return connection->awaitsTaking();
+    }));
+}
+
 bool caller_server::isEmpty() const
 {
     return std::ranges::none_of(m_connections, [](const auto &connection) {
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -37,6 +37,10 @@
     void endRequests(std::string_view code, std::string_view why);
     /// Connections with a request in progress.
     [[nodiscard]] std::size_t busy() const;
+    /// Bytes of answers that callers have yet to take.
+    [[nodiscard]] std::size_t untakenBytes() const;
+    /// Connections whose next pipelined request isn't begun until the caller takes its answers.
+    [[nodiscard]] std::size_t awaitingCallers() const;
     /// Whether no connection has a request in progress, or bytes of one that weren't read yet.
     [[nodiscard]] bool isDrained() const;
     /// Whether all callers have got their last bytes and have closed too.
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -318,6 +318,11 @@
                           static_cast<double>(heldBytes.limit()));
             metrics.gauge("medlarrack_gateway_waiting_for_memory", "Responses that aren't read on until there is room",
                           {}, static_cast<double>(heldBytes.waiting()));
+            metrics.gauge("medlarrack_gateway_untaken_bytes", "Bytes of answers that callers have yet to take", {},
+                          static_cast<double>(callerServer.untakenBytes()));
+            metrics.gauge("medlarrack_gateway_awaiting_callers",
+                          "Connections whose next request isn't begun until the caller takes its answers", {},
+                          static_cast<double>(callerServer.awaitingCallers()));
             return {statusOk, "text/plain; version=0.0.4", metrics.text()};
         }
         return {statusNotFound, "text/plain", "no such page\n"};
