Give back a connection's output buffer once all is sent

What callers saw: nothing yet. A gateway's memory stayed with connections that had once carried a large answer to a slow peer.

Cause: the string of bytes that the system has yet to take was emptied, which keeps its memory as long as the connection lives.

It is given back once it is empty.

--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -272,6 +272,8 @@
                 awaitRoom();
                 return;
             }
+            // An empty string keeps its memory as long as the connection lives.
+            std::exchange(pending, {});
         }
         if (lingering) {
             shutdownOurSide();
--- a/libs/http1/tests/test_byte_stream.cpp
+++ b/libs/http1/tests/test_byte_stream.cpp
@@ -6,8 +6,11 @@
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <linux/filter.h>
+#include <malloc.h>
 #include <thread>
+#include <vector>
 
 using namespace medlarrack::http1;
 using medlarrack::http1::testing::runUntil;
@@ -18,6 +21,19 @@
 constexpr std::size_t unreadBytes = 8'000'000;
 constexpr auto acknowledgementTime = std::chrono::milliseconds(1'500);
 
+/// Sanitizers allocate by themselves.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr bool measuresMemory = false;
+#else
+constexpr bool measuresMemory = true;
+#endif
+
+std::size_t allocatedBytes()
+{
+    const struct mallinfo2 info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 struct loss_listener : byte_stream_listener
 {
     void onBytes(std::string_view) override
@@ -249,4 +265,32 @@
     BOOST_TEST(stream->hasTimedOut());
 }
 
+// Guards against kept connections that keep the memory of an answer that their peer has long taken.
+BOOST_AUTO_TEST_CASE(a_stream_whose_peer_has_taken_all_keeps_no_memory_for_it)
+{
+    constexpr std::size_t keptBytes = 65'536;
+    const std::string answer(4 * unreadBytes, 'x');
+    const std::size_t before = allocatedBytes();
+    stream->write(answer);
+    BOOST_TEST_REQUIRE(stream->queued() > unreadBytes);
+    std::vector<char> buffer(65'536);
+    std::size_t taken = 0;
+    const std::function<void()> takeMore = [&] {
+        peer.async_read_some(asio::buffer(buffer), [&](const std::error_code &error, std::size_t size) {
+            taken += size;
+            if (!error && taken < answer.size()) {
+                takeMore();
+            }
+        });
+    };
+    takeMore();
+    BOOST_TEST_REQUIRE(runUntil(context, [&] {
+        return taken == answer.size();
+    }));
+    BOOST_TEST(stream->queued() == 0U);
+    if (measuresMemory) {
+        BOOST_TEST(allocatedBytes() <= before + buffer.size() + keptBytes);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
