Tell callers that end only their side what became of their requests

What callers saw: a caller that ended its side (shutdown of sending) behind a whole request and read on got no word in any of eight states, though its connection ended in order; a response that had begun ended in order too, so that one without a length or chunks looked whole. Requests that came together with the end were dropped. Of an answer of 12 MB that its caller read late, 3.9 MB arrived: what was in our buffer at the end was dropped.

Cause: such an end was treated as a lost connection. It can't be told from the end by a caller that has left, whose run must be cancelled (GONE), but that is no reason to say nothing and to drop what is queued.

Change: the run is cancelled and nothing is sent on, as before, with the outcome caller_gone. Then the caller is told by chooseEnding(), as in a stop: 503 if its request has not run, 502 or 504 if it may have, a reset if its response has begun. Pipelined requests behind it, and those that come together with the end, are refused with 503 each. The connection ends after all that was written. An error response of a replica that was held back is not relayed here: that would clear the request of the run that is cancelled.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -15,8 +15,12 @@
 /// Pipelined bytes that are buffered while a request is processed.
 constexpr std::size_t maxReadAheadBytes = 65'536;
 
-/// Other processes take the request at once.
-constexpr std::chrono::milliseconds stoppingRetryAfter{50};
+/// The request is taken at once by another process or, of a caller that ended its side, on another connection.
+constexpr std::chrono::milliseconds promptRetryAfter{50};
+constexpr std::string_view stoppingCode = "stopping";
+constexpr std::string_view stoppingWhy = "this process is about to end";
+constexpr std::string_view endedCode = "caller_ended";
+constexpr std::string_view endedWhy = "the caller ended its side of the connection behind the request";
 /// Time in which a process that ends reads what the system has received, so that each request in it is refused.
 constexpr std::chrono::milliseconds lastReadTime{100};
 
@@ -44,7 +48,7 @@
     // Nothing behind the request in progress is begun anymore.
     m_unparsed.clear();
     m_keepAlive = false;
-    endRequest("stopping", "this process is about to end");
+    endRequest(stoppingCode, stoppingWhy);
     if (!m_closed) {
         end(connection_end::closed);
     }
@@ -61,7 +65,7 @@
         }
         current->onCallerDisconnected();
     }
-    if (how != connection_end::lost) {
+    if (how != connection_end::lost && !m_callerEnded) {
         recordLateRequests(how);
     }
     switch (how) {
@@ -127,13 +131,13 @@
     m_draining = true;
     m_refuseFrom = std::min(m_refuseFrom.value_or(now), now);
     if (const auto current = m_exchange) {
-        current->abandon(code, why, stoppingRetryAfter);
+        current->abandon(code, why, promptRetryAfter);
     } else if (hasUnreadBytes() && now - *m_refuseFrom < lastReadTime) {
         return;
     } else if (m_parser.state() == http1::parse_state::body) {
         // The rest of the body is not read.
         m_keepAlive = false;
-        refuseRequest();
+        refuseRequest(stoppingCode, stoppingWhy);
     } else if (m_parser.started()) {
         sendErrorAndClose(statusUnavailable, code, why);
     } else {
@@ -211,14 +215,13 @@
         return;
     }
     if (m_refuseFrom && m_services.clock.now() >= *m_refuseFrom) {
-        refuseRequest();
+        refuseRequest(stoppingCode, stoppingWhy);
         return;
     }
     if (m_stream->hasPeerEnded()) {
-        // The end lies behind the request; nobody waits for an answer.
-        const request_metadata request = m_services.format.readRequest(head);
-        log::write(log::level::info, "request dropped, its caller has left", {{"request_id", request.id}});
-        end(connection_end::lost);
+        // The end lies behind the request.
+        m_callerEnded = true;
+        refuseRequest(endedCode, endedWhy);
         return;
     }
     m_exchange =
@@ -239,15 +242,15 @@
     }
 }
 
-void caller_connection::refuseRequest()
+void caller_connection::refuseRequest(std::string_view code, std::string_view why)
 {
     const request_metadata request = m_services.format.readRequest(m_parser.head());
-    log::write(log::level::info, "request refused by a stopping process", {{"request_id", request.id}});
+    log::write(log::level::info, "request refused", {{"request_id", request.id}, {"why", why}});
     local_response response;
     response.status = statusUnavailable;
-    response.code = "stopping";
-    response.message = "this process is about to end";
-    response.retryAfter = stoppingRetryAfter;
+    response.code = code;
+    response.message = why;
+    response.retryAfter = promptRetryAfter;
     response.connection = decideTerms();
     response.omitsBody = m_parser.head().method == "HEAD";
     std::string out;
@@ -289,7 +292,7 @@
 {
     // Pipelined requests have been received, so they are answered too.
     const bool hasNextRequest = !m_unparsed.empty() || hasUnreadBytes();
-    m_closeAnnounced = !m_keepAlive || (m_draining && !hasNextRequest);
+    m_closeAnnounced = !m_keepAlive || ((m_draining || m_callerEnded) && !hasNextRequest);
     if (m_closeAnnounced) {
         return {.closes = true};
     }
@@ -333,7 +336,14 @@
 
 void caller_connection::onPeerEnd()
 {
-    onLost("closed by the caller");
+    const auto self = shared_from_this();
+    m_callerEnded = true;
+    if (const auto current = m_exchange) {
+        current->onCallerEnded(endedCode, endedWhy, promptRetryAfter);
+    }
+    if (!m_closed) {
+        end(connection_end::finished);
+    }
 }
 
 void caller_connection::onLost(std::string_view)
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -64,7 +64,7 @@
     void parse();
     void startExchange();
     void sendContinueIfExpected();
-    void refuseRequest();
+    void refuseRequest(std::string_view code, std::string_view why);
     void sendErrorAndClose(int status, std::string_view code, std::string_view why);
     enum class connection_end {
         /// After all that was written.
@@ -73,7 +73,7 @@
         finished_unread,
         /// With a reset of the response that has begun.
         aborted,
-        /// By the caller, or as the caller can't be reached.
+        /// As the caller has closed or reset it, or can't be reached.
         lost,
         /// Without a word.
         closed,
@@ -107,6 +107,9 @@
     bool m_keepAlive = true;
     bool m_acceptsChunkedBody = true;
     bool m_draining = false;
+    /// The caller has ended its side behind its last request. It has left or reads on, which can't be told apart: what
+    /// it asked for is not run anymore, but it gets a word.
+    bool m_callerEnded = false;
     /// The head of the current response states that the connection closes after it.
     bool m_closeAnnounced = false;
     bool m_closed = false;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -133,15 +133,25 @@
 {
     m_caller = nullptr;
     if (!m_finished) {
-        // A probe that its caller has left says nothing; whether its target crashed is still found out.
-        withdrawProbe();
-        if (m_connection != nullptr) {
-            m_services.crashDetector.recordLostRun(makeLostRun(false), m_services.clock.now());
-        }
-        finish("caller_gone", 0, m_connection == nullptr ? "while it waited" : "while it ran");
+        recordCallerGone();
+        finish("caller_gone", 0, describeCallerGone());
     }
 }
 
+void exchange::recordCallerGone()
+{
+    // A probe that its caller has left says nothing; whether its target crashed is still found out.
+    withdrawProbe();
+    if (m_connection != nullptr) {
+        m_services.crashDetector.recordLostRun(makeLostRun(false), m_services.clock.now());
+    }
+}
+
+std::string_view exchange::describeCallerGone() const
+{
+    return m_connection == nullptr ? "while it waited" : "while it ran";
+}
+
 void exchange::tick(core::monotonic_time now)
 {
     if (m_finished) {
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -7,6 +7,7 @@
 #include <medlarrack/gateway/attempt_policy.hpp>
 #include <medlarrack/gateway/event_splitter.hpp>
 #include <medlarrack/gateway/replica_choice.hpp>
+#include <medlarrack/gateway/request_ending.hpp>
 #include <medlarrack/gateway/retry_after.hpp>
 #include <medlarrack/gateway/run_stop.hpp>
 #include <medlarrack/gateway/stream_ending.hpp>
@@ -38,6 +39,9 @@
     void start();
     /// The caller has closed its connection: cancels the run in progress.
     void onCallerDisconnected();
+    /// The same, but the caller may read on if it has ended its side only: it is told what becomes of the request, as
+    /// in abandon().
+    void onCallerEnded(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter);
     /// The gateway can't go on with the request, as when its process ends: tells the caller so by how far the request
     /// has come, with a refusal, an error or a reset. A refusal has the Retry-After given.
     void abandon(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter);
@@ -180,6 +184,11 @@
     void releaseReplica();
     void finish(std::string_view outcome, int status, std::string_view why);
     [[nodiscard]] std::chrono::milliseconds timeLeft(core::monotonic_time now) const;
+    [[nodiscard]] request_progress progress() const;
+    /// Records what the end of the current run by the caller says about its replica.
+    void recordCallerGone();
+    /// Why a request ended by its caller has ended.
+    [[nodiscard]] std::string_view describeCallerGone() const;
 
     exchange_services &m_services;
     caller_channel *m_caller;
--- a/libs/gateway/src/exchange_responses.cpp
+++ b/libs/gateway/src/exchange_responses.cpp
@@ -3,7 +3,6 @@
 #include "exchange.hpp"
 #include "milliseconds.hpp"
 
-#include <medlarrack/gateway/request_ending.hpp>
 #include <medlarrack/log/log.hpp>
 
 #include <tuple>
@@ -11,6 +10,14 @@
 
 namespace medlarrack::gateway {
 
+namespace {
+
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+} // namespace
+
 void exchange::sendResponse()
 {
     constexpr int firstErrorStatus = 400;
@@ -54,7 +61,6 @@
             return;
         }
         // A refusal states that the request has not run.
-        constexpr int statusBadGateway = 502;
         respondWithError(statusBadGateway, code, why);
         return;
     }
@@ -72,7 +78,6 @@
 
 void exchange::sendRefusal(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter)
 {
-    constexpr int statusUnavailable = 503;
     local_response response;
     response.status = statusUnavailable;
     response.code = code;
@@ -86,17 +91,14 @@
     if (m_finished) {
         return;
     }
-    constexpr int statusBadGateway = 502;
-    constexpr int statusGatewayTimeout = 504;
     const auto self = shared_from_this();
-    const bool isOverdue = m_route != nullptr && m_services.clock.now() >= m_deadline;
-    const request_progress progress{m_history.runs > 0, m_responseHeadSent, isOverdue};
+    const request_ending ending = chooseEnding(progress());
     m_waitingForAdapter = false;
     m_nextDispatchAt.reset();
     withdrawProbe();
     closeConnection();
     releaseReplica();
-    switch (chooseEnding(progress)) {
+    switch (ending) {
     case request_ending::refused:
         sendRefusal(code, why, retryAfter);
         break;
@@ -112,6 +114,52 @@
     }
 }
 
+request_progress exchange::progress() const
+{
+    const bool isOverdue = m_route != nullptr && m_services.clock.now() >= m_deadline;
+    return {m_history.runs > 0, m_responseHeadSent, isOverdue};
+}
+
+void exchange::onCallerEnded(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter)
+{
+    if (m_finished) {
+        return;
+    }
+    const auto self = shared_from_this();
+    local_response response;
+    response.code = code;
+    response.message = why;
+    response.omitsBody = m_requestHead.method == "HEAD";
+    const request_ending ending = chooseEnding(progress());
+    switch (ending) {
+    case request_ending::refused:
+        response.status = statusUnavailable;
+        response.retryAfter = retryAfter;
+        break;
+    case request_ending::failed:
+        response.status = statusBadGateway;
+        break;
+    case request_ending::timed_out:
+        response.status = statusGatewayTimeout;
+        break;
+    case request_ending::broken_off:
+        break;
+    }
+    recordCallerGone();
+    // Ends the run before anything is written.
+    caller_channel *caller = std::exchange(m_caller, nullptr);
+    finish("caller_gone", 0, describeCallerGone());
+    if (ending == request_ending::broken_off) {
+        caller->onResponseAborted();
+        return;
+    }
+    response.connection = caller->decideTerms();
+    std::string out;
+    m_services.format.appendLocalResponse(out, response, m_requestMetadata.id);
+    caller->write(out);
+    caller->onResponseComplete();
+}
+
 void exchange::sendLocalResponse(local_response &response, std::string_view outcome)
 {
     response.connection = m_caller->decideTerms();
