Reserve the way back of a silent request when it is sent on

What callers and replicas saw: where many streams pause at one replica and all others reject them, a service gets more repeated arrivals than its retry budget allows. Each send-on was paid, its way back was only counted.

Cause: the check for a send-on left one retry for a way back, the same one for all requests in progress.

Change: a send-on takes one retry and has the budget reserve another for the way back until the request has used it or ended. Where the budget doesn't have both, the request stays where it runs, as before with a spent budget. A way back is never refused, so no accepted work is lost.

The cost: with a scarce budget fewer silent requests are sent on at one time.

--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -87,8 +87,11 @@
     void retryIfSilent(core::monotonic_time now);
     /// Sends the request back to the replica that it was taken from because it was silent; false if there is none that
     /// may answer. Neither rejections of others nor an exhausted retry budget prevent it, as the run may have been
-    /// sound, but later retries pay for it.
+    /// sound: its retry was reserved when the request was sent on.
     bool returnToSilentReplica();
+    /// Takes the retry for sending a silent request on, and has one reserved for its way back; false if the budget
+    /// doesn't have both.
+    bool payForSendOn(core::monotonic_time now);
     /// Interval at which held requests are dispatched again; short compared to the second that engines take to restart.
     static constexpr std::chrono::milliseconds heldDispatchInterval{50};
     /// Whether the run must have stopped before the request goes on elsewhere.
@@ -242,6 +245,8 @@
     /// The last replica that the request was taken from because it was silent. It may have paused only, so it is tried
     /// once more if no other answers.
     std::string m_silentReplica;
+    /// Kept for the way back to it.
+    std::unique_ptr<overload::reserved_retry> m_wayBack;
     std::uint32_t m_loadWaits = 0;
     /// A load of the adapter has been requested elsewhere in case the current run stays silent.
     bool m_loadRequestedAhead = false;
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -64,6 +64,7 @@
     replica_choice choice = chooseReplica(now, m_holdDeadline);
     if (choice.target == nullptr && !m_silentReplica.empty()) {
         std::erase(m_triedReplicas, std::exchange(m_silentReplica, {}));
+        m_wayBack.reset();
         choice = chooseReplica(now, m_holdDeadline);
     }
     m_choiceReason = choice.why;
@@ -234,6 +235,7 @@
 {
     const core::monotonic_time now = m_services.clock.now();
     const replica_ptr silent = m_services.replicas.find(std::exchange(m_silentReplica, {}));
+    auto wayBack = std::move(m_wayBack);
     // The route limits the replicas, and this one has had the request.
     if (silent == nullptr || now >= m_deadline || m_history.runs > m_route->maxAttempts
         || !acceptsRequests(*silent, now) || !silent->requestLimit.admits(now) || isContentRefused(now)
@@ -247,6 +249,7 @@
     if (hasEngineLeft || isOutdated) {
         return false;
     }
+    wayBack.reset();
     m_services.retryBudgetFor(m_serviceName).recordRetry(now);
     releaseReplica();
     m_choiceReason = "it was silent, and no other replica answers";
@@ -254,14 +257,22 @@
     return true;
 }
 
+bool exchange::payForSendOn(core::monotonic_time now)
+{
+    overload::retry_budget &budget = m_services.retryBudgetFor(m_serviceName);
+    if (m_wayBack != nullptr) {
+        return budget.tryRetry(now);
+    }
+    m_wayBack = budget.tryRetryAndReserve(now);
+    return m_wayBack != nullptr;
+}
+
 void exchange::retryIfSilent(core::monotonic_time now)
 {
     const auto patience = m_responseHeadSent ? eventGapTimeout(*m_route) : answerTimeout(*m_route);
-    // For the way back, if the other replica rejects the request.
-    constexpr std::uint32_t reservedRetries = 1;
     if (!mayAskToStop(now) || now - m_lastProgressAt < patience || m_readPaused || m_awaitsRoom || now >= m_deadline
         || m_connection->hasUnreadBytes() || !mayRetry(*m_route, attempt_outcome::unknown, m_history)
-        || !canGoOnElsewhere(now) || !m_services.retryBudgetFor(m_serviceName).tryRetry(now, reservedRetries)) {
+        || !canGoOnElsewhere(now) || !payForSendOn(now)) {
         return;
     }
     stopRun(now);
--- a/libs/gateway/src/exchange_stopping.cpp
+++ b/libs/gateway/src/exchange_stopping.cpp
@@ -85,6 +85,9 @@
                 {"answered_ms", inMilliseconds(stopPatience - (*m_stopDeadline - now))}});
     if (answer.outcome == stop_outcome::runs_on && m_connection != nullptr) {
         m_stopDeadline.reset();
+        if (m_unansweredStops == 0 && m_silentReplica.empty()) {
+            m_wayBack.reset();
+        }
         return false;
     }
     if (answer.isCopied && m_eventSplitter.eventCount() > 0) {
