Entry: tell each request what is known of it when a drain times out

What callers saw: a request still in progress at the end of drain.max_wait_ms lost its connection without a word. The log said "aborting the requests in flight", but nothing aborted them; the process just ended.

Cause: the entry only counts its requests; nothing could reach them.

Change: the requests in progress are kept in a table. At the end of the wait each is ended: 503 if it was not run, 502 if it ran or may have run, a begun stream gets its error event and is cut. The process waits up to 1 s more for this.

--- a/libs/entry/include/medlarrack/entry/entry_service.hpp
+++ b/libs/entry/include/medlarrack/entry/entry_service.hpp
@@ -55,7 +55,8 @@
     /// The port of /metrics and /debug if they have a separate one.
     [[nodiscard]] std::optional<std::uint16_t> adminPort() const;
     /// Starts a graceful shutdown: readiness is withdrawn at once, new requests are refused after the grace period, and
-    /// onDrained is called when all requests have ended or the maximum time is over. Further calls have no effect.
+    /// onDrained is called when all requests have ended. Those left after the maximum time are ended with an error that
+    /// says what is known of them. Further calls have no effect.
     void drain(std::function<void()> onDrained);
     /// Closes all listeners, connections and load streams.
     void stop();
--- a/libs/entry/src/entry_service.cpp
+++ b/libs/entry/src/entry_service.cpp
@@ -26,6 +26,8 @@
 constexpr auto tickInterval = 250ms;
 /// Delay between the end of the last request and the closing of the connections, for responses still being written.
 constexpr auto flushDelay = 250ms;
+/// Time for the requests that a drain ends itself.
+constexpr auto maxEndingTime = 1'000ms;
 constexpr std::size_t maxDebugTargets = 1'000;
 
 http::server_limits serverLimits(const listen_settings &settings)
@@ -229,17 +231,28 @@
         constexpr auto pollInterval = 20ms;
         const std::size_t remaining = m_tables->admission.inFlight();
         const bool timedOut = m_clock.now() >= m_drainDeadline;
-        if (remaining > 0 && !timedOut) {
-            m_drainTimer.expires_after(pollInterval);
-            m_drainTimer.async_wait([self = shared_from_this()](const std::error_code &error) {
-                if (!error) {
-                    self->waitForRequests();
-                }
-            });
+        if (remaining > 0 && timedOut && !m_endingRequests) {
+            log::write(log::level::warning, "drain timed out; ending the requests in flight",
+                       {{"in_flight", std::uint64_t{remaining}}});
+            m_endingRequests = true;
+            m_drainDeadline = m_clock.now() + maxEndingTime;
+            m_frontend.endRequests();
+        } else if (timedOut || remaining == 0) {
+            finishDrain(remaining);
             return;
         }
+        m_drainTimer.expires_after(pollInterval);
+        m_drainTimer.async_wait([self = shared_from_this()](const std::error_code &error) {
+            if (!error) {
+                self->waitForRequests();
+            }
+        });
+    }
+
+    void finishDrain(std::size_t remaining)
+    {
         if (remaining > 0) {
-            log::write(log::level::warning, "drain timed out; aborting the requests in flight",
+            log::write(log::level::warning, "requests didn't end in time; dropping them",
                        {{"in_flight", std::uint64_t{remaining}}});
         }
         m_drainTimer.expires_after(flushDelay);
@@ -267,6 +280,7 @@
     asio::steady_timer m_drainTimer;
     std::function<void()> m_onDrained;
     core::monotonic_time m_drainDeadline{};
+    bool m_endingRequests = false;
     std::atomic<bool> m_draining{false};
     bool m_stopped = false;
 };
--- a/libs/entry/src/http_frontend.cpp
+++ b/libs/entry/src/http_frontend.cpp
@@ -107,6 +107,11 @@
     m_refuseNewRequests = true;
 }
 
+void http_frontend::endRequests()
+{
+    m_runs.endAll();
+}
+
 bool http_frontend::serveHealthPage(const http::request &request, http::responder &responder) const
 {
     if (request.path() == "/healthz") {
@@ -206,6 +211,7 @@
             run->onCallerDisconnected();
         }
     });
+    m_runs.add(requestRun);
 }
 
 void http_frontend::listModels(const http::request &request, http::responder &responder,
--- a/libs/entry/src/http_frontend.hpp
+++ b/libs/entry/src/http_frontend.hpp
@@ -3,6 +3,7 @@
 #include "admission.hpp"
 #include "call_parser.hpp"
 #include "run_environment.hpp"
+#include "run_table.hpp"
 
 #include <medlarrack/http/message.hpp>
 #include <medlarrack/http/responder.hpp>
@@ -46,6 +47,8 @@
     void handleAdmin(const http::request &request, http::responder &responder) const;
     /// Refuses new requests of callers from now on.
     void refuseNewRequests();
+    /// Ends the requests in progress, each with a response that says what is known of it.
+    void endRequests();
 
 private:
     /// Returns false if the path isn't one of the operators' pages.
@@ -66,6 +69,7 @@
     metrics::registry &m_registry;
     const frontend_hooks m_hooks;
     const call_parser m_parser;
+    run_table m_runs;
     std::atomic<bool> m_refuseNewRequests{false};
 };
 
--- a/libs/entry/src/request_run.cpp
+++ b/libs/entry/src/request_run.cpp
@@ -23,6 +23,8 @@
 
 constexpr auto targetPollInterval = 100ms;
 constexpr auto noTargetRetryAfter = 1'000ms;
+constexpr auto stopRetryAfter = 1'000ms;
+constexpr std::string_view stopCode = "draining";
 /// Refusal code of a sidecar that is shutting down.
 constexpr std::string_view leavingCode = "leaving";
 
@@ -55,6 +57,13 @@
     });
 }
 
+void request_run::onStop()
+{
+    m_scheduler->post([self = shared_from_this()] {
+        self->handleStop();
+    });
+}
+
 void request_run::start()
 {
     m_environment->retries.onRequest();
@@ -464,6 +473,17 @@
     failRequest({499, "caller_gone", "the caller closed its connection", core::outcome::unknown, {}});
 }
 
+void request_run::handleStop()
+{
+    if (m_state == state::ended) {
+        return;
+    }
+    m_mayHaveRun = m_mayHaveRun || m_attemptActive;
+    const auto outcome = provenOutcome();
+    failRequest({httpStatusOf(stopCode, outcome), std::string(stopCode),
+                 "this entry stopped before the answer was whole", outcome, stopRetryAfter});
+}
+
 void request_run::endAttempt(routing::attempt_result result, std::string_view cause)
 {
     if (!m_attemptActive) {
--- a/libs/entry/src/request_run.hpp
+++ b/libs/entry/src/request_run.hpp
@@ -22,7 +22,7 @@
 namespace medlarrack::entry {
 
 /// Processes one request from its acceptance to the final response. Attempts are numbered; messages of earlier
-/// attempts are dropped. All members except begin() and onCallerDisconnected() run as steps of the scheduler.
+/// attempts are dropped. All private members run as steps of the scheduler.
 class request_run : public std::enable_shared_from_this<request_run>
 {
 public:
@@ -36,6 +36,8 @@
     void begin();
     /// To be called when the caller has closed its connection. Thread-safe.
     void onCallerDisconnected();
+    /// To be called when the entry ends before the request has. Thread-safe.
+    void onStop();
 
 private:
     enum class state {
@@ -98,6 +100,7 @@
     [[nodiscard]] core::monotonic_time effectiveDeadline() const;
     void onDeadlinePassed();
     void handleCallerDisconnected();
+    void handleStop();
 
     /// Records the end of the current attempt, if any, in the target directory.
     void endAttempt(routing::attempt_result result, std::string_view cause);
--- a/libs/entry/tests/test_entry_service.cpp
+++ b/libs/entry/tests/test_entry_service.cpp
@@ -16,6 +16,7 @@
 #include <future>
 #include <mutex>
 #include <thread>
+#include <utility>
 
 using namespace medlarrack;
 using namespace std::chrono_literals;
@@ -26,6 +27,12 @@
 struct loopback_fixture
 {
     loopback_fixture()
+        : loopback_fixture(makeSettings())
+    {
+    }
+
+    explicit loopback_fixture(entry::entry_settings settings)
+        : service(std::move(settings), {context, clock, tickets, view, link, {}, {}, {}})
     {
         applyTicket();
         core::reason why;
@@ -60,6 +67,8 @@
             "operators": {"slavonska": {"keys": [{"salt": "salt", "sha256": ")"
                                                      + hash + R"("}]}},
             "adapters": {"slavonska/nozzle-7": {"base_model": "base-8b", "group": "assistant", "current": "v3",
+                "versions": {"v3": {"source": "store"}}},
+                "slavonska/nozzle-8": {"base_model": "base-8b", "group": "without_targets", "current": "v3",
                 "versions": {"v3": {"source": "store"}}}}})",
                                                  faults);
         BOOST_TEST_REQUIRE(ticket.has_value());
@@ -169,10 +178,27 @@
                        }};
     entry::peer_link link{peers};
     http::client caller{context};
-    entry::entry_service service{makeSettings(), {context, clock, tickets, view, link, {}, {}, {}}};
+    entry::entry_service service;
     daemon::worker_pool pool{context, 3};
 };
 
+/// Its entry waits only a short time for requests when it drains.
+struct short_drain_fixture : loopback_fixture
+{
+    short_drain_fixture()
+        : loopback_fixture(shortDrain())
+    {
+    }
+
+    static entry::entry_settings shortDrain()
+    {
+        auto settings = makeSettings();
+        settings.drain.maxWait = 200ms;
+        settings.retries.targetWait = 30s;
+        return settings;
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(answers_arrive_over_real_connections, loopback_fixture)
@@ -262,3 +288,37 @@
     BOOST_TEST(completed.body == "part");
     BOOST_TEST((done.wait_for(30s) == std::future_status::ready));
 }
+
+// Guards against a stop that closes the connections of the requests still in progress without a word.
+BOOST_FIXTURE_TEST_CASE(a_drain_that_times_out_tells_each_request_what_is_known_of_it, short_drain_fixture)
+{
+    {
+        const std::lock_guard lock(mutex);
+        deferEnd = true;
+    }
+    auto waiting = send("POST", "/v1/completions", R"({"model": "slavonska/nozzle-8"})");
+    auto running = send("POST", "/v1/completions", R"({"model": "slavonska/nozzle-7"})");
+    auto streaming = send("POST", "/v1/completions", R"({"model": "slavonska/nozzle-7", "stream": true})");
+    const auto deadline = clock.now() + 30s;
+    while ((deferredEndCount() < 2 || service.inFlight() < 3) && clock.now() < deadline) {
+        std::this_thread::yield();
+    }
+    BOOST_TEST_REQUIRE(service.inFlight() == 3U);
+    std::promise<void> drained;
+    auto done = drained.get_future();
+    service.drain([this, &drained] {
+        service.stop();
+        drained.set_value();
+    });
+    BOOST_TEST_REQUIRE((done.wait_for(30s) == std::future_status::ready));
+
+    const auto notRun = wait(std::move(waiting));
+    BOOST_TEST(notRun.result.status == 503);
+    BOOST_TEST(notRun.body.find(R"("outcome":"not_run")") != std::string::npos);
+    const auto broken = wait(std::move(running));
+    BOOST_TEST(broken.result.status == 502);
+    BOOST_TEST(broken.body.find(R"("outcome":"ran")") != std::string::npos);
+    const auto cut = wait(std::move(streaming));
+    BOOST_TEST((cut.result.progress != http::client_progress::complete));
+    BOOST_TEST(cut.body.find(R"("code":"draining")") != std::string::npos);
+}
