Move idle_allowance from gateway to core

libs/http needs the same decision: what a caller is told of an idle connection, and that the connection outlasts it.

--- a/libs/gateway/include/medlarrack/gateway/idle_allowance.hpp
+++ b/libs/core/include/medlarrack/core/idle_allowance.hpp
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-namespace medlarrack::gateway {
+namespace medlarrack::core {
 
 /// How long a caller's connection stays open while it is idle, and what its caller is told of that. The caller measures
 /// from when it has got its response and needs time to send, so the connection outlasts what it was told.
@@ -25,4 +25,4 @@
     std::chrono::milliseconds m_promised{0};
 };
 
-} // namespace medlarrack::gateway
+} // namespace medlarrack::core
--- a/libs/gateway/src/idle_allowance.cpp
+++ b/libs/core/src/idle_allowance.cpp
@@ -1,8 +1,8 @@
-#include <medlarrack/gateway/idle_allowance.hpp>
+#include <medlarrack/core/idle_allowance.hpp>
 
 #include <algorithm>
 
-namespace medlarrack::gateway {
+namespace medlarrack::core {
 
 namespace {
 
@@ -50,4 +50,4 @@
     return m_timeout;
 }
 
-} // namespace medlarrack::gateway
+} // namespace medlarrack::core
--- a/libs/gateway/tests/test_idle_allowance.cpp
+++ b/libs/core/tests/test_idle_allowance.cpp
@@ -1,9 +1,9 @@
-#include <medlarrack/gateway/idle_allowance.hpp>
+#include <medlarrack/core/idle_allowance.hpp>
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-using namespace medlarrack::gateway;
+using namespace medlarrack::core;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -5,7 +5,7 @@
 #include "exchange_services.hpp"
 
 #include <medlarrack/catalog/published_state.hpp>
-#include <medlarrack/gateway/idle_allowance.hpp>
+#include <medlarrack/core/idle_allowance.hpp>
 #include <medlarrack/http1/byte_stream.hpp>
 #include <medlarrack/http1/message_parser.hpp>
 
@@ -102,7 +102,7 @@
     /// The largest limits that have been in force since the request began.
     std::size_t m_maxHeadBytes = 0;
     std::size_t m_maxBodyBytes = 0;
-    idle_allowance m_idleAllowance;
+    core::idle_allowance m_idleAllowance;
     std::optional<core::monotonic_time> m_refuseFrom;
     bool m_keepAlive = true;
     bool m_acceptsChunkedBody = true;
