HTTP server: state for how long a connection can be used again

What callers saw: responses of libs/http (entry, pages of the sidecar, stand-ins) stated nothing of the idle time, and the connection closed after read_timeout_ms without a word. A request on its way at that moment got no answer.

Change: responses state Keep-Alive with four fifths of the time, by the decision that the gateway uses (core::idle_allowance); the connection outlasts it. A read time-out below 2 s therefore holds as 2 s; a Keep-Alive field of a handler, which knows nothing of this connection, is dropped.

Left: RESTinio counts the time of reading a request from the end of the response before it, so a long body that begins late in the stated time may still meet the limit.

--- a/libs/http/include/medlarrack/http/server.hpp
+++ b/libs/http/include/medlarrack/http/server.hpp
@@ -25,7 +25,8 @@
     std::size_t maxHeaderBytes = 16U << 10U;
     /// Connections open at once; further ones are closed at once.
     std::size_t maxConnections = 4096;
-    /// Time to receive a whole request from its first byte; also how long an idle connection is kept.
+    /// Time to receive a whole request from the end of the response before it, so also how long an idle connection is
+    /// kept; at least 2 s. Responses state less than that.
     std::chrono::milliseconds readTimeout{10'000};
     /// Time for a peer to take what is written to it.
     std::chrono::milliseconds writeTimeout{10'000};
--- a/libs/http/src/restinio_responder.cpp
+++ b/libs/http/src/restinio_responder.cpp
@@ -14,27 +14,13 @@
     return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, std::string(statusText(status))};
 }
 
-/// Framing is RESTinio's; of the connection's fields only "close" is taken over.
-template<typename Builder>
-void appendHeaders(Builder &builder, const header_list &headers)
-{
-    for (const auto &[name, value] : headers) {
-        if (sameFieldName(name, "Connection")) {
-            if (value == "close") {
-                builder.connection_close();
-            }
-        } else if (!sameFieldName(name, "Content-Length") && !sameFieldName(name, "Transfer-Encoding")) {
-            builder.append_header(name, value);
-        }
-    }
-}
-
 } // namespace
 
 restinio_responder::restinio_responder(restinio::request_handle_t request, std::shared_ptr<connection_link> link,
-                                       std::size_t maxBufferedBytes)
+                                       std::size_t maxBufferedBytes, std::chrono::seconds reusableFor)
     : m_link(std::move(link))
     , m_maxBufferedBytes(maxBufferedBytes)
+    , m_reusableFor(reusableFor)
     , m_request(std::move(request))
 {
     m_link->requestStarted();
@@ -157,6 +143,24 @@
     }
 }
 
+template<typename Builder>
+void restinio_responder::appendHeaders(Builder &builder, const header_list &headers) const
+{
+    for (const auto &[name, value] : headers) {
+        if (sameFieldName(name, "Connection")) {
+            if (value == "close") {
+                builder.connection_close();
+            }
+        } else if (!sameFieldName(name, "Content-Length") && !sameFieldName(name, "Transfer-Encoding")
+                   && !sameFieldName(name, "Keep-Alive")) {
+            builder.append_header(name, value);
+        }
+    }
+    if (builder.header().should_keep_alive()) {
+        builder.append_header("Keep-Alive", "timeout=" + std::to_string(m_reusableFor.count()));
+    }
+}
+
 void restinio_responder::finish()
 {
     m_state = state::ended;
--- a/libs/http/src/restinio_responder.hpp
+++ b/libs/http/src/restinio_responder.hpp
@@ -6,6 +6,7 @@
 
 #include <restinio/all.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -22,7 +23,7 @@
 {
 public:
     restinio_responder(restinio::request_handle_t request, std::shared_ptr<connection_link> link,
-                       std::size_t maxBufferedBytes);
+                       std::size_t maxBufferedBytes, std::chrono::seconds reusableFor);
     ~restinio_responder() override;
 
     void respond(int status, header_list headers, std::string body) override;
@@ -41,6 +42,9 @@
 
     using stream_builder = restinio::response_builder_t<restinio::chunked_output_t>;
 
+    /// Framing is RESTinio's; of the connection's fields only "close" is taken over.
+    template<typename Builder>
+    void appendHeaders(Builder &builder, const header_list &headers) const;
     void finish();
     /// Hands all pending pieces to RESTinio as one chunk.
     void flushPending();
@@ -48,6 +52,8 @@
 
     std::shared_ptr<connection_link> m_link;
     std::size_t m_maxBufferedBytes;
+    /// What the response states if its connection stays open.
+    std::chrono::seconds m_reusableFor;
     std::mutex m_mutex;
     state m_state = state::waiting;
     restinio::request_handle_t m_request;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -4,6 +4,7 @@
 #include "restinio_responder.hpp"
 #include "restinio_traits.hpp"
 
+#include <medlarrack/core/idle_allowance.hpp>
 #include <medlarrack/http/server.hpp>
 
 #include <exception>
@@ -90,9 +91,12 @@
 private:
     detail::listener::settings_type settings()
     {
+        core::idle_allowance idle(m_limits.readTimeout);
+        const auto reusableFor = idle.announce(m_limits.readTimeout);
+        idle.onIdle(m_limits.readTimeout);
         detail::listener::settings_type made;
         made.timer_manager(timeoutCheckPeriod)
-            .read_next_http_message_timelimit(m_limits.readTimeout)
+            .read_next_http_message_timelimit(idle.timeout())
             .write_http_response_timelimit(m_limits.writeTimeout)
             .handle_request_timeout(handlerTimeLimit)
             .max_pipelined_requests(maxPipelinedRequests)
@@ -103,13 +107,14 @@
                                           .max_field_value_size(m_limits.maxHeaderBytes)
                                           .max_field_count(maxHeaderFields)
                                           .max_body_size(m_limits.maxBodyBytes))
-            .request_handler([limits = m_limits, handler = m_handler, table = m_table](auto raw) {
-                return handle(limits, *handler, *table, std::move(raw));
+            .request_handler([limits = m_limits, reusableFor, handler = m_handler, table = m_table](auto raw) {
+                return handle(limits, reusableFor, *handler, *table, std::move(raw));
             });
         return made;
     }
 
-    static restinio::request_handling_status_t handle(const server_limits &limits, const request_handler &handler,
+    static restinio::request_handling_status_t handle(const server_limits &limits, std::chrono::seconds reusableFor,
+                                                      const request_handler &handler,
                                                       const detail::connection_table &table,
                                                       restinio::request_handle_t raw)
     {
@@ -118,8 +123,8 @@
             return restinio::request_rejected();
         }
         auto received = makeRequest(*raw);
-        auto answer =
-            std::make_shared<detail::restinio_responder>(std::move(raw), std::move(link), limits.maxBufferedBytes);
+        auto answer = std::make_shared<detail::restinio_responder>(std::move(raw), std::move(link),
+                                                                   limits.maxBufferedBytes, reusableFor);
         if (headerBytes(received.headers) > limits.maxHeaderBytes) {
             answer->respond(
                 431, {{"Content-Type", "application/json"}, {"Connection", "close"}},
--- a/libs/http/tests/test_server.cpp
+++ b/libs/http/tests/test_server.cpp
@@ -176,6 +176,41 @@
     kept->respond(200, {}, "late");
 }
 
+// Guards against an idle connection that is closed at a time that its caller wasn't told, so that a request crosses the
+// close.
+BOOST_AUTO_TEST_CASE(responses_state_for_how_long_their_connection_can_be_used_again)
+{
+    const auto server = serve([](const request &received, const std::shared_ptr<responder> &answer) {
+        if (received.path() == "/stream") {
+            answer->begin(200, {});
+            answer->end();
+        } else {
+            answer->respond(200, {{"Keep-Alive", "timeout=900"}}, "");
+        }
+    });
+    for (const char *path : {"/", "/stream"}) {
+        const auto record = run({"GET", urlOf(server->port(), path)});
+        // Of the 10 s for which idle connections are kept by default.
+        BOOST_TEST(findHeader(record.result->headers, "Keep-Alive").value_or("") == "timeout=8");
+        const auto last = run({"GET", urlOf(server->port(), path), {{"Connection", "close"}}});
+        BOOST_TEST(!findHeader(last.result->headers, "Keep-Alive").has_value());
+    }
+}
+
+// Guards against an idle connection that is closed before the time that its caller was told.
+BOOST_AUTO_TEST_CASE(an_idle_connection_outlasts_what_its_caller_was_told)
+{
+    server_limits limits;
+    limits.readTimeout = 1ms;
+    const auto server = serve(echo, limits);
+    raw_connection connection(server->port());
+    connection.send(post("first"));
+    BOOST_TEST(connection.receiveUntil("first").find("Keep-Alive: timeout=1\r\n") != std::string::npos);
+    std::this_thread::sleep_for(1s);
+    connection.send(post("second"));
+    BOOST_TEST(connection.receiveUntil("second").ends_with("second"));
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_body_reaches_no_handler)
 {
     bool handled = false;
