HTTP server: state the end of each connection once it stops accepting

What callers saw: during the drain of an entry, responses on connections made before still said keep-alive (and now for how long), though the process was about to end; the next request on them met its end without a word.

Change: responses that begin after stopAccepting() say Connection: close, and their connections end with them. The entry calls it when it begins to refuse new requests.

Measured: the new test fails without the change (4 checks) and passes with it, 10 of 10 runs; test_http, test_entry, test_sidecar and test_config_sync_reader pass.

Left: a connection that is idle from then on to the end of the process closes without a word.

--- a/libs/http/include/medlarrack/http/server.hpp
+++ b/libs/http/include/medlarrack/http/server.hpp
@@ -51,7 +51,7 @@
     [[nodiscard]] bool start(const std::string &address, std::uint16_t port, core::reason &why);
     /// The port bound.
     [[nodiscard]] std::uint16_t port() const;
-    /// Stops accepting connections; requests in progress go on.
+    /// Stops accepting connections; requests in progress go on, and each connection ends with its next response.
     void stopAccepting();
     /// Closes everything.
     void stop();
--- a/libs/http/src/connection_table.cpp
+++ b/libs/http/src/connection_table.cpp
@@ -50,4 +50,14 @@
     return m_stopped;
 }
 
+void connection_table::closeAfterResponses()
+{
+    m_closesAfterResponses = true;
+}
+
+bool connection_table::closesAfterResponses() const
+{
+    return m_closesAfterResponses;
+}
+
 } // namespace medlarrack::http::detail
--- a/libs/http/src/connection_table.hpp
+++ b/libs/http/src/connection_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -25,11 +26,15 @@
     /// Breaks all connections off and takes no more.
     void stop();
     [[nodiscard]] bool stopped() const;
+    /// Responses that begin from now on are the last ones of their connections.
+    void closeAfterResponses();
+    [[nodiscard]] bool closesAfterResponses() const;
 
 private:
     std::size_t m_maxConnections;
     mutable std::mutex m_mutex;
     bool m_stopped = false;
+    std::atomic<bool> m_closesAfterResponses{false};
     std::unordered_map<connection_id, std::shared_ptr<connection_link>> m_links;
 };
 
--- a/libs/http/src/restinio_responder.cpp
+++ b/libs/http/src/restinio_responder.cpp
@@ -17,8 +17,10 @@
 } // namespace
 
 restinio_responder::restinio_responder(restinio::request_handle_t request, std::shared_ptr<connection_link> link,
-                                       std::size_t maxBufferedBytes, std::chrono::seconds reusableFor)
+                                       std::shared_ptr<const connection_table> table, std::size_t maxBufferedBytes,
+                                       std::chrono::seconds reusableFor)
     : m_link(std::move(link))
+    , m_table(std::move(table))
     , m_maxBufferedBytes(maxBufferedBytes)
     , m_reusableFor(reusableFor)
     , m_request(std::move(request))
@@ -156,6 +158,9 @@
             builder.append_header(name, value);
         }
     }
+    if (m_table->closesAfterResponses()) {
+        builder.connection_close();
+    }
     if (builder.header().should_keep_alive()) {
         builder.append_header("Keep-Alive", "timeout=" + std::to_string(m_reusableFor.count()));
     }
--- a/libs/http/src/restinio_responder.hpp
+++ b/libs/http/src/restinio_responder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection_link.hpp"
+#include "connection_table.hpp"
 
 #include <medlarrack/http/responder.hpp>
 
@@ -23,7 +24,8 @@
 {
 public:
     restinio_responder(restinio::request_handle_t request, std::shared_ptr<connection_link> link,
-                       std::size_t maxBufferedBytes, std::chrono::seconds reusableFor);
+                       std::shared_ptr<const connection_table> table, std::size_t maxBufferedBytes,
+                       std::chrono::seconds reusableFor);
     ~restinio_responder() override;
 
     void respond(int status, header_list headers, std::string body) override;
@@ -51,6 +53,7 @@
     void onWritten();
 
     std::shared_ptr<connection_link> m_link;
+    std::shared_ptr<const connection_table> m_table;
     std::size_t m_maxBufferedBytes;
     /// What the response states if its connection stays open.
     std::chrono::seconds m_reusableFor;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -77,6 +77,7 @@
 
     void stopAccepting()
     {
+        m_table->closeAfterResponses();
         if (m_listener) {
             m_listener->stop();
         }
@@ -108,22 +109,22 @@
                                           .max_field_count(maxHeaderFields)
                                           .max_body_size(m_limits.maxBodyBytes))
             .request_handler([limits = m_limits, reusableFor, handler = m_handler, table = m_table](auto raw) {
-                return handle(limits, reusableFor, *handler, *table, std::move(raw));
+                return handle(limits, reusableFor, *handler, table, std::move(raw));
             });
         return made;
     }
 
     static restinio::request_handling_status_t handle(const server_limits &limits, std::chrono::seconds reusableFor,
                                                       const request_handler &handler,
-                                                      const detail::connection_table &table,
+                                                      const std::shared_ptr<const detail::connection_table> &table,
                                                       restinio::request_handle_t raw)
     {
-        auto link = table.find(raw->connection_id());
-        if (!link || table.stopped()) {
+        auto link = table->find(raw->connection_id());
+        if (!link || table->stopped()) {
             return restinio::request_rejected();
         }
         auto received = makeRequest(*raw);
-        auto answer = std::make_shared<detail::restinio_responder>(std::move(raw), std::move(link),
+        auto answer = std::make_shared<detail::restinio_responder>(std::move(raw), std::move(link), table,
                                                                    limits.maxBufferedBytes, reusableFor);
         if (headerBytes(received.headers) > limits.maxHeaderBytes) {
             answer->respond(
--- a/libs/http/tests/test_server.cpp
+++ b/libs/http/tests/test_server.cpp
@@ -324,6 +324,39 @@
     BOOST_TEST(connection.receiveAll().empty());
 }
 
+// Guards against a caller that sends its next request on a connection whose server is about to end.
+BOOST_AUTO_TEST_CASE(a_server_that_stops_accepting_states_the_end_of_its_connections)
+{
+    std::vector<std::shared_ptr<responder>> kept;
+    const auto server = serve([&](const request &, std::shared_ptr<responder> answer) {
+        note([&] {
+            kept.push_back(std::move(answer));
+        });
+    });
+    raw_connection whole(server->port());
+    raw_connection streamed(server->port());
+    whole.send(post("a"));
+    waitFor([&] {
+        return kept.size() == 1;
+    });
+    streamed.send(post("a"));
+    waitFor([&] {
+        return kept.size() == 2;
+    });
+    server->stopAccepting();
+    kept[0]->respond(200, {}, "done");
+    kept[1]->begin(200, {});
+    kept[1]->write("done");
+    kept[1]->end();
+    // Until the server closes, without a stop.
+    for (raw_connection *connection : {&whole, &streamed}) {
+        const std::string answer = connection->receiveAll();
+        BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+        BOOST_TEST(answer.find("Keep-Alive") == std::string::npos);
+        BOOST_TEST(answer.find("done") != std::string::npos);
+    }
+}
+
 // Guards against a listener that is closed while a thread of the event loop accepts; needs the thread sanitizer.
 BOOST_AUTO_TEST_CASE(a_server_ends_while_callers_connect)
 {
