Answer what waits behind an untaken answer when its caller ends its side

What callers saw: a pipelined request that was not begun because its caller had yet to take the answer before it got no word if the caller then ended its side.

A caller that has ended its side has its waiting requests refused with 503 behind the answer. The test failed without this (no second answer).

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -181,7 +181,7 @@
     while (!m_closed && m_exchange == nullptr && !m_unparsed.empty()) {
         const catalog::request_limits &limits = m_services.routes.limits();
         if (!m_parser.started()) {
-            m_awaitsTaking = m_stream->queued() > maxUntakenBytes && !refusesRequests();
+            m_awaitsTaking = m_stream->queued() > maxUntakenBytes && !refusesRequests() && !m_callerEnded;
             if (m_awaitsTaking) {
                 break;
             }
@@ -370,6 +370,8 @@
     m_callerEnded = true;
     if (const auto current = m_exchange) {
         current->onCallerEnded(endedCode, endedWhy, promptRetryAfter);
+    } else if (m_awaitsTaking) {
+        goOn();
     }
     if (!m_closed) {
         end(connection_end::finished);
