Don't send on a connection whose end was not read yet

Found by the review, the same class as the incident at our client side: a replica that closes an idle connection is noticed only when the loop gets round to its end. A request that was sent on it meanwhile may have run for all the gateway knows: a retry, or 502 for one that may run once, and a failure counted against the replica.

A kept connection is used only if nothing of its replica is left to be read, bytes or the end. That takes the place of the question for unread bytes, one system call for the other.

--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -50,9 +50,9 @@
         const idle_connection newest = std::move(idle[index]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index));
         const auto age = now - newest.idleSince;
-        // Unread bytes would be taken for the answer to the next request.
+        // Unread bytes would be taken for the answer to the next request, and an unread end would lose it.
         if (newest.connection->isReusable() && age <= maxIdleTime && age <= allowedIdleTime(*newest.connection)
-            && !newest.connection->hasUnreadBytes()) {
+            && !newest.connection->hasUnreadInput()) {
             return newest.connection;
         }
     }
--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -78,6 +78,8 @@
     [[nodiscard]] bool isOpen() const;
     /// Whether the system has bytes of the peer that weren't read yet.
     [[nodiscard]] bool hasUnreadBytes() const;
+    /// Whether the peer has sent bytes, or ended or reset its stream, and that wasn't read yet.
+    [[nodiscard]] bool hasUnreadInput() const;
     /// Whether the peer has ended or reset its stream, perhaps behind bytes that weren't read yet.
     [[nodiscard]] bool hasPeerEnded() const;
     /// Time for which the peer may leave unread what was written, as long as its host acknowledges it. Without a limit
--- a/libs/http1/include/medlarrack/http1/client_connection.hpp
+++ b/libs/http1/include/medlarrack/http1/client_connection.hpp
@@ -66,6 +66,8 @@
     [[nodiscard]] bool isReusable() const;
     /// Whether bytes of the server have arrived that were not read yet.
     [[nodiscard]] bool hasUnreadBytes() const;
+    /// Whether the server has sent bytes, or ended or reset the connection, and that wasn't read yet.
+    [[nodiscard]] bool hasUnreadInput() const;
     /// Calls carried so far.
     [[nodiscard]] std::size_t calls() const;
     /// Whether the head of an answer, to whatever request, has come before the one that onHead is given.
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -308,6 +308,12 @@
         return socket.is_open() && socket.available(error) > 0 && !error;
     }
 
+    [[nodiscard]] bool hasUnreadInput()
+    {
+        pollfd polled{socket.native_handle(), POLLIN, 0};
+        return socket.is_open() && ::poll(&polled, 1, 0) > 0;
+    }
+
     [[nodiscard]] bool hasPeerEnded()
     {
         if (ended || !socket.is_open()) {
@@ -505,6 +511,11 @@
     return m_impl->hasUnreadBytes();
 }
 
+bool byte_stream::hasUnreadInput() const
+{
+    return m_impl->hasUnreadInput();
+}
+
 bool byte_stream::hasPeerEnded() const
 {
     return m_impl->hasPeerEnded();
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -88,6 +88,11 @@
     return m_stream->hasUnreadBytes();
 }
 
+bool client_connection::hasUnreadInput() const
+{
+    return m_stream->hasUnreadInput();
+}
+
 std::size_t client_connection::calls() const
 {
     return m_calls;
