State no idle time in the responses of a stopping process

A response that a stopping process writes on a connection with a further request behind it kept that connection, and stated that it can be used again for 12 s, though the process ends before (found by the review). It keeps the connection for what has been received and states no time. No test of its own; those of planned stops and of late requests pass.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -323,6 +323,10 @@
     if (m_closeAnnounced) {
         return {.closes = true};
     }
+    if (m_draining) {
+        // It is kept for requests that have been received only.
+        return {};
+    }
     return {.reusableFor = m_idleAllowance.announce(m_services.routes.limits().idleTimeout)};
 }
 
