Hold a broken-off request for a replica that is expected in a moment

Cause: a request that had not run was held for an engine that starts, or for room; one that may have run was ended at the first choice without a target.

Change: awaitsReplica() (attempt policy) decides it: what may have run waits for an engine that starts, for room, or for a replica that can be usable again in time: listed, not leaving, and quiet for no longer than the request may wait. The time is what it was for the load of an adapter: the caller's idle limit since the last event, or the hold time of a request without an answer. Requests that have not run are held and refused as before.

It is still ended at once where nothing tells of a replica: none is listed, or the others have had it, leave, or are quiet for longer. Waiting then for one that may be listed would hold every such caller for its whole idle limit where it could try again at once; a test shows that this holds.

--- a/libs/gateway/include/medlarrack/gateway/attempt_policy.hpp
+++ b/libs/gateway/include/medlarrack/gateway/attempt_policy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <medlarrack/catalog/route.hpp>
+#include <medlarrack/gateway/replica_choice.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -36,4 +37,8 @@
 /// Time without a further event after which a stream that may run again is resumed at another replica.
 [[nodiscard]] std::chrono::milliseconds eventGapTimeout(const catalog::route &route);
 
+/// Whether a request that no replica can take now waits for one, as far as the time for that lasts. One that has not
+/// run is refused rather than queued where its caller can go elsewhere; one that may have run would be lost.
+[[nodiscard]] bool awaitsReplica(const attempt_history &history, const replica_choice &choice, bool isCallerRetry);
+
 } // namespace medlarrack::gateway
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -26,7 +26,7 @@
     std::span<const std::string> tried;
     /// The request may be sent to another replica after its run may have begun.
     bool mayRunAgain = false;
-    /// Time that the request may wait for its adapter.
+    /// Time that the request may wait for its adapter or for a replica.
     std::chrono::milliseconds maxLoadWait{1'500};
     /// Only replicas whose streams have this origin; any if it is unknown.
     resumption::stream_origin origin = resumption::unknownOrigin;
@@ -46,6 +46,8 @@
     bool saturated = false;
     /// No target, but an engine is expected to be usable soon: it is loading the base model or hasn't reported yet.
     bool engineStarting = false;
+    /// No target, but a replica may be usable again in time: it is quiet, limits its requests or has failed of late.
+    bool hindered = false;
     /// Reason for the choice; logged, and given to the caller if there is no target.
     std::string_view why;
 };
--- a/libs/gateway/src/attempt_policy.cpp
+++ b/libs/gateway/src/attempt_policy.cpp
@@ -53,4 +53,12 @@
     return std::clamp(route.gapTarget * timeoutFactor, minEventGapTimeout, callerIdleTimeout(route) - resumptionTime);
 }
 
+bool awaitsReplica(const attempt_history &history, const replica_choice &choice, bool isCallerRetry)
+{
+    if (history.runs > 0) {
+        return choice.engineStarting || choice.saturated || choice.hindered;
+    }
+    return choice.engineStarting || (choice.saturated && isCallerRetry);
+}
+
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -69,11 +69,11 @@
     }
     m_choiceReason = choice.why;
     if (choice.target == nullptr) {
-        if (m_history.runs > 0) {
+        if (now < m_holdDeadline && awaitsReplica(m_history, choice, m_isCallerRetry)) {
+            hold(choice.why);
+        } else if (m_history.runs > 0) {
             constexpr int statusBadGateway = 502;
             respondWithError(statusBadGateway, "no_replica", "the request may have run and no other replica is left");
-        } else if ((choice.engineStarting || (choice.saturated && m_isCallerRetry)) && now < m_holdDeadline) {
-            hold(choice.why);
         } else {
             refuse(choice.saturated ? refusal_cause::adapter_backlog : refusal_cause::no_replica, "no_replica",
                    choice.why);
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -116,12 +116,20 @@
             && (!holdsModel(candidate, model) || candidate.awaitsRelisting(now)));
 }
 
+/// Whether a replica that isn't usable now may be so within the time that the request may wait.
+bool isUsableLater(const choice_query &query, const replica &candidate, core::monotonic_time now)
+{
+    return query.maxLoadWait.count() > 0 && acceptsRequests(candidate, now + query.maxLoadWait);
+}
+
 /// Engines of a service that a request may use.
 struct known_engines
 {
     std::vector<replica_ptr> usable;
     /// Expected to be usable soon.
     std::vector<replica_ptr> usableSoon;
+    /// One that isn't usable now may be so in time.
+    bool hindered = false;
 };
 
 known_engines enginesFor(const replica_table &table, const choice_query &query, core::monotonic_time now)
@@ -133,8 +141,12 @@
         }
         if (isUsableSoon(*candidate, query.model, now)) {
             known.usableSoon.push_back(candidate);
-        } else if (isUsable(*candidate, now) && holdsModel(*candidate, query.model)) {
+        } else if (!holdsModel(*candidate, query.model)) {
+            continue;
+        } else if (isUsable(*candidate, now)) {
             known.usable.push_back(candidate);
+        } else if (isUsableLater(query, *candidate, now)) {
+            known.hindered = true;
         }
     }
     return known;
@@ -340,7 +352,11 @@
     replica_choice chosen;
     std::chrono::nanoseconds best{0};
     for (const replica_ptr &candidate : table.findByService(query.service)) {
-        if (!isUsable(*candidate, now) || isExcluded(query, *candidate)) {
+        if (isExcluded(query, *candidate)) {
+            continue;
+        }
+        if (!isUsable(*candidate, now)) {
+            chosen.hindered = chosen.hindered || isUsableLater(query, *candidate, now);
             continue;
         }
         const auto time = expectedTime(*candidate, now);
@@ -358,7 +374,7 @@
     known_engines known = enginesFor(table, query, now);
     std::vector<replica_ptr> &engines = known.usable;
     if (engines.empty()) {
-        return {.engineStarting = !known.usableSoon.empty(), .why = "no usable replica"};
+        return {.engineStarting = !known.usableSoon.empty(), .hindered = known.hindered, .why = "no usable replica"};
     }
     if (!query.mayRunAgain) {
         // Requests that may run again still use failing engines: while other engines are full, the capacity gained is
--- a/libs/gateway/tests/test_attempts.cpp
+++ b/libs/gateway/tests/test_attempts.cpp
@@ -99,4 +99,20 @@
     BOOST_TEST((callerIdleTimeout(route) == milliseconds(4'000)));
 }
 
+// Guards against a request that is given up after it may have run, although a replica can take it in a moment, and
+// against requests that have not run and are queued where their callers can go elsewhere.
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_waits_for_a_replica_that_is_expected)
+{
+    for (const bool isCallerRetry : {false, true}) {
+        BOOST_TEST(awaitsReplica({1, 0}, {.saturated = true}, isCallerRetry));
+        BOOST_TEST(awaitsReplica({1, 2}, {.engineStarting = true}, isCallerRetry));
+        BOOST_TEST(awaitsReplica({2, 0}, {.hindered = true}, isCallerRetry));
+        BOOST_TEST(!awaitsReplica({1, 0}, {}, isCallerRetry));
+        BOOST_TEST(awaitsReplica({0, 1}, {.engineStarting = true}, isCallerRetry));
+        BOOST_TEST(awaitsReplica({0, 1}, {.saturated = true}, isCallerRetry) == isCallerRetry);
+        BOOST_TEST(!awaitsReplica({0, 0}, {.hindered = true}, isCallerRetry));
+        BOOST_TEST(!awaitsReplica({0, 0}, {}, isCallerRetry));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -562,4 +562,35 @@
     BOOST_TEST(table.find("p1")->outstanding == 0U);
 }
 
+// Guards against requests that wait for replicas that will not take them in time, and against none waited for.
+BOOST_AUTO_TEST_CASE(a_replica_is_expected_again_if_its_quiet_period_ends_in_time)
+{
+    const replica_ptr plain = add("p0", "dc1", "plain", 6);
+    const replica_ptr engine = add("e0");
+    const std::vector<std::string> tried{"p0", "e0"};
+    const auto isExpected = [&](std::span<const std::string> excluded = {}) {
+        const choice_query plainQuery{.service = "plain", .tried = excluded};
+        const choice_query engineQuery{.service = "llm", .model = "m", .batchSize = 32, .tried = excluded};
+        const replica_choice ofPlain = choosePlain(table, plainQuery, clock.now());
+        const replica_choice ofEngines = chooseEngine(table, engineQuery, clock.now());
+        BOOST_TEST((ofPlain.target == nullptr && ofEngines.target == nullptr));
+        BOOST_TEST(ofPlain.hindered == ofEngines.hindered);
+        return ofPlain.hindered;
+    };
+    clock.advance(std::chrono::seconds(1));
+    BOOST_TEST(!isExpected(tried));
+    plain->startQuietPeriod(std::chrono::milliseconds(1'400), clock.now());
+    engine->startQuietPeriod(std::chrono::milliseconds(1'400), clock.now());
+    BOOST_TEST(isExpected());
+    BOOST_TEST(!isExpected(tried));
+    plain->startQuietPeriod(std::chrono::milliseconds(1'600), clock.now());
+    engine->startQuietPeriod(std::chrono::milliseconds(1'600), clock.now());
+    BOOST_TEST(!isExpected());
+    clock.advance(std::chrono::milliseconds(200));
+    BOOST_TEST(isExpected());
+    plain->record.leaving = true;
+    engine->record.leaving = true;
+    BOOST_TEST(!isExpected());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
