Keep the end of a connection from overtaking answers on their way

What callers saw: an answer of 1 MB that its caller had not begun to read ended after 128,000 bytes with a reset, although the gateway had logged and written it whole. Three ways led there: the reset of a streamed response behind it on the same connection, a later request that crossed the end of an idle connection and was left unread, and bytes that came more than a second after the end that the answer had announced.

Cause: a reset, or a close over unread bytes, drops what the system still holds for the peer. Only the bytes in our own buffer were looked at.

Change: a connection is reset once its peer has acknowledged all that was written, and one that lingers closes no earlier; both after 15 s at most. A peer that ends its side meanwhile still meets the reset.

--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -94,7 +94,8 @@
     void finishUnread();
     /// Closes at once; the listener gets no more events.
     void close();
-    /// Closes with a reset; the peer sees that what it got isn't whole.
+    /// Closes with a reset, so that the peer sees that what it got isn't whole. It follows what was written before,
+    /// which may be answers that the peer hasn't read yet; the listener gets no more events.
     void abort();
 
 private:
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds lingerTime{1'000};
 /// The same in total. The rest of a refused body takes some seconds on a slow link.
 constexpr std::chrono::milliseconds maxLingerTime{15'000};
+/// How often a connection that is to be reset checks that its peer has what was written before.
+constexpr std::chrono::milliseconds resetCheckInterval{10};
 
 std::array<char, byte_stream::readBytes> &scratch()
 {
@@ -173,7 +175,7 @@
             }
             if (self->wantsBytes) {
                 self->readSome();
-            } else if (self->lingering && !self->hasUnreadBytes()) {
+            } else if (self->lingering && !self->aborting && !self->hasUnreadBytes()) {
                 // Readable without bytes: the peer has closed too.
                 self->close();
             }
@@ -273,6 +275,9 @@
                 return;
             }
         }
+        if (aborting) {
+            return;
+        }
         if (lingering) {
             shutdownOurSide();
         } else if (listener != nullptr) {
@@ -353,7 +358,9 @@
             if (waited || self->timer.expiry() > now) {
                 return;
             }
-            if (self->wantsBytes && self->dropUnread() && now < self->lingerEnd) {
+            const bool hasDropped = self->wantsBytes && self->dropUnread();
+            // A close over unread bytes, or bytes that come after it, would reset what is still on its way.
+            if ((hasDropped || self->awaitsAcknowledgement()) && now < self->lingerEnd) {
                 self->closeAfterLinger();
             } else {
                 self->close();
@@ -405,13 +412,43 @@
         socket.close(ignored);
     }
 
+    /// A reset overtakes what is on its way, such as an earlier answer, so it waits for the acknowledgement.
     void abort()
     {
+        listener = nullptr;
+        if (!socket.is_open()) {
+            close();
+            return;
+        }
         std::error_code ignored;
-        if (socket.is_open()) {
-            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        lingering = true;
+        aborting = true;
+        wantsBytes = false;
+        lingerEnd = asio::steady_timer::clock_type::now() + maxLingerTime;
+        resetOnceAcknowledged();
+    }
+
+    void resetOnceAcknowledged()
+    {
+        const auto now = asio::steady_timer::clock_type::now();
+        if (!connected || now >= lingerEnd || hasFailed() || !awaitsAcknowledgement()) {
+            close();
+            return;
         }
-        close();
+        timer.expires_after(resetCheckInterval);
+        timer.async_wait([self = shared_from_this()](const std::error_code &waited) {
+            if (!waited && self->socket.is_open()) {
+                self->resetOnceAcknowledged();
+            }
+        });
+    }
+
+    /// The peer has reset the connection, or the system has given it up.
+    [[nodiscard]] bool hasFailed()
+    {
+        pollfd polled{socket.native_handle(), 0, 0};
+        return ::poll(&polled, 1, 0) > 0 && (polled.revents & (POLLHUP | POLLERR)) != 0;
     }
 
     asio::ip::tcp::socket socket;
@@ -432,6 +469,8 @@
     bool ended = false;
     bool timedOut = false;
     bool lingering = false;
+    /// The lingering connection ends with a reset.
+    bool aborting = false;
     /// Our side of the lingering connection has ended.
     bool isShutDown = false;
     asio::steady_timer::time_point lingerEnd{};
@@ -449,7 +488,7 @@
 
 byte_stream::~byte_stream()
 {
-    // A finished stream lives on until the peer has read its last bytes.
+    // A finished or aborted stream lives on until the peer has its last bytes.
     if (!m_impl->lingering) {
         m_impl->close();
     }
--- a/libs/http1/tests/test_byte_stream.cpp
+++ b/libs/http1/tests/test_byte_stream.cpp
@@ -16,6 +16,8 @@
 
 /// More than the system takes for a peer that doesn't read.
 constexpr std::size_t unreadBytes = 8'000'000;
+/// More than the system takes at the side of a peer that doesn't read, less than it takes at ours.
+constexpr std::size_t heldBytes = 1'000'000;
 constexpr auto acknowledgementTime = std::chrono::milliseconds(1'500);
 
 struct loss_listener : byte_stream_listener
@@ -34,6 +36,13 @@
     bool lost = false;
 };
 
+/// What a peer that reads to the end gets.
+struct read_result
+{
+    std::size_t size = 0;
+    std::error_code end;
+};
+
 /// Both ends of a connection on loopback.
 struct byte_stream_fixture
 {
@@ -63,6 +72,29 @@
         BOOST_REQUIRE(::setsockopt(peer.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) == 0);
     }
 
+    read_result readToEnd()
+    {
+        read_result result;
+        std::array<char, 65'536> buffer{};
+        std::function<void()> read = [&] {
+            peer.async_read_some(asio::buffer(buffer), [&](const std::error_code &error, std::size_t size) {
+                result.end = error;
+                result.size += size;
+                if (!error) {
+                    read();
+                }
+            });
+        };
+        read();
+        BOOST_TEST(runUntil(context, [&] {
+            return static_cast<bool>(result.end);
+        }));
+        peer.cancel();
+        context.restart();
+        context.poll();
+        return result;
+    }
+
     /// Waits until the peer sees the end of the stream.
     void awaitEnd()
     {
@@ -143,6 +175,61 @@
     awaitEnd();
 }
 
+// Guards against an answer that is lost in the system's buffer, as a later request crosses the end of an idle
+// connection and is left unread.
+BOOST_AUTO_TEST_CASE(an_unread_end_does_not_overtake_what_a_late_reader_is_owed)
+{
+    stream->setUnreadLimit(std::chrono::seconds(30));
+    stream->write(std::string(heldBytes, 'x'));
+    BOOST_TEST(stream->queued() == 0U);
+    stream->finishUnread();
+    asio::write(peer, asio::buffer(std::string_view("late")));
+    runFor(std::chrono::milliseconds(1'400));
+    BOOST_TEST(readToEnd().size == heldBytes);
+}
+
+// Guards against the same behind an answer that announced the end.
+BOOST_AUTO_TEST_CASE(bytes_long_after_the_end_do_not_overtake_what_a_late_reader_is_owed)
+{
+    stream->setUnreadLimit(std::chrono::seconds(30));
+    stream->write(std::string(heldBytes, 'x'));
+    BOOST_TEST(stream->queued() == 0U);
+    stream->finish();
+    runFor(std::chrono::milliseconds(1'400));
+    asio::write(peer, asio::buffer(std::string_view("late")));
+    runFor(std::chrono::milliseconds(50));
+    BOOST_TEST(readToEnd().size == heldBytes);
+}
+
+// Guards against an earlier answer that is lost to the reset of a later one.
+BOOST_AUTO_TEST_CASE(a_reset_does_not_overtake_what_a_late_reader_is_owed)
+{
+    stream->setUnreadLimit(std::chrono::seconds(30));
+    stream->write(std::string(heldBytes, 'x'));
+    BOOST_TEST(stream->queued() == 0U);
+    stream->abort();
+    runFor(std::chrono::milliseconds(300));
+    const read_result result = readToEnd();
+    BOOST_TEST(result.size == heldBytes);
+    BOOST_TEST(result.end == asio::error::connection_reset);
+}
+
+// Guards against a reset that waits as long as its peer likes, or that an end of the peer's side turns into an end in
+// order.
+BOOST_AUTO_TEST_CASE(a_reset_behind_bytes_that_wait_stays_a_reset)
+{
+    stream->setUnreadLimit(std::chrono::seconds(30));
+    stream->write(std::string(unreadBytes, 'x'));
+    BOOST_TEST(stream->queued() > 0U);
+    stream->abort();
+    peer.shutdown(asio::ip::tcp::socket::shutdown_send);
+    runFor(std::chrono::milliseconds(100));
+    const read_result result = readToEnd();
+    BOOST_TEST(result.size == unreadBytes);
+    BOOST_TEST(result.end == asio::error::connection_reset);
+    BOOST_TEST(!stream->isOpen());
+}
+
 // Guards against a connection that is kept as long as its peer likes.
 BOOST_AUTO_TEST_CASE(a_finished_connection_closes_soon_after_the_last_bytes_of_its_peer)
 {
