Reset the connection of a caller that was given up for silence

What callers saw: a peer that got no packets for 1.75 s was given up, and when its packets arrived again it read an end in order. A stream to a caller of HTTP/1.0 ends with its connection, so that it could look whole.

Cause: giving up closed the socket in order, and the system delivers that end, and what was written before, as soon as the peer can be reached.

Change: the connection is given up with a reset that follows what the system holds, as for a response that is broken off. What waits in our own buffer is dropped at once, and nothing waits for the connection, as before.

--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -96,8 +96,7 @@
             if (!self->awaitsAcknowledgement()) {
                 self->watching = false;
             } else if (self->isPeerSilent()) {
-                self->timedOut = true;
-                self->lose("not acknowledged in time");
+                self->giveUp("not acknowledged in time");
             } else {
                 self->checkAcknowledgements();
             }
@@ -305,6 +304,18 @@
         }
     }
 
+    /// The peer doesn't answer. Should it come back, an end in order could be taken for that of a whole response.
+    void giveUp(const std::string &why)
+    {
+        timedOut = true;
+        pending.clear();
+        byte_stream_listener *last = listener;
+        abort();
+        if (last != nullptr) {
+            last->onLost(why);
+        }
+    }
+
     [[nodiscard]] bool hasUnreadBytes() const
     {
         std::error_code error;
@@ -532,7 +543,8 @@
 
 bool byte_stream::isOpen() const
 {
-    return m_impl->socket.is_open();
+    // A peer that was given up is not waited for.
+    return m_impl->socket.is_open() && !m_impl->timedOut;
 }
 
 bool byte_stream::hasUnreadBytes() const
@@ -572,6 +584,11 @@
 
 void byte_stream::close()
 {
+    if (m_impl->aborting) {
+        // The reset follows.
+        m_impl->listener = nullptr;
+        return;
+    }
     m_impl->close();
 }
 
--- a/libs/http1/tests/test_byte_stream.cpp
+++ b/libs/http1/tests/test_byte_stream.cpp
@@ -72,6 +72,13 @@
         BOOST_REQUIRE(::setsockopt(peer.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) == 0);
     }
 
+    /// Its packets arrive again.
+    void plugPeerIn()
+    {
+        const int unused = 0;
+        BOOST_REQUIRE(::setsockopt(peer.native_handle(), SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused)) == 0);
+    }
+
     read_result readToEnd()
     {
         read_result result;
@@ -230,6 +237,25 @@
     BOOST_TEST(!stream->isOpen());
 }
 
+// Guards against a stream of HTTP/1.0, which ends with its connection, that looks whole as its caller's link heals
+// after the caller was given up.
+BOOST_AUTO_TEST_CASE(a_peer_that_was_given_up_and_comes_back_meets_a_reset)
+{
+    loss_listener listener;
+    stream->setListener(&listener);
+    stream->setUnreadLimit(std::chrono::seconds(60));
+    unplugPeer();
+    stream->write("part of a response");
+    BOOST_TEST_REQUIRE(runUntil(context, [&] {
+        return listener.lost;
+    }));
+    // As their listeners do.
+    stream->close();
+    BOOST_TEST(!stream->isOpen());
+    plugPeerIn();
+    BOOST_TEST(readToEnd().end == asio::error::connection_reset);
+}
+
 // Guards against a connection that is kept as long as its peer likes.
 BOOST_AUTO_TEST_CASE(a_finished_connection_closes_soon_after_the_last_bytes_of_its_peer)
 {
