Page server: state the end of a connection and send responses whole

What callers saw: the 33rd connection to the pages of a gateway or an agent closed the oldest without a word, also one that had been kept for further requests and one whose response was not sent yet. A caller that ended its side behind its request lost the unsent rest of the response. "Connection: close" of a caller was ignored.

Cause: connections were dropped by age alone, and closed at the end of the peer's side.

Change: up to 16 connections are kept behind a response; further ones say Connection: close with it. Room is made only by connections that got no response and sent nothing that is unread, or have ended; without one the new connection is closed. Responses are sent whole.

--- a/libs/http1/src/page_server.cpp
+++ b/libs/http1/src/page_server.cpp
@@ -3,6 +3,8 @@
 #include <medlarrack/http1/message_parser.hpp>
 #include <medlarrack/http1/page_server.hpp>
 
+#include <algorithm>
+#include <cstddef>
 #include <list>
 #include <utility>
 
@@ -11,13 +13,17 @@
 namespace {
 
 constexpr std::size_t maxHeadBytes = 8'192;
-/// Connections kept; the oldest makes room.
 constexpr std::size_t maxConnections = 32;
+/// Connections that stay open behind a response; the others say that they end, so that there is room for new ones.
+constexpr std::ptrdiff_t maxKeptConnections = 16;
 
-std::string toText(const page &answer, bool omitsBody)
+std::string toText(const page &answer, bool omitsBody, bool keepsConnection)
 {
     std::string out = "HTTP/1.1 " + std::to_string(answer.status) + (answer.status == 200 ? " OK" : " Not Ready");
     out += "\r\nContent-Type: " + answer.contentType;
+    if (!keepsConnection) {
+        out += "\r\nConnection: close";
+    }
     out += "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
     return omitsBody ? out : out + answer.body;
 }
@@ -45,11 +51,12 @@
                 const std::size_t consumed = m_parser.feed(bytes);
                 bytes.remove_prefix(consumed);
                 if (m_parser.state() == parse_state::complete) {
-                    stream->write(toText(m_owner.answer(m_parser.head().target), m_parser.head().method == "HEAD"));
-                    m_parser.reset();
+                    if (!respond()) {
+                        return;
+                    }
                 } else if (consumed == 0 || m_parser.state() == parse_state::malformed
                            || m_parser.state() == parse_state::head_too_long) {
-                    stream->finish();
+                    end();
                     return;
                 }
             }
@@ -57,17 +64,50 @@
 
         void onPeerEnd() override
         {
-            stream->close();
+            end();
         }
 
         void onLost(std::string_view) override
         {
         }
 
+        /// Whether its caller was told that it can be used again.
+        [[nodiscard]] bool isKept() const
+        {
+            return m_isKept && stream->isOpen() && !m_isEnding;
+        }
+
+        /// Whether it can be dropped without a loss for its caller.
+        [[nodiscard]] bool canMakeRoom() const
+        {
+            return m_isEnding || (!m_isKept && !stream->hasUnreadBytes());
+        }
+
         std::shared_ptr<byte_stream> stream;
 
     private:
+        /// Returns whether the connection stays open.
+        bool respond()
+        {
+            m_isKept = m_parser.keepsAlive() && (m_isKept || m_owner.keptConnections() < maxKeptConnections);
+            stream->write(toText(m_owner.answer(m_parser.head().target), m_parser.head().method == "HEAD", m_isKept));
+            m_parser.reset();
+            if (!m_isKept) {
+                end();
+            }
+            return m_isKept;
+        }
+
+        /// The stream lives on until what was written is sent.
+        void end()
+        {
+            m_isEnding = true;
+            stream->finish();
+        }
+
         impl &m_owner;
+        bool m_isKept = false;
+        bool m_isEnding = false;
         message_parser m_parser;
     };
 
@@ -89,15 +129,34 @@
                 self->connections.remove_if([](const connection &one) {
                     return !one.stream->isOpen();
                 });
-                if (self->connections.size() >= maxConnections) {
-                    self->connections.pop_front();
+                if (self->connections.size() < maxConnections || self->makeRoom()) {
+                    self->connections.emplace_back(*self,
+                                                   std::make_shared<byte_stream>(self->context, std::move(socket)));
                 }
-                self->connections.emplace_back(*self, std::make_shared<byte_stream>(self->context, std::move(socket)));
             }
             self->accept();
         });
     }
 
+    bool makeRoom()
+    {
+        const auto found = std::find_if(connections.begin(), connections.end(), [](const connection &one) {
+            return one.canMakeRoom();
+        });
+        if (found == connections.end()) {
+            return false;
+        }
+        connections.erase(found);
+        return true;
+    }
+
+    [[nodiscard]] std::ptrdiff_t keptConnections() const
+    {
+        return std::count_if(connections.begin(), connections.end(), [](const connection &one) {
+            return one.isKept();
+        });
+    }
+
     asio::io_context &context;
     asio::ip::tcp::acceptor acceptor;
     std::function<page(std::string_view)> answer;
