Look up the tenant of a request by its key

The published state may list tenants with their keys; nobody read them. Keys were passed on to replicas, requests with unknown or revoked keys ran, and a tenant's name that a caller made up reached the replica.

The gateway answers 401 without a known key, or 503 while its state may be outdated, looks a waiting request up again when another state comes into force, drops the key and sets the tenant's name. Without tenants nothing changes.

--- a/libs/catalog/include/medlarrack/catalog/published_state.hpp
+++ b/libs/catalog/include/medlarrack/catalog/published_state.hpp
@@ -2,6 +2,7 @@
 
 #include <medlarrack/catalog/route.hpp>
 #include <medlarrack/catalog/service.hpp>
+#include <medlarrack/catalog/tenant.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -26,6 +27,8 @@
     std::vector<route> routes;
     std::vector<service> services;
     request_limits limits;
+    /// Requests need a tenant's key if there are any.
+    std::vector<tenant> tenants;
 };
 
 } // namespace medlarrack::catalog
--- a/libs/catalog/include/medlarrack/catalog/route.hpp
+++ b/libs/catalog/include/medlarrack/catalog/route.hpp
@@ -47,6 +47,8 @@
     std::chrono::milliseconds gapTarget{1'000};
     /// Priority among the requests of a service; 0 is served first.
     std::uint32_t priority = 0;
+    /// Requests need no key of a tenant.
+    bool isPublic = false;
 };
 
 /// Whether a request may be sent to another replica after its run may have begun.
--- a/libs/catalog/include/medlarrack/catalog/route_table.hpp
+++ b/libs/catalog/include/medlarrack/catalog/route_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <medlarrack/catalog/published_state.hpp>
+#include <medlarrack/catalog/tenant_directory.hpp>
 
 #include <cstdint>
 #include <map>
@@ -27,6 +28,7 @@
     /// Null for unknown names.
     [[nodiscard]] const service *findService(std::string_view name) const;
     [[nodiscard]] const std::vector<service> &services() const;
+    [[nodiscard]] const tenant_directory &tenants() const;
 
 private:
     using prefix_map = std::map<std::string, std::shared_ptr<const route>, std::less<>>;
@@ -34,6 +36,7 @@
     published_state m_state;
     std::unordered_map<std::string, prefix_map> m_hosts;
     std::unordered_map<std::string, std::size_t> m_services;
+    tenant_directory m_tenants;
 };
 
 /// Selects the service for a request by weight; the same hash always selects the same service.
--- a/libs/catalog/src/route_table.cpp
+++ b/libs/catalog/src/route_table.cpp
@@ -29,6 +29,7 @@
         m_hosts[normalizedHost(one.host)][one.prefix] = std::make_shared<const route>(one);
     }
     m_state.routes.clear();
+    m_tenants = tenant_directory(std::exchange(m_state.tenants, {}));
     m_services.clear();
     for (std::size_t index = 0; index < m_state.services.size(); ++index) {
         m_services[m_state.services[index].name] = index;
@@ -81,6 +82,11 @@
     return m_state.services;
 }
 
+const tenant_directory &route_table::tenants() const
+{
+    return m_tenants;
+}
+
 std::string_view selectService(const route &requestRoute, std::uint64_t requestHash)
 {
     std::uint64_t total = 0;
--- a/libs/gateway/include/medlarrack/gateway/caller_format.hpp
+++ b/libs/gateway/include/medlarrack/gateway/caller_format.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <medlarrack/core/digest.hpp>
 #include <medlarrack/gateway/connection_terms.hpp>
 #include <medlarrack/gateway/run_stop.hpp>
 #include <medlarrack/http1/message_head.hpp>
@@ -25,6 +26,10 @@
     /// "model/adapter"; empty if the request names no adapter.
     std::string adapter;
     std::uint32_t promptTokens = 0;
+    /// Largest number of tokens that the answer may have.
+    std::uint32_t maxOutputTokens = 0;
+    /// Whether the request states its numbers of tokens.
+    bool hasTokenCount = false;
     /// Hashes of the parts of the prompt that other requests may have too, in order; the last part is the request's
     /// own.
     std::vector<std::uint64_t> sharedParts;
@@ -32,6 +37,9 @@
     std::string lastEventId;
     /// Id of the attempt that brought the first event of the stream that the caller resumes; empty if it names none.
     std::string resumedAttempt;
+    /// Of the tenant's key that the request carries. The key itself isn't kept.
+    std::optional<core::sha256_digest> keyDigest;
+    bool hasSeveralKeys = false;
 };
 
 /// What the gateway adds to a request that it sends to a replica.
@@ -46,6 +54,9 @@
     std::string_view lastEventId;
     /// Copy of the memory of the run before, which the replica goes on from; empty if it has none.
     std::string_view memory;
+    /// Set if the published state has tenants: the caller's key and what it says of its tenant are dropped, and the
+    /// replica is told this name, unless it is empty.
+    std::optional<std::string_view> tenant;
 };
 
 /// Load that a replica reports in a response.
--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <medlarrack/gateway/key_policy.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 #include <medlarrack/settings/fault.hpp>
@@ -36,6 +37,7 @@
     double retryRatio = 0.2;
     std::chrono::seconds retryWindow{10};
     response_bounds responseBounds;
+    key_policy keyPolicy;
     /// Memory that the process may use. A share of it is for what is kept for others.
     std::uint32_t memoryLimitMb = 256;
     /// Longest answer of the store.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -61,7 +61,7 @@
 void exchange::advance()
 {
     if (m_route == nullptr) {
-        if (!findRoute()) {
+        if (!findRoute() || !authorize()) {
             return;
         }
         initFromRoute();
@@ -249,6 +249,7 @@
                {{"request_id", m_requestMetadata.id},
                 {"fingerprint", m_fingerprint},
                 {"route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view()},
+                {"tenant", m_tenant != nullptr ? std::string_view(m_tenant->name) : std::string_view()},
                 {"adapter", m_requestMetadata.adapter},
                 {"replica", m_replicaId},
                 {"status_age_ms", inMilliseconds(m_agentStatusAge)},
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -71,6 +71,12 @@
     /// False if the request was held or answered instead.
     bool findRoute();
     void initFromRoute();
+    /// Finds the tenant of the request's key in the state in force. False if the request was answered instead.
+    bool authorize();
+    /// The same if another state has come into force since; the key of a request that has waited may be revoked.
+    bool isStillAuthorized();
+    /// What the replica is told: 0 is served first.
+    [[nodiscard]] std::uint32_t urgency() const;
     /// Whether the caller resumes a stream that an earlier attempt of its began.
     [[nodiscard]] bool resumesStream() const;
     /// Finds out where the stream that the caller resumes has begun, and which service of the route can go on with it.
@@ -201,6 +207,11 @@
     /// Hash of the request's content: a caller's retry has another attempt id and the same fingerprint.
     std::uint64_t m_fingerprint;
     std::shared_ptr<const catalog::route> m_route;
+    /// Null if there are no tenants, or for a public route that was called without a key.
+    std::shared_ptr<const catalog::tenant> m_tenant;
+    bool m_hasTenants = false;
+    /// Version of the published state that the tenant was found in.
+    std::uint64_t m_authorizedVersion = 0;
     std::string m_serviceName;
     /// Key of the stream, which the caller's first attempt gave it.
     resumption::stream_key m_streamKey;
--- /dev/null
+++ b/libs/gateway/src/exchange_authorization.cpp
@@ -0,0 +1,70 @@
+// Which tenant an exchange's request belongs to, by its key and the published state in force.
+
+#include "exchange.hpp"
+
+namespace medlarrack::gateway {
+
+namespace {
+
+constexpr int statusUnauthorized = 401;
+
+} // namespace
+
+bool exchange::authorize()
+{
+    const catalog::tenant_directory &tenants = m_services.routes.tenants();
+    m_authorizedVersion = m_services.routes.version();
+    m_hasTenants = tenants.isEnabled();
+    m_tenant = nullptr;
+    if (!m_hasTenants) {
+        return true;
+    }
+    const auto &key = m_requestMetadata.keyDigest;
+    if (key && !m_requestMetadata.hasSeveralKeys) {
+        m_tenant = tenants.find(*key);
+    }
+    if (m_route->isPublic) {
+        return true;
+    }
+    const key_policy &policy = m_services.keyPolicy;
+    if (policy.failClosed && m_services.storeAge() >= policy.revokeBound) {
+        refuse(refusal_cause::starting, "state_outdated", "the store hasn't answered, keys may have been revoked");
+        return false;
+    }
+    if (m_tenant != nullptr) {
+        return true;
+    }
+    if (m_services.storeAge() >= policy.outdatedAfter) {
+        refuse(refusal_cause::starting, "state_outdated",
+               "the key is unknown, and the published state may be outdated");
+        return false;
+    }
+    m_services.metrics.count("medlarrack_gateway_unknown_keys_total", "Requests refused for want of a known key", {});
+    if (m_history.runs > 0) {
+        constexpr int statusBadGateway = 502;
+        respondWithError(statusBadGateway, "key_revoked", "the key was revoked after the request had been sent");
+    } else {
+        respondWithError(statusUnauthorized, "unknown_key",
+                         key ? "no tenant has this key" : "the route requires a tenant's key");
+    }
+    return false;
+}
+
+bool exchange::isStillAuthorized()
+{
+    return m_authorizedVersion == m_services.routes.version() || authorize();
+}
+
+std::uint32_t exchange::urgency() const
+{
+    if (m_tenant == nullptr || !m_tenant->priority) {
+        return m_route->priority;
+    }
+    // Replicas know ten levels; routes have two or three.
+    constexpr std::uint32_t levelsPerTenantPriority = 3;
+    constexpr std::uint32_t lowestUrgency = 9;
+    const std::uint32_t ofTenant = std::min(*m_tenant->priority, lowestUrgency) * levelsPerTenantPriority;
+    return std::min(lowestUrgency, ofTenant + std::min(m_route->priority, levelsPerTenantPriority - 1));
+}
+
+} // namespace medlarrack::gateway
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -58,7 +58,7 @@
         }
         return;
     }
-    if (holdOrRefuseIfSuspect()) {
+    if (!isStillAuthorized() || holdOrRefuseIfSuspect()) {
         return;
     }
     replica_choice choice = chooseReplica(now, m_holdDeadline);
@@ -129,7 +129,7 @@
     const bool isOfOrigin = m_origin == resumption::unknownOrigin || mayResume(*loadedReplica, m_origin);
     if (!isOfOrigin || !loadedReplica->requestLimit.admits(m_services.clock.now())) {
         dispatch();
-    } else if (!holdOrRefuseIfSuspect()) {
+    } else if (isStillAuthorized() && !holdOrRefuseIfSuspect()) {
         sendRequest(loadedReplica);
     }
 }
@@ -184,7 +184,10 @@
     options.replicaId = to->record.id;
     m_replicaTimeLimit = std::max(milliseconds(1), timeLeft(now) - responseTransitTime);
     options.timeLeft = m_replicaTimeLimit;
-    options.urgency = m_route->priority;
+    options.urgency = urgency();
+    if (m_hasTenants) {
+        options.tenant = m_tenant != nullptr ? std::string_view(m_tenant->name) : std::string_view();
+    }
     options.lastEventId = m_eventSplitter.lastEventId();
     const auto [copyAt, copy] = std::exchange(m_copiedMemory, {});
     m_usesCopiedMemory = !copy.empty() && copyAt == to->record.id;
--- a/libs/gateway/src/exchange_responses.cpp
+++ b/libs/gateway/src/exchange_responses.cpp
@@ -183,7 +183,10 @@
     response.status = status;
     response.code = code;
     response.message = why;
-    sendLocalResponse(response, status == 404 ? "not_run" : "unknown");
+    constexpr int statusUnauthorized = 401;
+    constexpr int statusNotFound = 404;
+    const bool isNotRun = status == statusUnauthorized || status == statusNotFound;
+    sendLocalResponse(response, isNotRun ? "not_run" : "unknown");
 }
 
 void exchange::abortResponse(std::string_view why)
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -10,6 +10,7 @@
 #include <medlarrack/gateway/adapter_demand.hpp>
 #include <medlarrack/gateway/caller_format.hpp>
 #include <medlarrack/gateway/caller_retry_detector.hpp>
+#include <medlarrack/gateway/key_policy.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/metrics/registry.hpp>
@@ -52,6 +53,7 @@
     run_stopper &runStopper;
     /// What the process keeps for others; its holders are the replicas.
     overload::byte_account &heldBytes;
+    const key_policy &keyPolicy;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -84,7 +84,8 @@
                    },
                    random,
                    runStopper,
-                   heldBytes}
+                   heldBytes,
+                   settings.keyPolicy}
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
                 given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
                 [this](const store_update &update) {
@@ -383,6 +384,7 @@
     m_impl->settings.retryWindow = settings.retryWindow;
     m_impl->settings.gracePeriod = settings.gracePeriod;
     m_impl->settings.responseBounds = settings.responseBounds;
+    m_impl->settings.keyPolicy = settings.keyPolicy;
     m_impl->heldBytes.setLimits(maxHeldBytes(settings), kilobytes(settings.responseBounds.maxBodyKb));
 }
 
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -47,6 +47,9 @@
     reader.require("agent_port");
     reader.integer("agent_port", value.agentPort, 1, highestPort);
     reader.duration("change_bound_ms", value.changeBound, shortestChangeBound, longestChangeBound);
+    value.keyPolicy.outdatedAfter = value.changeBound;
+    reader.flag("fail_closed", value.keyPolicy.failClosed);
+    reader.duration("revoke_bound_ms", value.keyPolicy.revokeBound, shortestChangeBound, longestChangeBound);
     double graceSeconds = std::chrono::duration<double>(value.gracePeriod).count();
     reader.number("grace_period_s", graceSeconds, shortestGraceSeconds, longestGraceSeconds);
     value.gracePeriod = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(graceSeconds));
