Bound what a tenant uses over all gateways by its quota

Two agents keep each tenant's token bucket as soft state from what gateways report. A gateway admits all requests while the bucket holds something and its share of the rate otherwise; over it, callers get 429 with a Retry-After. Requests that no replica ran cost nothing.

--- a/cmake/medlarrack_layers.cmake
+++ b/cmake/medlarrack_layers.cmake
@@ -1,7 +1,7 @@
 # Holds the line between decisions and transports: a decision library takes events and the time and returns actions,
 # so it may link nothing of the workspace but other decision libraries.
 set(MEDLARRACK_DECISION_LIBRARIES
-    adapter_cache catalog core idempotency instances overload policy resumption routing suspects tickets trace)
+    adapter_cache catalog core idempotency instances overload policy quota resumption routing suspects tickets trace)
 # Transports know nothing of decisions.
 set(MEDLARRACK_TRANSPORT_LIBRARIES agent_protocol http http1 peer)
 set(MEDLARRACK_TRANSPORT_MAY_LINK agent_protocol core http http1 peer)
--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -9,6 +9,7 @@
 #include <medlarrack/http1/page_server.hpp>
 #include <medlarrack/log/log.hpp>
 #include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/quota/usage_ledger.hpp>
 #include <medlarrack/resumption/origin_table.hpp>
 #include <medlarrack/suspects/suspect_table.hpp>
 
@@ -225,6 +226,12 @@
                       static_cast<double>(streamOrigins.size()));
         metrics.gauge("medlarrack_agent_requests", "Requests running and queued at the engine", {},
                       report.running + report.queued);
+        for (const core::tenant_total &one : tenantUsage.totals(clock.now())) {
+            const metrics::labels where{.operatorName = one.tenant};
+            metrics.gauge("medlarrack_agent_tenant_level", "Units left in the tenant's bucket", where, one.level);
+            metrics.gauge("medlarrack_agent_tenant_asked_per_second", "Units a second that all gateways are asked for",
+                          where, one.askedPerSecond);
+        }
         return {ok, "text/plain; version=0.0.4", metrics.text()};
     }
 
@@ -382,6 +389,16 @@
         from.connection->send(answer);
     }
 
+    /// Keeps the buckets of tenants for all gateways, which report to the same agents.
+    void handle(gateway_link &from, const agent_protocol::tenant_usage &usage)
+    {
+        agent_protocol::tenant_totals answer;
+        for (const core::tenant_report &report : usage.reports) {
+            answer.totals.push_back(tenantUsage.record(from.name, report, usage.stateVersion, clock.now()));
+        }
+        from.connection->send(answer);
+    }
+
     /// Sends a message to all gateways except the one that it came from.
     void broadcast(const agent_protocol::message &message, const gateway_link *from = nullptr)
     {
@@ -406,6 +423,10 @@
     {
     }
 
+    void handle(gateway_link &, const agent_protocol::tenant_totals &)
+    {
+    }
+
     void scheduleTick(std::chrono::milliseconds delay)
     {
         timer.expires_after(delay);
@@ -577,6 +598,7 @@
     failure_rate failureRate;
     suspects::suspect_table suspects{suspects::sharedLimits};
     resumption::origin_table streamOrigins;
+    quota::usage_ledger tenantUsage;
     fencing_token_source tokenSource;
     std::list<gateway_link> links;
     agent_protocol::engine_status publishedStatus;
--- a/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
+++ b/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <medlarrack/core/crash_record.hpp>
+#include <medlarrack/core/tenant_usage.hpp>
 
 #include <cstdint>
 #include <map>
@@ -15,7 +16,7 @@
 struct greeting
 {
     /// Version of the protocol. Agents don't check it.
-    std::uint32_t protocol = 6;
+    std::uint32_t protocol = 7;
     std::string name;
 };
 
@@ -137,8 +138,22 @@
     std::map<std::uint64_t, std::uint64_t> origins;
 };
 
+/// Usage of tenants whose buckets the agent keeps, by a gateway with the given version of the published state.
+struct tenant_usage
+{
+    std::uint64_t stateVersion = 0;
+    std::vector<core::tenant_report> reports;
+};
+
+/// Answer to a tenant_usage: the buckets of the tenants that it names.
+struct tenant_totals
+{
+    std::vector<core::tenant_total> totals;
+};
+
 /// Any message of the protocol. The index of a type is its number on the wire.
-using message = std::variant<greeting, load_request, adapters_in_use, service_config, adapter_releases, engine_status,
-                             engine_change, crash_report, stream_origins, origin_query, origin_answer>;
+using message =
+    std::variant<greeting, load_request, adapters_in_use, service_config, adapter_releases, engine_status,
+                 engine_change, crash_report, stream_origins, origin_query, origin_answer, tenant_usage, tenant_totals>;
 
 } // namespace medlarrack::agent_protocol
--- a/libs/agent_protocol/src/message_codec.cpp
+++ b/libs/agent_protocol/src/message_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstring>
 #include <tuple>
 
@@ -107,9 +108,25 @@
     return std::tie(value.origins);
 }
 
+auto fields(
+    auto &value) requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, tenant_usage>
+{
+    return std::tie(value.stateVersion, value.reports);
+}
+
+auto fields(
+    auto &value) requires std::same_as<std::remove_const_t<std::remove_reference_t<decltype(value)>>, tenant_totals>
+{
+    return std::tie(value.totals);
+}
+
 /// Durations are encoded as whole milliseconds.
 using crash_fields = std::tuple<std::uint64_t, std::uint64_t, std::int64_t, std::int64_t, bool>;
 using acquittal_fields = std::tuple<std::uint64_t, std::int64_t>;
+/// Name, units per second, burst, units admitted, units asked per second.
+using report_fields = std::tuple<std::string, double, double, double, double>;
+/// Name, level, units asked per second.
+using total_fields = std::tuple<std::string, double, double>;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -172,6 +189,23 @@
     }
 }
 
+void packField(packer &out, const std::vector<core::tenant_report> &reports)
+{
+    out.pack_array(static_cast<std::uint32_t>(reports.size()));
+    for (const core::tenant_report &one : reports) {
+        out.pack(std::tuple(boundedText(one.tenant), one.limits.perSecond, one.limits.burst, one.admitted,
+                            one.askedPerSecond));
+    }
+}
+
+void packField(packer &out, const std::vector<core::tenant_total> &totals)
+{
+    out.pack_array(static_cast<std::uint32_t>(totals.size()));
+    for (const core::tenant_total &one : totals) {
+        out.pack(std::tuple(boundedText(one.tenant), one.level, one.askedPerSecond));
+    }
+}
+
 void readField(const msgpack::object &from, auto &value)
 {
     from.convert(value);
@@ -207,6 +241,30 @@
     }
 }
 
+/// A number from a peer. One that isn't finite would spoil each sum that it goes into.
+double readFinite(double value)
+{
+    constexpr double largest = 1e15;
+    return std::isfinite(value) ? std::clamp(value, -largest, largest) : 0;
+}
+
+void readField(const msgpack::object &from, std::vector<core::tenant_report> &reports)
+{
+    for (const auto &[tenant, perSecond, burst, admitted, asked] : from.as<std::vector<report_fields>>()) {
+        reports.push_back({tenant,
+                           {std::max(0.0, readFinite(perSecond)), std::max(0.0, readFinite(burst))},
+                           readFinite(admitted),
+                           readFinite(asked)});
+    }
+}
+
+void readField(const msgpack::object &from, std::vector<core::tenant_total> &totals)
+{
+    for (const auto &[tenant, level, asked] : from.as<std::vector<total_fields>>()) {
+        totals.push_back({tenant, readFinite(level), readFinite(asked)});
+    }
+}
+
 template<std::size_t Index = 0>
 std::optional<message> readBody(std::size_t index, std::span<const msgpack::object> items)
 {
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -1,5 +1,7 @@
 #include "agent_links.hpp"
 
+#include "tenant_buckets.hpp"
+
 #include <medlarrack/core/hash.hpp>
 #include <medlarrack/log/log.hpp>
 
@@ -21,6 +23,8 @@
 constexpr std::size_t crashReportFanout = 3;
 /// Change in the number of requests for one adapter that is reported although the set of adapters is the same.
 constexpr std::uint32_t minReportedCountChange = 4;
+/// Shortest interval between two reports of the same tenant.
+constexpr std::chrono::milliseconds usageReportInterval{100};
 
 using request_counts = std::map<std::string, std::uint32_t, std::less<>>;
 
@@ -65,7 +69,7 @@
 agent_links::agent_links(asio::io_context &context, const core::clock &clock, std::string name, std::uint16_t agentPort,
                          replica_table &replicas, const catalog::route_table &routes,
                          suspects::crash_detector &crashDetector, resumption::stream_directory &streams,
-                         std::function<void(const replica_ptr &)> onStatus)
+                         quota::tenant_limiter &tenantLimiter, std::function<void(const replica_ptr &)> onStatus)
     : m_context(context)
     , m_clock(clock)
     , m_name(std::move(name))
@@ -74,6 +78,7 @@
     , m_routes(routes)
     , m_crashDetector(crashDetector)
     , m_streams(streams)
+    , m_tenantLimiter(tenantLimiter)
     , m_onStatus(std::move(onStatus))
 {
 }
@@ -174,6 +179,32 @@
     }
     exchangeStreams(now);
     updateSharers(now);
+    reportTenantUsage(now);
+}
+
+void agent_links::reportTenantUsage(core::monotonic_time now)
+{
+    if (!m_routes.tenants().isEnabled() || now < m_nextUsageReportAt) {
+        return;
+    }
+    m_nextUsageReportAt = now + usageReportInterval;
+    std::vector<tenant_buckets::connected_agent> agents;
+    for (const auto &[id, link] : m_links) {
+        if (link.connected) {
+            agents.push_back({id, core::hash64(m_replicas.find(id)->record.address)});
+        }
+    }
+    const tenant_buckets homes(agents);
+    for (const std::string &id : homes.agents()) {
+        const auto isKeptThere = [&homes, &id](std::string_view tenant) {
+            return homes.isKeptBy(tenant, id);
+        };
+        auto reports = m_tenantLimiter.takeReports(id, isKeptThere, now);
+        // Sending may close a link.
+        if (const auto &connection = m_links.at(id).connection; connection != nullptr && !reports.empty()) {
+            connection->send(agent_protocol::tenant_usage{m_routes.version(), std::move(reports)});
+        }
+    }
 }
 
 void agent_links::exchangeStreams(core::monotonic_time now)
@@ -301,6 +332,11 @@
             m_streams.recordAnswer(id, stream, origin, now);
         }
         return;
+    } else if (const auto *totals = std::get_if<agent_protocol::tenant_totals>(&message)) {
+        for (const core::tenant_total &total : totals->totals) {
+            m_tenantLimiter.recordTotal(id, total);
+        }
+        return;
     } else {
         return;
     }
@@ -321,6 +357,7 @@
     asio::post(m_context,
                [old = std::shared_ptr<agent_protocol::message_connection>(std::move(found->second.connection))] {});
     m_streams.recordAgentLost(id);
+    m_tenantLimiter.forgetAgent(id);
     found->second = {};
     found->second.nextConnectAt = m_clock.now() + reconnectDelay;
     if (const replica_ptr knownReplica = m_replicas.find(id); knownReplica != nullptr && knownReplica->agent) {
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -4,6 +4,7 @@
 #include <medlarrack/catalog/route_table.hpp>
 #include <medlarrack/core/clock.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
+#include <medlarrack/quota/tenant_limiter.hpp>
 #include <medlarrack/resumption/stream_directory.hpp>
 #include <medlarrack/suspects/crash_detector.hpp>
 
@@ -25,7 +26,8 @@
     /// All references must outlive the links. The handler is called after each change to the status of an engine.
     agent_links(asio::io_context &context, const core::clock &clock, std::string name, std::uint16_t agentPort,
                 replica_table &replicas, const catalog::route_table &routes, suspects::crash_detector &crashDetector,
-                resumption::stream_directory &streams, std::function<void(const replica_ptr &)> onStatus);
+                resumption::stream_directory &streams, quota::tenant_limiter &tenantLimiter,
+                std::function<void(const replica_ptr &)> onStatus);
     ~agent_links();
 
     /// Asks the agent of an engine to load an adapter. False if there is no connection to the agent.
@@ -56,6 +58,8 @@
     void sendUpdates(replica &of, agent_link &link);
     /// Tells agents of streams that have begun, and asks them for those that callers resume.
     void exchangeStreams(core::monotonic_time now);
+    /// Reports the usage of tenants to the agents that keep their buckets.
+    void reportTenantUsage(core::monotonic_time now);
     /// Tells the request limits of replicas how many processes share them.
     void updateSharers(core::monotonic_time now);
 
@@ -67,6 +71,8 @@
     const catalog::route_table &m_routes;
     suspects::crash_detector &m_crashDetector;
     resumption::stream_directory &m_streams;
+    quota::tenant_limiter &m_tenantLimiter;
+    core::monotonic_time m_nextUsageReportAt{};
     std::function<void(const replica_ptr &)> m_onStatus;
     std::map<std::string, agent_link, std::less<>> m_links;
 };
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -61,7 +61,7 @@
 void exchange::advance()
 {
     if (m_route == nullptr) {
-        if (!findRoute() || !authorize()) {
+        if (!findRoute() || !authorize() || !admitByQuota()) {
             return;
         }
         initFromRoute();
@@ -268,6 +268,9 @@
                                       {.code = std::string(outcome)},
                                       std::chrono::duration<double>(now - m_startedAt).count());
     releaseReplica();
+    if (m_quotaCost > 0 && m_history.runs == 0) {
+        m_services.tenantLimiter.giveBack(m_quotaTenant, m_quotaCost);
+    }
     if (m_caller != nullptr) {
         std::exchange(m_caller, nullptr)->onResponseComplete();
     }
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -75,6 +75,8 @@
     bool authorize();
     /// The same if another state has come into force since; the key of a request that has waited may be revoked.
     bool isStillAuthorized();
+    /// Counts the request toward its tenant's quota. False if it was refused instead.
+    bool admitByQuota();
     /// What the replica is told: 0 is served first.
     [[nodiscard]] std::uint32_t urgency() const;
     /// Whether the caller resumes a stream that an earlier attempt of its began.
@@ -181,7 +183,8 @@
     /// Refuses the request with a Retry-After, or with another error if it may have run.
     void refuse(refusal_cause cause, std::string_view code, std::string_view why);
     /// Refuses the request, which has not run.
-    void sendRefusal(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter);
+    void sendRefusal(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter,
+                     int status = 503);
     void sendLocalResponse(local_response &response, std::string_view outcome);
     /// Ends the request with the held error response, an error of the gateway, or, if a response has begun, a reset.
     void respondWithError(int status, std::string_view code, std::string_view why);
@@ -210,6 +213,10 @@
     /// Null if there are no tenants, or for a public route that was called without a key.
     std::shared_ptr<const catalog::tenant> m_tenant;
     bool m_hasTenants = false;
+    /// Units that count toward the tenant's quota.
+    double m_quotaCost = 0;
+    /// The tenant that they were counted for.
+    std::string m_quotaTenant;
     /// Version of the published state that the tenant was found in.
     std::uint64_t m_authorizedVersion = 0;
     std::string m_serviceName;
--- a/libs/gateway/src/exchange_authorization.cpp
+++ b/libs/gateway/src/exchange_authorization.cpp
@@ -55,6 +55,32 @@
     return m_authorizedVersion == m_services.routes.version() || authorize();
 }
 
+bool exchange::admitByQuota()
+{
+    if (m_tenant == nullptr || m_tenant->quota.perSecond <= 0) {
+        return true;
+    }
+    const catalog::tenant_quota &quota = m_tenant->quota;
+    double cost = 1;
+    if (quota.countsTokens) {
+        cost = m_requestMetadata.hasTokenCount
+            ? static_cast<double>(m_requestMetadata.promptTokens) + m_requestMetadata.maxOutputTokens
+            : quota.plainTokens;
+    }
+    const core::monotonic_time now = m_services.clock.now();
+    if (m_services.tenantLimiter.admit(m_tenant->name, {quota.perSecond, quota.burst}, cost, now)) {
+        m_quotaTenant = m_tenant->name;
+        m_quotaCost = cost;
+        return true;
+    }
+    constexpr int statusTooManyRequests = 429;
+    const std::chrono::milliseconds wait = m_services.tenantLimiter.timeToAdmission(m_tenant->name, now);
+    // Spread over as long again, so that callers don't return together.
+    const std::chrono::milliseconds jitter(m_services.random() % (wait.count() + 1));
+    sendRefusal("quota_exceeded", "the quota of the tenant is used up", wait + jitter, statusTooManyRequests);
+    return false;
+}
+
 std::uint32_t exchange::urgency() const
 {
     if (m_tenant == nullptr || !m_tenant->priority) {
--- a/libs/gateway/src/exchange_responses.cpp
+++ b/libs/gateway/src/exchange_responses.cpp
@@ -76,10 +76,11 @@
                            static_cast<std::uint32_t>(m_services.random())));
 }
 
-void exchange::sendRefusal(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter)
+void exchange::sendRefusal(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter,
+                           int status)
 {
     local_response response;
-    response.status = statusUnavailable;
+    response.status = status;
     response.code = code;
     response.message = why;
     response.retryAfter = retryAfter;
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -16,6 +16,7 @@
 #include <medlarrack/metrics/registry.hpp>
 #include <medlarrack/overload/byte_account.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
+#include <medlarrack/quota/tenant_limiter.hpp>
 #include <medlarrack/resumption/stream_directory.hpp>
 #include <medlarrack/suspects/crash_detector.hpp>
 
@@ -54,6 +55,7 @@
     /// What the process keeps for others; its holders are the replicas.
     overload::byte_account &heldBytes;
     const key_policy &keyPolicy;
+    quota::tenant_limiter &tenantLimiter;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -49,7 +49,7 @@
         , clock(time)
         , replicas(given.dataCentre)
         , connections(owner, time)
-        , agents(owner, time, given.name, given.agentPort, replicas, routes, crashDetector, streams,
+        , agents(owner, time, given.name, given.agentPort, replicas, routes, crashDetector, streams, tenantLimiter,
                  [this](const replica_ptr &changed) {
                      const core::monotonic_time now = clock.now();
                      if (changed->awaitsRelisting(now)) {
@@ -85,7 +85,8 @@
                    random,
                    runStopper,
                    heldBytes,
-                   settings.keyPolicy}
+                   settings.keyPolicy,
+                   tenantLimiter}
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
                 given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
                 [this](const store_update &update) {
@@ -285,6 +286,25 @@
         return step == drain_step::done;
     }
 
+    void showTenants()
+    {
+        for (const quota::tenant_usage &one : tenantLimiter.usage(clock.now())) {
+            const metrics::labels where{.operatorName = std::string(one.tenant)};
+            metrics.gauge("medlarrack_gateway_tenant_quota_per_second", "Units a second that the tenant may use", where,
+                          one.limits.perSecond);
+            metrics.gauge("medlarrack_gateway_tenant_admitted_units", "Units admitted at this gateway since its start",
+                          where, one.admittedUnits);
+            metrics.gauge("medlarrack_gateway_tenant_refused_requests", "Requests refused over the quota", where,
+                          static_cast<double>(one.refusedRequests));
+            metrics.gauge("medlarrack_gateway_tenant_share", "Share of the quota of this gateway once it is used up",
+                          where, one.share);
+            if (one.level) {
+                metrics.gauge("medlarrack_gateway_tenant_level", "Units left in the bucket of all gateways", where,
+                              *one.level);
+            }
+        }
+    }
+
     [[nodiscard]] bool isReady() const
     {
         return !drainSchedule && !routes.isEmpty() && !replicas.all().empty();
@@ -313,6 +333,7 @@
                           {}, static_cast<double>(crashDetector.size()));
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callerServer.busy()));
+            showTenants();
             metrics.gauge("medlarrack_gateway_held_bytes", "Bytes of responses that are collected", {},
                           static_cast<double>(heldBytes.heldBytes()));
             metrics.gauge("medlarrack_gateway_max_held_bytes", "Their bound for the process", {},
@@ -341,6 +362,7 @@
     caller_retry_detector callerRetryDetector;
     suspects::crash_detector crashDetector{suspects::sharedLimits, core::hash64(settings.name)};
     resumption::stream_directory streams;
+    quota::tenant_limiter tenantLimiter;
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> retryBudgets;
--- /dev/null
+++ b/libs/quota/tests/test_tenant_limiter.cpp
@@ -0,0 +1,74 @@
+#include <medlarrack/quota/tenant_limiter.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+namespace medlarrack::quota {
+
+namespace {
+
+using std::chrono::milliseconds;
+constexpr core::monotonic_time start{std::chrono::hours(1)};
+constexpr core::bucket_limits limits{1'000, 1'000};
+
+bool anyTenant(std::string_view)
+{
+    return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(tenant_limiter_tests)
+
+// Guards against refusals of tenants without a quota.
+BOOST_AUTO_TEST_CASE(a_quota_of_zero_admits_all)
+{
+    tenant_limiter limiter;
+    for (int count = 0; count < 1'000; ++count) {
+        BOOST_TEST(limiter.admit("t", {0, 0}, 1e6, start));
+    }
+    BOOST_TEST(limiter.takeReports("a", anyTenant, start).empty());
+}
+
+// Guards against a gateway that admits the whole quota by itself before any agent has told of the bucket.
+BOOST_AUTO_TEST_CASE(without_news_a_gateway_admits_its_assumed_share_only)
+{
+    tenant_limiter limiter;
+    double admitted = 0;
+    for (int step = 0; step < 1'000; ++step) {
+        admitted += limiter.admit("t", limits, 10, start + milliseconds(10 * step)) ? 10 : 0;
+    }
+    BOOST_TEST(admitted > 10 * limits.perSecond / 20);
+    BOOST_TEST(admitted < 10 * limits.perSecond / 10);
+    BOOST_TEST((limiter.timeToAdmission("t", start + milliseconds(10'000)) >= milliseconds(200)));
+}
+
+// Guards against quota that is lost to requests that no replica has run.
+BOOST_AUTO_TEST_CASE(what_is_given_back_is_reported_as_unused)
+{
+    tenant_limiter limiter;
+    BOOST_TEST(limiter.admit("t", limits, 5, start));
+    BOOST_TEST(limiter.takeReports("a", anyTenant, start).size() == 1U);
+    BOOST_TEST(limiter.admit("t", limits, 40, start));
+    limiter.giveBack("t", 30);
+    const auto reports = limiter.takeReports("a", anyTenant, start + milliseconds(600));
+    BOOST_TEST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST(reports.front().admitted == 10);
+}
+
+// Guards against a total that counts for another connection's usage.
+BOOST_AUTO_TEST_CASE(a_lost_agent_counts_no_more)
+{
+    tenant_limiter limiter;
+    BOOST_TEST(limiter.admit("t", limits, 5, start));
+    BOOST_TEST(!limiter.takeReports("a", anyTenant, start).empty());
+    limiter.recordTotal("a", {"t", 700, 5});
+    BOOST_TEST(limiter.usage(start).front().level.value() == 700);
+    limiter.forgetAgent("a");
+    BOOST_TEST(!limiter.usage(start).front().level.has_value());
+    limiter.recordTotal("a", {"t", 700, 5});
+    BOOST_TEST(!limiter.usage(start).front().level.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarrack::quota
