Read what came before a failed write; take no end behind it for orderly

A failed write consumes the error of the socket, and its loss was only posted. A read that ran before the posted loss saw an end of file, which completes a response whose body only the connection delimits. When the rest of an upload could not be written, on the other hand, the connection was closed over a whole response that had come before.

An end that is seen on a connection that has failed is now reported as a loss. Client connections read what came before the failure, then get the loss. Servers read nothing more: a request that came before would be run for a caller who has left.

--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -29,7 +29,8 @@
     virtual void onWritten()
     {
     }
-    /// The peer ended its stream in order; writing may go on.
+    /// The peer ended its stream in order; writing may go on. An end that is seen after a reset or behind a failed
+    /// write is reported by onLost.
     virtual void onPeerEnd() = 0;
     /// The connection failed or was reset. Last event of a stream.
     virtual void onLost(std::string_view why) = 0;
@@ -71,6 +72,9 @@
     void startReading();
     void stopReading();
     void write(std::string_view bytes);
+    /// When a write fails, the listener still gets the bytes that the peer sent before; onLost follows them, and waits
+    /// until they have been read. Without this, onLost follows at once.
+    void readPastFailedWrites();
     /// Bytes not yet taken by the system.
     [[nodiscard]] std::size_t queued() const;
     /// Bytes taken by the system since the start.
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -169,7 +169,7 @@
         awaiting = true;
         socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const std::error_code &error) {
             self->awaiting = false;
-            if (error || !self->socket.is_open()) {
+            if (error || !self->socket.is_open() || self->lossPosted) {
                 return;
             }
             if (self->wantsBytes) {
@@ -193,13 +193,18 @@
             ended = true;
             if (lingering) {
                 close();
+            } else if (!writeFailure.empty()) {
+                lose(writeFailure);
+            } else if (hasFailed()) {
+                // The end of the peer's side came before the reset, or a failed write has consumed the reset's error.
+                lose("reset by the peer");
             } else if (listener != nullptr) {
                 listener->onPeerEnd();
             }
             return;
         }
         if (error) {
-            timedOut = error == asio::error::timed_out;
+            timedOut = timedOut || error == asio::error::timed_out;
             lose((timedOut ? "given up: " : "reset by the peer: ") + error.message());
             return;
         }
@@ -216,7 +221,7 @@
 
     void write(std::string_view bytes)
     {
-        if (!socket.is_open() || lingering) {
+        if (!socket.is_open() || lingering || !writeFailure.empty()) {
             return;
         }
         watchAcknowledgements();
@@ -224,8 +229,7 @@
             std::error_code error;
             const std::size_t size = socket.write_some(asio::buffer(bytes), error);
             if (error && error != asio::error::would_block) {
-                timedOut = error == asio::error::timed_out;
-                fail("not written: " + error.message());
+                failWrite(error);
                 return;
             }
             sentBytes += error ? 0 : size;
@@ -261,8 +265,7 @@
             std::error_code error;
             const std::size_t size = socket.write_some(asio::buffer(pending), error);
             if (error && error != asio::error::would_block) {
-                timedOut = error == asio::error::timed_out;
-                lose("not written: " + error.message());
+                failWrite(error);
                 return;
             }
             if (!error) {
@@ -286,9 +289,23 @@
         }
     }
 
+    void failWrite(const std::error_code &error)
+    {
+        timedOut = error == asio::error::timed_out;
+        writeFailure = "not written: " + error.message();
+        std::exchange(pending, {});
+        // A connection that has failed gets no more bytes, so that the end behind those that came is seen.
+        if (readsPastFailedWrites && !lingering && !ended && hasFailed()) {
+            awaitBytes();
+            return;
+        }
+        postLoss(writeFailure);
+    }
+
     /// Reports the loss after the caller has returned: write() is called from within listeners.
-    void fail(std::string why)
+    void postLoss(std::string why)
     {
+        lossPosted = true;
         asio::post(socket.get_executor(), [self = shared_from_this(), why = std::move(why)] {
             self->lose(why);
         });
@@ -483,6 +500,12 @@
     std::unique_ptr<late_bytes_observer> lateBytes;
     std::string pending;
     std::size_t sentBytes = 0;
+    /// Why a write failed; empty while none has. Nothing is written after that.
+    std::string writeFailure;
+    /// The listener gets the bytes that came before a failed write.
+    bool readsPastFailedWrites = false;
+    /// The loss is about to be reported; nothing is read meanwhile.
+    bool lossPosted = false;
     bool connected = false;
     bool wantsBytes = false;
     bool awaiting = false;
@@ -541,6 +564,11 @@
     m_impl->write(bytes);
 }
 
+void byte_stream::readPastFailedWrites()
+{
+    m_impl->readsPastFailedWrites = true;
+}
+
 std::size_t byte_stream::queued() const
 {
     return m_impl->pending.size();
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -28,6 +28,8 @@
     , m_parser(message_kind::response, limits.maxHeadBytes)
 {
     m_stream->setListener(this);
+    // A server may answer and close before it has read the whole request.
+    m_stream->readPastFailedWrites();
 }
 
 client_connection::~client_connection()
--- a/libs/http1/tests/scripted_server.hpp
+++ b/libs/http1/tests/scripted_server.hpp
@@ -8,8 +8,10 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,8 @@
         keep,
         close,
         reset,
+        /// Ends the server's side only; it reads on.
+        end_side,
     } then = ending::keep;
     /// Answers once the head has come, without the body.
     bool early = false;
@@ -31,6 +35,12 @@
     std::string endless;
 };
 
+inline std::ostream &operator<<(std::ostream &out, scripted_answer::ending then)
+{
+    static constexpr std::array<const char *, 4> names{"keep", "close", "reset", "end_side"};
+    return out << names.at(static_cast<std::size_t>(then));
+}
+
 /// A server on loopback that answers each request by a function, with any bytes.
 class scripted_server
 {
@@ -186,6 +196,13 @@
             return;
         }
         if (answer.then != scripted_answer::ending::keep) {
+            if (answer.then == scripted_answer::ending::end_side) {
+                to->output.then([socket = to->socket](bool) {
+                    std::error_code ignored;
+                    socket->shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+                });
+                return;
+            }
             closeAfterOutput(to, answer.then == scripted_answer::ending::reset);
         }
     }
--- a/libs/http1/tests/test_byte_stream.cpp
+++ b/libs/http1/tests/test_byte_stream.cpp
@@ -38,17 +38,21 @@
 
 struct loss_listener : byte_stream_listener
 {
-    void onBytes(std::string_view) override
+    void onBytes(std::string_view bytes) override
     {
+        received += bytes;
     }
     void onPeerEnd() override
     {
+        ended = true;
     }
     void onLost(std::string_view) override
     {
         lost = true;
     }
 
+    std::string received;
+    bool ended = false;
     bool lost = false;
 };
 
@@ -80,6 +84,18 @@
         context.run_for(time);
     }
 
+    /// Returns once the reset has arrived.
+    void resetByPeer()
+    {
+        peer.set_option(asio::socket_base::linger(true, 0));
+        peer.close();
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!stream->hasPeerEnded() && std::chrono::steady_clock::now() < end) {
+            std::this_thread::yield();
+        }
+        BOOST_REQUIRE(stream->hasPeerEnded());
+    }
+
     /// The peer gets no more packets, as if it had lost power.
     void unplugPeer()
     {
@@ -406,4 +422,77 @@
     }
 }
 
+// Guards against a reset that a failed write consumes: the read after it sees an end of file, which would complete a
+// body that only the end of its connection delimits.
+BOOST_AUTO_TEST_CASE(an_end_behind_a_failed_write_is_not_orderly)
+{
+    loss_listener listener;
+    stream->setListener(&listener);
+    asio::write(peer, asio::buffer(std::string_view("part")));
+    BOOST_REQUIRE(runUntil(context, [&] {
+        return listener.received == "part";
+    }));
+    resetByPeer();
+    // Runs in the same turn of the event loop as the read of the end, before it.
+    asio::post(context, [&] {
+        stream->write("more");
+    });
+    BOOST_TEST(runUntil(context, [&] {
+        return listener.lost;
+    }));
+    BOOST_TEST(!listener.ended);
+}
+
+// Guards against a correct response that is dropped because the rest of the upload could not be written.
+BOOST_AUTO_TEST_CASE(bytes_that_came_before_a_failed_write_are_read_if_asked_for)
+{
+    loss_listener listener;
+    stream->setListener(&listener);
+    stream->readPastFailedWrites();
+    asio::write(peer, asio::buffer(std::string_view("whole")));
+    resetByPeer();
+    stream->write("more");
+    BOOST_TEST(runUntil(context, [&] {
+        return listener.lost;
+    }));
+    BOOST_TEST(listener.received == "whole");
+    BOOST_TEST(!listener.ended);
+}
+
+// Guards against a connection that is never reported as lost, or a reader that gets bytes while it has paused.
+BOOST_AUTO_TEST_CASE(the_loss_waits_for_a_reader_that_has_paused)
+{
+    loss_listener listener;
+    stream->setListener(&listener);
+    stream->readPastFailedWrites();
+    stream->stopReading();
+    asio::write(peer, asio::buffer(std::string_view("whole")));
+    resetByPeer();
+    stream->write("more");
+    runFor(std::chrono::milliseconds(20));
+    BOOST_TEST(!listener.lost);
+    BOOST_TEST(listener.received.empty());
+    stream->startReading();
+    BOOST_TEST(runUntil(context, [&] {
+        return listener.lost;
+    }));
+    BOOST_TEST(listener.received == "whole");
+}
+
+// Guards against requests of a caller that has left: a server reads nothing of a connection that it can't write to.
+BOOST_AUTO_TEST_CASE(bytes_that_came_before_a_failed_write_are_not_read_otherwise)
+{
+    loss_listener listener;
+    stream->setListener(&listener);
+    asio::write(peer, asio::buffer(std::string_view("request")));
+    resetByPeer();
+    asio::post(context, [&] {
+        stream->write("more");
+    });
+    BOOST_TEST(runUntil(context, [&] {
+        return listener.lost;
+    }));
+    BOOST_TEST(listener.received.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
