Take no end of a connection during the upload for the end of a response

A server that ended its side while the request was still being written, as the system does for a process that dies, completed a response without a length at that point. The end now counts only if the server has acknowledged the whole request; otherwise the call fails.

Failed before: incomplete_responses/a_response_that_breaks_off_during_the_upload_fails, the six of 18 cases in which only the server's side ends (client_connection and call_client).

--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -79,6 +79,8 @@
     [[nodiscard]] std::size_t queued() const;
     /// Bytes taken by the system since the start.
     [[nodiscard]] std::size_t sent() const;
+    /// Whether the host of the peer has yet to acknowledge bytes that were written.
+    [[nodiscard]] bool hasUnacknowledgedBytes() const;
     [[nodiscard]] bool isOpen() const;
     /// Whether the system has bytes of the peer that weren't read yet.
     [[nodiscard]] bool hasUnreadBytes() const;
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -579,6 +579,11 @@
     return m_impl->sentBytes;
 }
 
+bool byte_stream::hasUnacknowledgedBytes() const
+{
+    return m_impl->awaitsAcknowledgement();
+}
+
 bool byte_stream::isOpen() const
 {
     // A peer that was given up is not waited for.
--- a/libs/http1/src/client_connection.cpp
+++ b/libs/http1/src/client_connection.cpp
@@ -223,11 +223,15 @@
         m_stream->close();
         return;
     }
-    if (m_parser.finish() == parse_state::complete) {
+    // A process that dies closes its connections in order too. The end marks a whole body only if the server had taken
+    // the whole request before: then the packet that ended the stream acknowledges it.
+    const bool duringRequest = m_stream->hasUnacknowledgedBytes();
+    if (!duringRequest && m_parser.finish() == parse_state::complete) {
         advance();
     }
     if (m_observer != nullptr) {
-        fail("the server closed the connection");
+        fail(duringRequest ? "the server closed the connection during the request"
+                           : "the server closed the connection");
     }
 }
 
--- a/libs/http1/tests/test_incomplete_responses.cpp
+++ b/libs/http1/tests/test_incomplete_responses.cpp
@@ -2,6 +2,7 @@
 
 #include "scripted_server.hpp"
 
+#include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/client_connection.hpp>
 
 #include <boost/test/data/test_case.hpp>
@@ -37,6 +38,16 @@
     return out << response.name;
 }
 
+/// Only the end of the connection ends their bodies.
+const std::vector<response_case> withoutLength = {
+    {"HTTP/1.1", "HTTP/1.1 200 OK\r\n\r\npart"},
+    {"HTTP/1.1, closes", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"},
+    {"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\npart"},
+    {"HTTP/1.0, keeps", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\npart"},
+    {"no body yet", "HTTP/1.1 200 OK\r\n\r\n"},
+    {"long body", "HTTP/1.1 200 OK\r\n\r\n" + std::string(100'000, 'x')},
+};
+
 const std::vector<response_case> withLength = {
     {"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"},
     {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
@@ -93,12 +104,53 @@
             return seen.complete || seen.progress;
         }));
     }
+
+    /// Null if the call failed.
+    std::optional<call_answer> call(std::size_t bytes)
+    {
+        call_client client(context, server.endpoint(), 1'000'000, "");
+        std::optional<call_answer> given;
+        bool ended = false;
+        client.call("POST", "/", std::string(bytes, 'x'), limit,
+                    [&](std::optional<call_answer> result, const core::reason &) {
+                        given = std::move(result);
+                        ended = true;
+                    });
+        BOOST_REQUIRE(runUntil(context, [&] {
+            return ended;
+        }));
+        return given;
+    }
 };
 
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(incomplete_responses, incomplete_fixture)
 
+// Guards against a part of a body that passes for the whole because the connection has ended while the request was
+// still being written.
+BOOST_DATA_TEST_CASE_F(incomplete_fixture, a_response_that_breaks_off_during_the_upload_fails,
+                       data::make(withoutLength) * data::make({ending::close, ending::reset, ending::end_side}),
+                       response, then)
+{
+    answer = {response.bytes, then, true, {}};
+    upload();
+    BOOST_TEST(!seen.complete);
+    BOOST_TEST(!connection->isReusable());
+    BOOST_TEST(!call(uploadBytes));
+}
+
+// Guards against responses without a length that are taken for broken though the server has got the whole request.
+BOOST_DATA_TEST_CASE_F(incomplete_fixture, a_response_without_a_length_after_the_upload_is_whole,
+                       data::make(withoutLength), response)
+{
+    constexpr std::size_t longRequest = 1'000'000;
+    answer = {response.bytes, ending::close};
+    upload(longRequest);
+    BOOST_TEST(seen.complete);
+    BOOST_TEST(call(longRequest).has_value());
+}
+
 // Guards against a correct response that is dropped because the upload could not be finished.
 BOOST_DATA_TEST_CASE_F(incomplete_fixture, a_whole_response_during_the_upload_is_passed_on,
                        data::make(withLength)
