Take a response whose status is not a number from 100 to 599 for malformed

A status below 100 was taken for that of an interim response, which is passed over, one above 599 for that of a final one, and the status could have any number of digits (0200).

Failed before: incomplete_responses/a_response_without_a_valid_status_fails for 600, 999 and 0200, of 22 statuses, in client_connection and call_client.

--- a/libs/http1/include/medlarrack/http1/message_parser.hpp
+++ b/libs/http1/include/medlarrack/http1/message_parser.hpp
@@ -27,7 +27,7 @@
 };
 
 /// Parses one HTTP/1 message at a time. Stricter than the protocol where two readers could disagree on where a message
-/// ends: such messages are malformed.
+/// ends: such messages are malformed. So are responses whose status is not a number of three digits from 100 to 599.
 class message_parser
 {
 public:
--- a/libs/http1/src/message_parser.cpp
+++ b/libs/http1/src/message_parser.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+constexpr std::size_t statusDigits = 3;
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
+
 bool isTokenCharacter(char character)
 {
     static constexpr std::string_view others = "!#$%&'*+-.^_`|~";
@@ -62,6 +66,9 @@
         anyLine = false;
         lineEmpty = true;
         headScanned = false;
+        inStatusLine = true;
+        afterVersion = false;
+        statusBytes = 0;
         valueBegun = false;
         endsWithStream = false;
         skipsBody = noBody;
@@ -116,6 +123,7 @@
             if (lastByte == '\r' && byte != '\n') {
                 return "a carriage return in the head ends no line";
             }
+            countStatusBytes(byte);
             if (byte == '\n') {
                 headScanned = anyLine && lineEmpty;
                 lineEmpty = true;
@@ -128,6 +136,18 @@
         return {};
     }
 
+    /// The library gives the status as a number only, and takes any count of digits.
+    void countStatusBytes(char byte)
+    {
+        if (!inStatusLine || byte == '\r' || (byte == '\n' && !anyLine)) {
+            return;
+        }
+        const bool isBlank = byte == ' ' || byte == '\n';
+        inStatusLine = byte != '\n' && !(isBlank && statusBytes > 0);
+        afterVersion = afterVersion || isBlank;
+        statusBytes += afterVersion && !isBlank ? 1 : 0;
+    }
+
     void reject(std::string_view why)
     {
         state = parse_state::malformed;
@@ -220,6 +240,10 @@
         if (parsed.http_major != 1) {
             return "not HTTP/1";
         }
+        if (kind == message_kind::response
+            && (statusBytes != statusDigits || head.status < minStatus || head.status > maxStatus)) {
+            return "the status is not a number from 100 to 599";
+        }
         std::size_t lengths = 0;
         std::size_t encodings = 0;
         for (const header &field : head.headers) {
@@ -284,6 +308,9 @@
     bool anyLine = false;
     bool lineEmpty = true;
     bool headScanned = false;
+    bool inStatusLine = true;
+    bool afterVersion = false;
+    std::size_t statusBytes = 0;
     bool valueBegun = false;
     bool endsWithStream = false;
     bool skipsBody = false;
--- a/libs/http1/tests/test_incomplete_responses.cpp
+++ b/libs/http1/tests/test_incomplete_responses.cpp
@@ -53,6 +53,33 @@
     {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
 };
 
+const std::string fields = "Content-Length: 2\r\n\r\nok";
+
+const std::vector<response_case> withoutStatus = {
+    {"000", "HTTP/1.1 000 OK\r\n" + fields},
+    {"000 without a length", "HTTP/1.1 000 OK\r\n\r\nok"},
+    {"001", "HTTP/1.1 001 OK\r\n" + fields},
+    {"099", "HTTP/1.1 099 OK\r\n" + fields},
+    {"600", "HTTP/1.1 600 OK\r\n" + fields},
+    {"999", "HTTP/1.1 999 OK\r\n" + fields},
+    {"2", "HTTP/1.1 2 OK\r\n" + fields},
+    {"20", "HTTP/1.1 20 OK\r\n" + fields},
+    {"0200", "HTTP/1.1 0200 OK\r\n" + fields},
+    {"2000", "HTTP/1.1 2000 OK\r\n" + fields},
+    {"4294967496", "HTTP/1.1 4294967496 OK\r\n" + fields},
+    {"negative", "HTTP/1.1 -200 OK\r\n" + fields},
+    {"fraction", "HTTP/1.1 200.0 OK\r\n" + fields},
+    {"words", "HTTP/1.1 OK\r\n" + fields},
+    {"words behind digits", "HTTP/1.1 200OK\r\n" + fields},
+    {"nothing", "HTTP/1.1\r\n" + fields},
+    {"blank", "HTTP/1.1 \r\n" + fields},
+    {"line ends before the status", "HTTP/1.1\r\n200 OK\r\n" + fields},
+    {"line ends before the status, continued", "HTTP/1.1\r\n 200 OK\r\n" + fields},
+    {"line ends behind the blank", "HTTP/1.1 \r\n200 OK\r\n" + fields},
+    {"line ends inside the status", "HTTP/1.1 20\r\n0 OK\r\n" + fields},
+    {"interim 000 before it", "HTTP/1.1 000 Wait\r\n\r\nHTTP/1.1 200 OK\r\n" + fields},
+};
+
 class recorder final : public call_observer
 {
 public:
@@ -164,4 +191,31 @@
     BOOST_TEST(!connection->isReusable());
 }
 
+// Guards against a response whose status is none, which passes for an interim one or for a final one.
+BOOST_DATA_TEST_CASE_F(incomplete_fixture, a_response_without_a_valid_status_fails,
+                       data::make(withoutStatus) * data::make({ending::keep, ending::close}), response, then)
+{
+    answer = {response.bytes, then};
+    upload(1);
+    BOOST_TEST(!seen.complete);
+    BOOST_TEST(seen.heads == 0U);
+    BOOST_TEST(seen.bytes.empty());
+    BOOST_TEST((seen.progress == call_progress::answered));
+    BOOST_TEST(!call(1));
+}
+
+BOOST_AUTO_TEST_CASE(the_first_and_the_last_valid_status_are_taken)
+{
+    for (const char *status : {"200", "599"}) {
+        recorder fresh;
+        connection = std::make_shared<client_connection>(context);
+        answer = {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + std::string(status) + " Any\r\n" + fields};
+        connection->connect(server.endpoint(), limit);
+        connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", fresh);
+        BOOST_TEST(runUntil(context, [&] {
+            return fresh.complete;
+        }));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
