Choose engines by the expected time to the first event

Engine choice counted 650 pending prefill tokens as one request, whatever the engine prefills per ms, and counted a prompt in full until its first event.

prefill_estimate learns an engine's prefill rate from the tokens ahead of a request and the time to its first event (38 tokens per ms assumed, bounded at a quarter and four times that), and subtracts what the engine has prefilled since its pending tokens were reported. chooseEngine compares engines by it. The home for an adapter is the one that has both loaded it and prefilled its prompts first, so that an engine with a long queue of prompts is passed over.

size_preference (long prompts at preferred engines) is part of the choice, but no query names prompt sizes yet.

--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -3,6 +3,7 @@
 #include <medlarrack/catalog/recent_adapters.hpp>
 #include <medlarrack/catalog/replica_record.hpp>
 #include <medlarrack/core/clock.hpp>
+#include <medlarrack/gateway/prefill_estimate.hpp>
 #include <medlarrack/gateway/replica_health.hpp>
 #include <medlarrack/gateway/request_limit.hpp>
 #include <medlarrack/resumption/stream_origin.hpp>
@@ -104,6 +105,8 @@
     std::map<std::string, std::uint32_t, std::less<>> requestsByAdapter;
     /// Prompt tokens of this process's requests there that have no answer yet.
     std::uint64_t pendingPrefillTokens = 0;
+    /// What is left of the pending prompts, and the rate at which the engine prefills them.
+    prefill_estimate prefill;
     /// Requests of other processes there, by the latest reported load.
     std::uint32_t othersLoad = 0;
     core::monotonic_time loadReportedAt{};
@@ -173,6 +176,25 @@
         return pendingPrefillTokens + (agent ? agent->othersPendingPrefillTokens : 0);
     }
 
+    /// Changes the count of this process's pending prompt tokens.
+    void addPendingPrefillTokens(std::uint64_t tokens, core::monotonic_time now)
+    {
+        pendingPrefillTokens += tokens;
+        prefill.recordPending(totalPendingPrefillTokens(), now);
+    }
+
+    void subtractPendingPrefillTokens(std::uint64_t tokens, core::monotonic_time now)
+    {
+        pendingPrefillTokens -= std::min(tokens, pendingPrefillTokens);
+        prefill.recordPending(totalPendingPrefillTokens(), now);
+    }
+
+    /// Time until the engine has prefilled what it was sent.
+    [[nodiscard]] std::chrono::nanoseconds prefillWait(core::monotonic_time now) const
+    {
+        return prefill.remainingTime(totalPendingPrefillTokens(), now);
+    }
+
     /// Assumes a full replica with a queue after it rejected a request without reporting its load, for as long as a
     /// reported load counts. Otherwise its fast rejections would keep attracting requests.
     void assumeFull(core::monotonic_time now)
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <medlarrack/gateway/prompt_sizes.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 
 #include <chrono>
@@ -30,6 +31,12 @@
     std::chrono::milliseconds maxLoadWait{1'500};
     /// Only replicas whose streams have this origin; any if it is unknown.
     resumption::stream_origin origin = resumption::unknownOrigin;
+    /// Tokens of the prompt; 0 if not known.
+    std::uint32_t promptTokens = 0;
+    /// Sizes of the service's prompts. Null: engines are not chosen by the size of the prompt.
+    const prompt_sizes *sizes = nullptr;
+    /// Random number by which requests of the same kind are spread over engines of about the same expected time.
+    std::uint64_t salt = 0;
 };
 
 /// The replica chosen for a request.
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -323,6 +323,7 @@
         // The agent's count includes the tokens that this process has reported.
         knownReplica->agent->othersPendingPrefillTokens = change->load.pendingPrefillTokens
             - std::min(change->load.pendingPrefillTokens, found->second.sentPendingPrefillTokens);
+        knownReplica->prefill.recordPending(knownReplica->totalPendingPrefillTokens(), now);
         knownReplica->agent->updatedAt = now;
     } else if (const auto *report = std::get_if<agent_protocol::crash_report>(&message)) {
         mergeCrashReport(id, found->second, report->news);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -216,7 +216,9 @@
 
 void exchange::clearPendingPrefillTokens()
 {
-    m_replica->pendingPrefillTokens -= std::exchange(m_pendingPrefillTokens, 0);
+    if (const std::uint64_t tokens = std::exchange(m_pendingPrefillTokens, 0); tokens > 0) {
+        m_replica->subtractPendingPrefillTokens(tokens, m_services.clock.now());
+    }
 }
 
 void exchange::releaseReplica()
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -264,6 +264,9 @@
     double m_adapterDemand = 0;
     /// Prompt tokens of this request that are counted in the replica's pendingPrefillTokens until it responds.
     std::uint64_t m_pendingPrefillTokens = 0;
+    /// Tokens that the replica had to prefill when the request was sent, those of its prompt included; 0 if the time to
+    /// the first event doesn't show the rate at which it does.
+    double m_tokensToFirstEvent = 0;
     /// When the response last made progress: by its head, by bytes of a body, or by a complete event with data.
     core::monotonic_time m_lastProgressAt{};
     std::string_view m_choiceReason;
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -150,7 +150,14 @@
     const core::monotonic_time now = m_services.clock.now();
     assignReplica(to);
     m_pendingPrefillTokens = m_requestMetadata.promptTokens;
-    to->pendingPrefillTokens += m_pendingPrefillTokens;
+    if (m_pendingPrefillTokens > 0) {
+        to->addPendingPrefillTokens(m_pendingPrefillTokens, now);
+    }
+    // A request that waits for a slot, or goes on with a stream, isn't prefilled at once or as a whole.
+    m_tokensToFirstEvent = m_pendingPrefillTokens > 0 && to->load() <= to->record.slots
+            && m_origin == resumption::unknownOrigin && m_copiedMemory.second.empty()
+        ? to->prefill.remainingTokens(to->totalPendingPrefillTokens(), now)
+        : 0;
     ++m_history.runs;
     m_triedReplicas.push_back(to->record.id);
     // The answer to a request without an id names none, so that an earlier one can't be told from it.
--- a/libs/gateway/src/exchange_reading.cpp
+++ b/libs/gateway/src/exchange_reading.cpp
@@ -182,6 +182,7 @@
         return;
     }
     m_replica->recordSuccess(m_services.clock.now() - m_sentAt);
+    m_replica->prefill.recordFirstEvent(m_tokensToFirstEvent, m_services.clock.now() - m_sentAt);
     const body_framing framing = m_caller->acceptsChunkedBody() ? body_framing::chunked : body_framing::none;
     m_services.format.appendResponseHead(out, m_responseHead, framing, 0, m_caller->decideTerms());
 }
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -3,7 +3,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <functional>
 #include <iterator>
+#include <map>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -11,6 +15,19 @@
 
 namespace {
 
+/// Share of the prompt tokens below which long prompts get no preferred engines.
+constexpr double minLongShare = 0.02;
+/// Prefill wait of an engine from which a long prompt goes to another one: short prompts sent to it by processes that
+/// don't know of its prompts yet would miss their limit of 500 ms.
+constexpr std::chrono::milliseconds maxWaitOfLong{400};
+/// Divisor of a long prompt's prefill time that is added where it would delay short ones.
+constexpr int delayedPart = 2;
+/// Largest random addition to an engine's expected time. Reports are 200 ms old: without it all processes choose the same
+/// engine in that time. At 24 and 68 gateways, 40 to 100 ms gave the shortest first events.
+constexpr std::chrono::milliseconds maxJitter{60};
+/// Added for a short prompt at an engine that is preferred for long ones: reports are 200 ms old, and during about a
+/// third of that time a long prompt of 300 ms is sent there.
+constexpr std::chrono::milliseconds unreportedDelay{100};
 /// Minimum gain in expected time for which a request goes to another data centre: traffic between them is expensive.
 constexpr std::chrono::milliseconds remotePenalty{60};
 /// Expected time to an answer before the first latency sample.
@@ -27,12 +44,12 @@
 constexpr double furtherHomeLoadFactor = 1.25;
 /// Demand of this process for an adapter from which a further home is worth the load.
 constexpr double furtherHomeMinDemand = 2;
-/// Requests added to the load of an engine in another data centre. As long as engines have capacity, the traffic of a
-/// remote request costs more than the time that it gains.
-constexpr double remoteLoadPenalty = 10;
-/// Prompt tokens to prefill that count as one more request. The most frequent kind of request of both users has 646,
-/// which an engine prefills in 17 ms.
-constexpr double prefillTokensPerRequest = 650;
+/// Time by which a request that runs or waits at an engine delays the first event of another one: its steps, and its
+/// part of a full batch.
+constexpr std::chrono::milliseconds delayPerRequest{17};
+/// Requests that an engine in another data centre counts for. As long as engines have capacity, the traffic of a remote
+/// request costs more than the time that it gains.
+constexpr std::uint32_t remoteLoadPenalty = 10;
 /// Highest-ranked engines that may load an adapter they haven't held before. Usually one of three has a free slot.
 constexpr std::size_t homesPerAdapter = 3;
 /// Multiple of the time of a load from the weight store that such a load costs besides: all engines share the store,
@@ -187,15 +204,100 @@
     }
 }
 
-/// The engine with the least load, including prompt tokens to prefill and a penalty for other data centres.
-replica_ptr leastLoaded(const std::vector<replica_ptr> &engines)
+/// Expected time until the first event of a request that is sent to the engine now, with a penalty for other data
+/// centres.
+std::chrono::nanoseconds expectedFirstEvent(const replica &engine, core::monotonic_time now)
+{
+    const std::uint32_t requests = engine.load() + (engine.local ? 0U : remoteLoadPenalty);
+    return engine.prefillWait(now) + requests * std::chrono::nanoseconds(delayPerRequest);
+}
+
+/// What the choice between engines adds to the expected time by the size of the prompt. In each data centre, the first
+/// engines by rendezvous hashing are preferred for long prompts, as many as their share of the prompt tokens. Processes
+/// that see different shares differ in the last of these engines only.
+class size_preference
+{
+public:
+    size_preference(const replica_table &table, const choice_query &query, core::monotonic_time now)
+        : m_tokens(query.promptTokens)
+        , m_now(now)
+    {
+        if (query.sizes == nullptr || query.promptTokens == 0 || query.sizes->longShare() < minLongShare) {
+            return;
+        }
+        m_isLong = query.sizes->isLong(query.promptTokens);
+        m_salt = query.salt;
+        const std::uint64_t key = core::hash64(query.service);
+        std::map<std::string_view, std::vector<std::pair<std::uint64_t, const replica *>>> byDataCentre;
+        for (const replica_ptr &engine : table.findByService(query.service)) {
+            byDataCentre[engine->record.dataCentre].emplace_back(core::rendezvousWeight(key, engine->idHash),
+                                                                 engine.get());
+        }
+        for (auto &[dataCentre, ranked] : byDataCentre) {
+            const auto size = static_cast<double>(ranked.size());
+            const auto count =
+                static_cast<std::ptrdiff_t>(std::min(std::ceil(query.sizes->longShare() * size), std::floor(size / 2)));
+            std::partial_sort(ranked.begin(), ranked.begin() + count, ranked.end(), std::greater<>());
+            for (auto it = ranked.begin(); it != ranked.begin() + count; ++it) {
+                m_preferred.push_back(it->second);
+            }
+        }
+    }
+
+    [[nodiscard]] bool isLong() const
+    {
+        return m_isLong;
+    }
+
+    /// What is added to the engine's expected time: a part at random, and the delay that the prompt would cause or meet.
+    [[nodiscard]] std::chrono::nanoseconds addition(const replica &engine) const
+    {
+        return m_salt == 0 ? penalty(engine) : penalty(engine) + jitter(engine);
+    }
+
+    /// Whether the engine has enough to prefill for now, so that a long prompt goes elsewhere if it can.
+    [[nodiscard]] bool isBusy(const replica &engine) const
+    {
+        return m_isLong && engine.prefillWait(m_now) > maxWaitOfLong;
+    }
+
+    [[nodiscard]] std::chrono::nanoseconds penalty(const replica &engine) const
+    {
+        if (m_preferred.empty()) {
+            return {};
+        }
+        const bool preferred = std::find(m_preferred.begin(), m_preferred.end(), &engine) != m_preferred.end();
+        if (m_isLong) {
+            return preferred ? std::chrono::nanoseconds(0) : engine.prefill.timeFor(m_tokens) / delayedPart;
+        }
+        return preferred ? std::chrono::nanoseconds(unreportedDelay) : std::chrono::nanoseconds(0);
+    }
+
+private:
+    [[nodiscard]] std::chrono::nanoseconds jitter(const replica &engine) const
+    {
+        constexpr std::uint64_t parts = 1'024;
+        const auto part = static_cast<std::int64_t>(core::rendezvousWeight(m_salt, engine.idHash) % parts);
+        return std::chrono::nanoseconds(maxJitter) * part / static_cast<std::int64_t>(parts);
+    }
+
+    std::uint64_t m_salt = 0;
+    std::uint32_t m_tokens;
+    core::monotonic_time m_now;
+    bool m_isLong = false;
+    /// Empty if long prompts are rare.
+    std::vector<const replica *> m_preferred;
+};
+
+/// The engine with the shortest expected time to the first event, in view of the size of the prompt.
+replica_ptr leastLoaded(const std::vector<replica_ptr> &engines, const size_preference &preference,
+                        core::monotonic_time now)
 {
     replica_ptr best;
-    double bestCost = 0;
+    std::pair<bool, std::chrono::nanoseconds> bestCost;
     for (const replica_ptr &candidate : engines) {
-        const double cost = candidate->load()
-            + static_cast<double>(candidate->totalPendingPrefillTokens()) / prefillTokensPerRequest
-            + (candidate->local ? 0 : remoteLoadPenalty);
+        const std::pair cost(preference.isBusy(*candidate),
+                             expectedFirstEvent(*candidate, now) + preference.addition(*candidate));
         if (best == nullptr || cost < bestCost) {
             best = candidate;
             bestCost = cost;
@@ -232,10 +334,12 @@
 };
 
 /// Chooses the engine to load the adapter: of its homes and the engines that have held it before, the one expected to
-/// complete the load first; the highest rank breaks ties. Ranks are independent of load and homes are few, so that all
-/// processes load an adapter at the same engines, also after a mass restart: engines that are expected to be usable
-/// soon keep their ranks.
-home_choice nextHome(const replica_table &table, const known_engines &engines, const choice_query &query)
+/// complete the load and to prefill what it was sent first; the highest rank breaks ties. What an engine prefills while
+/// it loads delays nobody, so that only long prompts have an effect. Ranks are independent of load and homes are few,
+/// so that all processes load an adapter at the same engines, also after a mass restart: engines that are expected to
+/// be usable soon keep their ranks.
+home_choice nextHome(const replica_table &table, const known_engines &engines, const choice_query &query,
+                     const size_preference &preference, core::monotonic_time now)
 {
     struct ranked_engine
     {
@@ -271,7 +375,14 @@
         if (time > query.maxLoadWait) {
             continue;
         }
-        const std::pair rank(held ? time : time + storeLoadTime(*it->engine) * storeLoadCost, ~it->weight);
+        const auto prefilled = std::chrono::duration_cast<std::chrono::milliseconds>(it->engine->prefillWait(now));
+        const auto ready = std::max(time, prefilled);
+        // Short prompts are loaded for at all engines, as otherwise slots of those preferred for long ones stay unused.
+        const auto misplaced = preference.isLong()
+            ? std::chrono::duration_cast<std::chrono::milliseconds>(preference.penalty(*it->engine))
+            : std::chrono::milliseconds(0);
+        const std::pair rank(held ? ready : ready + misplaced + storeLoadTime(*it->engine) * storeLoadCost,
+                             ~it->weight);
         if (best.engine == nullptr || rank < bestRank) {
             best.engine = it->engine;
             bestRank = rank;
@@ -291,14 +402,14 @@
 
 /// Chooses a further home for an adapter that an engine holds; null if it isn't worth the load.
 replica_ptr furtherHome(const replica_table &table, const std::vector<replica_ptr> &engines, const replica &holder,
-                        const choice_query &query)
+                        const choice_query &query, const size_preference &preference, core::monotonic_time now)
 {
     std::vector<replica_ptr> candidates;
     if (!holder.local && query.demand >= localHomeMinDemand) {
         std::copy_if(engines.begin(), engines.end(), std::back_inserter(candidates), [](const replica_ptr &candidate) {
             return candidate->local && canStartLoad(*candidate);
         });
-        return nextHome(table, {candidates, {}}, query).engine;
+        return nextHome(table, {candidates, {}}, query, preference, now).engine;
     }
     if (query.demand < furtherHomeMinDemand || holder.load() < furtherHomeMinLoad) {
         return nullptr;
@@ -313,7 +424,7 @@
     std::copy_if(engines.begin(), engines.end(), std::back_inserter(candidates), [mean](const replica_ptr &candidate) {
         return candidate->load() <= mean && canStartLoad(*candidate);
     });
-    return nextHome(table, {candidates, {}}, query).engine;
+    return nextHome(table, {candidates, {}}, query, preference, now).engine;
 }
 
 } // namespace
@@ -382,8 +493,9 @@
         excludeFailing(engines);
     }
     excludeSlow(engines);
+    const size_preference preference(table, query, now);
     if (query.adapter.empty()) {
-        return {.target = leastLoaded(engines), .why = "least loaded"};
+        return {.target = leastLoaded(engines, preference, now), .why = "least loaded"};
     }
     std::vector<replica_ptr> holders;
     std::vector<replica_ptr> loading;
@@ -395,18 +507,18 @@
         }
     }
     const double saturatedLoad = saturationFraction * query.batchSize;
-    if (const replica_ptr holder = leastLoaded(holders); holder != nullptr && holder->load() < saturatedLoad) {
+    if (const replica_ptr holder = leastLoaded(holders, preference, now); holder != nullptr && holder->load() < saturatedLoad) {
         replica_choice chosen{.target = holder, .why = "adapter loaded"};
         if (loading.empty()) {
-            chosen.alsoLoadAt = furtherHome(table, engines, *holder, query);
+            chosen.alsoLoadAt = furtherHome(table, engines, *holder, query, preference, now);
         }
         return chosen;
     }
-    if (const replica_ptr next = leastLoaded(loading); next != nullptr && next->load() < saturatedLoad) {
+    if (const replica_ptr next = leastLoaded(loading, preference, now); next != nullptr && next->load() < saturatedLoad) {
         return {.target = next, .needsLoad = true, .why = "adapter is being loaded"};
     }
-    const home_choice home = nextHome(table, known, query);
-    if (const replica_ptr holder = leastLoaded(holders); home.engine != nullptr && holder != nullptr
+    const home_choice home = nextHome(table, known, query, preference, now);
+    if (const replica_ptr holder = leastLoaded(holders, preference, now); home.engine != nullptr && holder != nullptr
         && holder->load() < query.batchSize && !isInMemory(*home.engine, query.adapter)) {
         // Slots that are free in a moment cost less than a load from the weight store.
         return {.target = holder, .why = "adapter loaded, its engines nearly saturated"};
@@ -414,7 +526,7 @@
     if (home.engine != nullptr) {
         return {.target = home.engine, .needsLoad = true, .why = "home of the adapter"};
     }
-    if (const replica_ptr holder = leastLoaded(holders); holder != nullptr) {
+    if (const replica_ptr holder = leastLoaded(holders, preference, now); holder != nullptr) {
         return {.target = holder, .why = "adapter loaded, all its engines saturated"};
     }
     if (home.usableSoon) {
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -53,6 +53,7 @@
         known.health.reset();
         known.quietUntil.reset();
         known.requestLimit = {};
+        known.prefill = {};
         known.othersLoad = 0;
         if (known.agent && known.agent->startedAtMs < record.startedAtMs) {
             known.agent->models = record.models;
