Take no response of libcurl for one without a valid status; keep a whole one whose upload failed

The client took the statuses 600 and 999 and words behind the digits (200.0, 200OK) for those of responses. A response whose length shows that it is whole was reported as broken if the server closed while the request was still being written, as libcurl reports the failed upload only.

--- a/libs/http/src/exchange.cpp
+++ b/libs/http/src/exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -32,22 +33,32 @@
     return text;
 }
 
+/// Zero if the line has no valid status: three digits, from 100 to 599.
 int statusOf(std::string_view statusLine)
 {
+    constexpr std::size_t statusDigits = 3;
+    constexpr int minStatus = 100;
+    constexpr int maxStatus = 599;
     const auto space = statusLine.find(' ');
-    int status = 0;
-    if (space != std::string_view::npos) {
-        const auto digits = trimmed(statusLine.substr(space + 1));
-        std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    if (space == std::string_view::npos) {
+        return 0;
     }
-    return status;
+    const auto rest = trimmed(statusLine.substr(space));
+    const auto digits = rest.substr(0, rest.find(' '));
+    int status = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    const bool isNumber = error == std::errc() && end == digits.data() + digits.size() && digits.size() == statusDigits;
+    return isNumber && status >= minStatus && status <= maxStatus ? status : 0;
 }
 
-bool isLength(std::string_view value)
+std::optional<curl_off_t> lengthOf(std::string_view value)
 {
     curl_off_t length = 0;
     const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), length);
-    return error == std::errc() && end == value.data() + value.size() && value.front() != '-';
+    if (error != std::errc() || end != value.data() + value.size() || length < 0 || value.front() == '-') {
+        return std::nullopt;
+    }
+    return length;
 }
 
 const char *errorCodeFor(CURLcode code, client_progress progress)
@@ -148,15 +159,16 @@
 
 std::size_t exchange::onHeaderLine(const char *data, std::size_t size, std::size_t count, void *self)
 {
-    static_cast<exchange *>(self)->headerLine({data, size * count});
-    return size * count;
+    // Fewer bytes than were given end the transfer.
+    return static_cast<exchange *>(self)->headerLine({data, size * count}) ? size * count : 0;
 }
 
 std::size_t exchange::onBody(const char *data, std::size_t size, std::size_t count, void *self)
 {
-    const auto &callbacks = static_cast<exchange *>(self)->m_callbacks;
-    if (callbacks.onData) {
-        callbacks.onData({data, size * count});
+    auto &one = *static_cast<exchange *>(self);
+    one.m_bodyBytes += size * count;
+    if (one.m_callbacks.onData) {
+        one.m_callbacks.onData({data, size * count});
     }
     return size * count;
 }
@@ -171,11 +183,11 @@
     return sends == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
-void exchange::headerLine(std::string_view line)
+bool exchange::headerLine(std::string_view line)
 {
     if (m_headDone) {
         // Trailers of a chunked body.
-        return;
+        return true;
     }
     while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
         line.remove_suffix(1);
@@ -183,7 +195,7 @@
     if (line.starts_with("HTTP/")) {
         m_headers.clear();
         m_status = statusOf(line);
-        return;
+        return m_status != 0;
     }
     if (line.empty()) {
         // Interim answers (1xx) are followed by another head.
@@ -193,12 +205,13 @@
                 m_callbacks.onHead(m_status, m_headers);
             }
         }
-        return;
+        return true;
     }
     const auto colon = line.find(':');
     if (colon != std::string_view::npos) {
         m_headers.emplace_back(std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1))));
     }
+    return true;
 }
 
 bool exchange::framed() const
@@ -212,7 +225,7 @@
     for (const auto &[name, value] : m_headers) {
         if (sameFieldName(name, "Content-Length")) {
             ++statements;
-            usable = usable && isLength(value);
+            usable = usable && lengthOf(value);
         } else if (sameFieldName(name, "Transfer-Encoding")) {
             ++statements;
             usable = usable && sameFieldName(value, "chunked");
@@ -221,6 +234,12 @@
     return statements == 1 && usable;
 }
 
+bool exchange::hasWholeBody() const
+{
+    const auto length = findHeader(m_headers, "Content-Length");
+    return m_headDone && framed() && length && lengthOf(*length) == static_cast<curl_off_t>(m_bodyBytes);
+}
+
 client_progress exchange::brokenProgress() const
 {
     return m_sends == 0 ? client_progress::not_sent : client_progress::sent;
@@ -229,7 +248,8 @@
 void exchange::finish(CURLcode code)
 {
     client_result result;
-    if (code == CURLE_OK && m_headDone && framed()) {
+    // A server may answer and close before it has read the whole request. libcurl reports that the upload failed.
+    if ((code == CURLE_OK && m_headDone && framed()) || hasWholeBody()) {
         result.progress = client_progress::complete;
     } else {
         result.progress = brokenProgress();
--- a/libs/http/src/exchange.hpp
+++ b/libs/http/src/exchange.hpp
@@ -32,10 +32,13 @@
     static std::size_t onBody(const char *data, std::size_t size, std::size_t count, void *self);
     static int onBeforeSend(void *self, char *remoteAddress, char *localAddress, int remotePort, int localPort);
 
-    void headerLine(std::string_view line);
+    /// False if the line can't be part of a response.
+    [[nodiscard]] bool headerLine(std::string_view line);
     [[nodiscard]] bool wellFormed() const;
     /// Whether the answer's end is shown by more than the end of the connection.
     [[nodiscard]] bool framed() const;
+    /// Whether all bytes that the answer's length announces have come.
+    [[nodiscard]] bool hasWholeBody() const;
     void setMethodAndBody();
     void setHeaders();
     [[nodiscard]] client_progress brokenProgress() const;
@@ -48,6 +51,7 @@
     /// Connections on which sending was about to begin.
     int m_sends = 0;
     int m_status = 0;
+    std::size_t m_bodyBytes = 0;
     header_list m_headers;
     bool m_headDone = false;
 };
