--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -175,6 +175,7 @@
     }
     dropBody();
     m_responseBytes = 0;
+    m_responseMetadata.notRun = false;
     m_eventsBeforeRun = m_eventSplitter.eventCount();
     m_partialEventBytes = 0;
     m_readPaused = false;
--- a/libs/gateway/src/exchange_reading.cpp
+++ b/libs/gateway/src/exchange_reading.cpp
@@ -306,6 +306,11 @@
     if (endsAsAsked()) {
         return;
     }
+    if (m_responseMetadata.notRun) {
+        // The head has stated it; the rest of the body isn't needed.
+        onRejected();
+        return;
+    }
     const bool notSent = progress == http1::call_progress::not_sent;
     if (notSent) {
         m_services.crashDetector.recordTargetEnd(m_replicaId, m_services.clock.now());
