Explain a routing decision: medlarrackctl route

Operators had no means to see why a gateway would send a request to a replica or refuse it. The page /route of the admin address gives, as JSON, the route, the service, the tenant with its quota, the priority, the candidates and the choice of the gateway's own functions, or the refusal with its Retry-After. medlarrackctl route asks for it by a request file or headers and prints text or JSON. A request with a key is refused by both; the tenant is named instead.

The cost and the urgency of a request move to request_terms, so that the page and an exchange use the same ones.

--- a/apps/medlarrackctl/src/arguments.cpp
+++ b/apps/medlarrackctl/src/arguments.cpp
@@ -23,6 +23,9 @@
   state URL                           show a daemon's state
   explain REQUEST-ID --url URL...     join what daemons know of a request into one time line
   explain REQUEST-ID --log FILE...    the same from log files, with what its processes learnt of its replicas meanwhile
+  route URL TARGET [--header "NAME: VALUE"]... [--tenant NAME] [--json]
+                                      show where a gateway would send a request now; URL is its admin address
+  route URL --request FILE ...        the same for the head of the request in the file; "-" for standard input
   hash-key OPERATOR.SECRET            make a ticket's entry for a bearer key; "-" reads it from standard input
 
 Exit codes: 0 done, 1 failed (a daemon can't be reached, or no daemon knows the request), 2 bad command line,
@@ -40,7 +43,11 @@
 {
     const char **urls = nullptr;
     const char **logs = nullptr;
+    const char **headers = nullptr;
     char *salt = nullptr;
+    char *request = nullptr;
+    char *tenant = nullptr;
+    int json = 0;
     int version = 0;
 };
 
@@ -68,13 +75,20 @@
                                         std::ostream &out, std::ostream &err, int &exitCode)
 {
     raw_options raw;
-    const std::array<poptOption, 6> options = {
+    const std::array<poptOption, 10> options = {
         {{"url", 'u', POPT_ARG_ARGV, static_cast<void *>(&raw.urls), 0,
           "root of a daemon's HTTP address, such as http://127.0.0.1:8080", "URL"},
          {"log", 'l', POPT_ARG_ARGV, static_cast<void *>(&raw.logs), 0,
           "log file of a daemon; \"-\" for standard input", "FILE"},
          {"salt", '\0', POPT_ARG_STRING, static_cast<void *>(&raw.salt), 0, "salt of hash-key; random without it",
           "TEXT"},
+         {"header", 'H', POPT_ARG_ARGV, static_cast<void *>(&raw.headers), 0, "header of the request of route",
+          "NAME: VALUE"},
+         {"request", 'r', POPT_ARG_STRING, static_cast<void *>(&raw.request), 0,
+          "file with the head of the request of route; \"-\" for standard input", "FILE"},
+         {"tenant", 't', POPT_ARG_STRING, static_cast<void *>(&raw.tenant), 0,
+          "tenant of the request of route, in place of its key", "NAME"},
+         {"json", 'j', POPT_ARG_NONE, &raw.json, 0, "print what route finds as JSON", nullptr},
          {"version", 'V', POPT_ARG_NONE, &raw.version, 0, "print the version and exit", nullptr},
          POPT_AUTOHELP POPT_TABLEEND}};
     const std::unique_ptr<poptContext_s, context_deleter> context(
@@ -85,6 +99,10 @@
     parsed.urls = takeTexts(raw.urls);
     parsed.logs = takeTexts(raw.logs);
     parsed.salt = takeText(raw.salt);
+    parsed.headers = takeTexts(raw.headers);
+    parsed.request = takeText(raw.request);
+    parsed.tenant = takeText(raw.tenant);
+    parsed.json = raw.json != 0;
     exitCode = daemon::exitUsage;
     if (result < -1) {
         err << program << ": " << poptBadOption(context.get(), POPT_BADOPTION_NOALIAS) << ": " << poptStrerror(result)
--- a/apps/medlarrackctl/src/commands.cpp
+++ b/apps/medlarrackctl/src/commands.cpp
@@ -58,6 +58,11 @@
     if (wanted.command == "explain") {
         return hasOperands(wanted, 1, 1, err) ? runExplain(wanted, in, out, err) : daemon::exitUsage;
     }
+    if (wanted.command == "route") {
+        const std::size_t operandCount = wanted.request.empty() ? 2 : 1;
+        return hasOperands(wanted, operandCount, operandCount, err) ? showRoute(wanted, in, out, err)
+                                                                    : daemon::exitUsage;
+    }
     if (wanted.command == "hash-key") {
         if (!hasOperands(wanted, 1, 1, err)) {
             return daemon::exitUsage;
--- a/apps/medlarrackctl/src/commands.hpp
+++ b/apps/medlarrackctl/src/commands.hpp
@@ -25,6 +25,8 @@
 /// Prints the time line of a request from log files, with what its processes learnt of its replicas meanwhile.
 [[nodiscard]] int explainFromLogs(const std::string &requestId, const std::vector<std::string> &paths, std::istream &in,
                                   std::ostream &out, std::ostream &err);
+/// Prints where a gateway would send a request now, as the gateway explains it. A key in the request is never sent.
+[[nodiscard]] int showRoute(const arguments &wanted, std::istream &in, std::ostream &out, std::ostream &err);
 /// Prints a ticket's entry for a bearer key.
 [[nodiscard]] int hashKey(const std::string &bearerKey, const std::string &salt, std::ostream &out, std::ostream &err);
 
--- a/libs/gateway/src/exchange_authorization.cpp
+++ b/libs/gateway/src/exchange_authorization.cpp
@@ -1,6 +1,7 @@
 // Which tenant an exchange's request belongs to, by its key and the published state in force.
 
 #include "exchange.hpp"
+#include "request_terms.hpp"
 
 namespace medlarrack::gateway {
 
@@ -61,12 +62,7 @@
         return true;
     }
     const catalog::tenant_quota &quota = m_tenant->quota;
-    double cost = 1;
-    if (quota.countsTokens) {
-        cost = m_requestMetadata.hasTokenCount
-            ? static_cast<double>(m_requestMetadata.promptTokens) + m_requestMetadata.maxOutputTokens
-            : quota.plainTokens;
-    }
+    const double cost = requestCost(quota, m_requestMetadata);
     const core::monotonic_time now = m_services.clock.now();
     if (m_services.tenantLimiter.admit(m_tenant->name, {quota.perSecond, quota.burst}, cost, now)) {
         m_quotaTenant = m_tenant->name;
@@ -83,14 +79,7 @@
 
 std::uint32_t exchange::urgency() const
 {
-    if (m_tenant == nullptr || !m_tenant->priority) {
-        return m_route->priority;
-    }
-    // Replicas know ten levels; routes have two or three.
-    constexpr std::uint32_t levelsPerTenantPriority = 3;
-    constexpr std::uint32_t lowestUrgency = 9;
-    const std::uint32_t ofTenant = std::min(*m_tenant->priority, lowestUrgency) * levelsPerTenantPriority;
-    return std::min(lowestUrgency, ofTenant + std::min(m_route->priority, levelsPerTenantPriority - 1));
+    return requestUrgency(*m_route, m_tenant.get());
 }
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -1,6 +1,7 @@
 #include "caller_server.hpp"
 #include "http_run_stopper.hpp"
 #include "milliseconds.hpp"
+#include "route_page.hpp"
 #include "store_reader.hpp"
 
 #include <medlarrack/core/hash.hpp>
@@ -347,6 +348,9 @@
                           static_cast<double>(callerServer.awaitingCallers()));
             return {statusOk, "text/plain; version=0.0.4", metrics.text()};
         }
+        if (target.substr(0, target.find('?')) == routePagePath) {
+            return explainRoute(services, target);
+        }
         return {statusNotFound, "text/plain", "no such page\n"};
     }
 
