Move the choice of plain replicas into a file of its own

choosePlain and chooseEngine are about to change for different reasons. What both use moves to replica_usability; no behaviour changes. test_gateway passes.

--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -1,3 +1,5 @@
+#include "replica_usability.hpp"
+
 #include <medlarrack/core/hash.hpp>
 #include <medlarrack/gateway/replica_choice.hpp>
 
@@ -11,12 +13,6 @@
 
 namespace {
 
-/// Minimum gain in expected time for which a request goes to another data centre: traffic between them is expensive.
-constexpr std::chrono::milliseconds remotePenalty{60};
-/// Expected time to an answer before the first latency sample.
-constexpr std::chrono::milliseconds assumedLatency{60};
-/// Time for which the reported load of other processes counts. Requests of plain services take about 60 ms.
-constexpr std::chrono::milliseconds reportedLoadLifetime{300};
 /// Fraction of its batch size from which an engine counts as saturated. Prompts are prefilled one after the other, so
 /// that first events are delayed before the batch is full.
 constexpr double saturationFraction = 0.75;
@@ -50,27 +46,6 @@
 /// An engine whose latency exceeds this multiple of the median is avoided.
 constexpr int slowLatencyFactor = 3;
 
-/// Whether the request must not be sent to the replica, whatever its state.
-bool isExcluded(const choice_query &query, const replica &candidate)
-{
-    const bool wasTried = std::find(query.tried.begin(), query.tried.end(), candidate.record.id) != query.tried.end();
-    return wasTried || (query.origin != resumption::unknownOrigin && !mayResume(candidate, query.origin));
-}
-
-bool isUsable(const replica &candidate, core::monotonic_time now)
-{
-    if (!acceptsRequests(candidate, now) || !candidate.hasRampUpCapacity(now) || !candidate.requestLimit.admits(now)
-        || !candidate.health.mayServe(candidate.outstanding, now)) {
-        return false;
-    }
-    return !candidate.agent || (candidate.agent->engineUp && !candidate.awaitsRelisting(now));
-}
-
-std::uint32_t currentLoad(const replica &candidate, core::monotonic_time now)
-{
-    return now - candidate.loadReportedAt <= reportedLoadLifetime ? candidate.load() : candidate.outstanding;
-}
-
 bool holdsModel(const replica &candidate, std::string_view model)
 {
     const auto &models = candidate.agent ? candidate.agent->models : candidate.record.models;
@@ -83,20 +58,6 @@
     return found == candidate.requestsByAdapter.end() ? 0 : found->second;
 }
 
-std::chrono::nanoseconds expectedTime(const replica &candidate, core::monotonic_time now)
-{
-    const auto latency =
-        candidate.health.latency().count() == 0 ? std::chrono::nanoseconds(assumedLatency) : candidate.health.latency();
-    const std::uint32_t slots = std::max(1U, candidate.record.slots);
-    const std::uint32_t load = currentLoad(candidate, now);
-    // A free slot serves at once. The fuller the replica, the more likely a request not known here takes the last slot.
-    const double waiting = load >= slots ? 1.0 + static_cast<double>(load - slots + 1) / slots
-                                         : 1.0 + 0.3 * static_cast<double>(load) / slots;
-    const auto time = std::chrono::nanoseconds(
-        static_cast<std::chrono::nanoseconds::rep>(static_cast<double>(latency.count()) * waiting));
-    return candidate.local ? time : time + remotePenalty;
-}
-
 /// Whether the agent has yet to report what the engine holds: the instance list may describe the time before its last
 /// start.
 bool awaitsAgentStatus(const replica &candidate, core::monotonic_time now)
@@ -116,12 +77,6 @@
             && (!holdsModel(candidate, model) || candidate.awaitsRelisting(now)));
 }
 
-/// Whether a replica that isn't usable now may be so within the time that the request may wait.
-bool isUsableLater(const choice_query &query, const replica &candidate, core::monotonic_time now)
-{
-    return query.maxLoadWait.count() > 0 && acceptsRequests(candidate, now + query.maxLoadWait);
-}
-
 /// Engines of a service that a request may use.
 struct known_engines
 {
@@ -347,28 +302,6 @@
     return found != held.end() && found->second >= table.newestVersion(adapter);
 }
 
-replica_choice choosePlain(const replica_table &table, const choice_query &query, core::monotonic_time now)
-{
-    replica_choice chosen;
-    std::chrono::nanoseconds best{0};
-    for (const replica_ptr &candidate : table.findByService(query.service)) {
-        if (isExcluded(query, *candidate)) {
-            continue;
-        }
-        if (!isUsable(*candidate, now)) {
-            chosen.hindered = chosen.hindered || isUsableLater(query, *candidate, now);
-            continue;
-        }
-        const auto time = expectedTime(*candidate, now);
-        if (chosen.target == nullptr || time < best) {
-            chosen.target = candidate;
-            best = time;
-        }
-    }
-    chosen.why = chosen.target == nullptr ? "no usable replica" : "shortest expected time";
-    return chosen;
-}
-
 replica_choice chooseEngine(const replica_table &table, const choice_query &query, core::monotonic_time now)
 {
     known_engines known = enginesFor(table, query, now);
