Choose plain replicas by learned durations of work

All gateways sent their requests to the replica with the shortest expected time until the next report, and a replica at four times its usual duration was noticed slowly: 1.2 to 2.8% of the requests missed their targets with 68 gateways.

Server-Load has a fourth figure, the current duration of work in percent of the usual one. replica_speed learns the duration from it and from the times of answers. choosePlain distributes the requests expected since the last report over all replicas and draws one by its share. A request that no replica is expected to answer in time is refused with a Retry-After at which the shortest queue is half as long; one that comes back after a refusal has precedence.

Changes to tests: fixtures set the learned duration beside the latency, which plain choices no longer use.

--- a/libs/gateway/include/medlarrack/gateway/caller_format.hpp
+++ b/libs/gateway/include/medlarrack/gateway/caller_format.hpp
@@ -65,6 +65,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Current duration of work there in percent of the usual one. Empty if the replica states none, or no valid one.
+    std::optional<std::uint32_t> workPercent;
 };
 
 /// What the headers of a replica's response say.
--- a/libs/gateway/include/medlarrack/gateway/replica.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica.hpp
@@ -4,6 +4,7 @@
 #include <medlarrack/catalog/replica_record.hpp>
 #include <medlarrack/core/clock.hpp>
 #include <medlarrack/gateway/replica_health.hpp>
+#include <medlarrack/gateway/replica_speed.hpp>
 #include <medlarrack/gateway/request_limit.hpp>
 #include <medlarrack/resumption/stream_origin.hpp>
 
@@ -95,6 +96,9 @@
     /// The newest start of the engine that its agent has told of, also if the connection is lost since.
     std::uint64_t newestStartMs = 0;
     replica_health health;
+    replica_speed speed;
+    /// The log says that it is slower than usual.
+    bool loggedSlow = false;
     /// Outcomes not yet reported to the agent.
     request_outcomes unreportedOutcomes;
 
@@ -114,11 +118,13 @@
         return outstanding + othersLoad;
     }
 
-    /// Records a request that had its answer, or its first event, after the given time.
-    void recordSuccess(std::chrono::nanoseconds latency)
+    /// Records a request that had its answer, or its first event, after the given time. `waiting` is the number of
+    /// requests that wait there.
+    void recordSuccess(std::chrono::nanoseconds latency, std::uint32_t waiting, core::monotonic_time now)
     {
         ++unreportedOutcomes.succeeded;
         health.recordSuccess(latency);
+        speed.recordAnswer(latency, 1.0 + static_cast<double>(waiting) / std::max(1U, record.slots), now);
     }
 
     /// Records a failure that is attributed to the replica.
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -4,6 +4,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <string_view>
@@ -30,6 +32,10 @@
     std::chrono::milliseconds maxLoadWait{1'500};
     /// Only replicas whose streams have this origin; any if it is unknown.
     resumption::stream_origin origin = resumption::unknownOrigin;
+    /// Time until the deadline, if the request may be refused because no replica is expected to answer in time.
+    std::optional<std::chrono::nanoseconds> timeLeft;
+    /// The request comes back after a refusal: it goes before first attempts.
+    bool isCallerRetry = false;
 };
 
 /// The replica chosen for a request.
@@ -50,12 +56,32 @@
     bool hindered = false;
     /// Reason for the choice; logged, and given to the caller if there is no target.
     std::string_view why;
+    /// Expected time to an answer of a plain service, at the target or, without one, at the best replica.
+    std::chrono::nanoseconds expectedTime{0};
 };
 
-/// Chooses the replica of a plain service with the shortest expected time to an answer. Meant for services of few
-/// replicas with few slots each, of which one may be slow, failing or gone.
+/// Chooses a replica of a plain service by its expected time to an answer. Meant for services of few replicas with few
+/// slots each, of which some may be slow, failing or gone. Reports are old and the same for many processes: a replica
+/// is drawn in proportion to the requests that would bring all replicas to the same expected time. No target and
+/// `saturated` if none is expected to answer in time, unless less than half of the slots are taken and nothing waits.
 [[nodiscard]] replica_choice choosePlain(const replica_table &table, const choice_query &query,
-                                         core::monotonic_time now);
+                                         core::monotonic_time now, std::minstd_rand &random);
+
+/// Time until half of the shortest queue at the usable replicas of a plain service has been served, when requests like
+/// those refused now are expected to have room. Zero if nothing is known to wait.
+[[nodiscard]] std::chrono::nanoseconds timeToRoom(const replica_table &table, std::string_view service,
+                                                  core::monotonic_time now);
+
+/// Durations of work at the replicas of a plain service that have answered.
+struct work_time_range
+{
+    std::chrono::nanoseconds shortest{0};
+    std::chrono::nanoseconds longest{0};
+};
+
+/// Empty if none of the service's replicas has answered yet.
+[[nodiscard]] std::optional<work_time_range> workTimes(const replica_table &table, std::string_view service,
+                                                       core::monotonic_time now);
 
 /// Chooses a replica of a model service. Meant for many adapters of Zipf-distributed popularity that share few slots:
 /// an adapter has a home by rendezvous hashing over all data centres, is used where it is loaded, and gets a further
--- a/libs/gateway/include/medlarrack/gateway/retry_after.hpp
+++ b/libs/gateway/include/medlarrack/gateway/retry_after.hpp
@@ -22,6 +22,8 @@
     adapter_backlog,
     /// The replicas rejected the request or were unreachable.
     rejected,
+    /// No replica of a plain service is expected to answer in time.
+    replicas_busy,
 };
 
 /// Retry-After of a refusal: the time until capacity is expected, with jitter so that callers don't retry together.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -260,6 +260,7 @@
                 {"rejections", m_history.rejections},
                 {"load_waits", m_loadWaits},
                 {"waited_ms", m_sentAt > m_startedAt ? inMilliseconds(m_sentAt - m_startedAt) : 0},
+                {"expected_ms", inMilliseconds(m_expectedTime)},
                 {"first_byte_ms", inMilliseconds(m_timeToFirstByte)},
                 {"ms", inMilliseconds(now - m_startedAt)},
                 {"state_version", m_services.routes.version()},
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -139,6 +139,8 @@
     void failRunOfOtherOrigin(std::string &body);
     /// Appends the head of the caller's stream unless it has been sent.
     void beginStream(std::string &out);
+    /// The replica has answered, or begun its stream, without an error.
+    void recordSuccess();
     /// Whether the response is a replica's event stream, whose events are relayed as they come.
     [[nodiscard]] bool isReplicaStream() const;
     [[nodiscard]] ended_run describeEndedRun(bool endsWithConnection) const;
@@ -267,6 +269,8 @@
     /// When the response last made progress: by its head, by bytes of a body, or by a complete event with data.
     core::monotonic_time m_lastProgressAt{};
     std::string_view m_choiceReason;
+    /// Expected time to the answer of a plain service, by the latest choice.
+    std::chrono::nanoseconds m_expectedTime{0};
     attempt_history m_history;
     std::vector<std::string> m_triedReplicas;
     /// The last replica that the request was taken from because it was silent. It may have paused only, so it is tried
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -23,6 +23,14 @@
 constexpr milliseconds maxIdleIfNotRepeatable{400};
 constexpr milliseconds maxIdleIfRepeatable{60'000};
 
+refusal_cause causeOf(const replica_choice &choice)
+{
+    if (!choice.saturated) {
+        return refusal_cause::no_replica;
+    }
+    return choice.expectedTime.count() > 0 ? refusal_cause::replicas_busy : refusal_cause::adapter_backlog;
+}
+
 } // namespace
 
 replica_choice exchange::chooseReplica(core::monotonic_time now, core::monotonic_time loadedBy) const
@@ -43,7 +51,15 @@
     query.demand = m_adapterDemand;
     query.mayRunAgain = mayRetry(*m_route, attempt_outcome::unknown, {m_history.runs + 1, m_history.rejections});
     query.maxLoadWait = std::chrono::duration_cast<milliseconds>(loadedBy - now);
-    return hasEngine ? chooseEngine(m_services.replicas, query, now) : choosePlain(m_services.replicas, query, now);
+    if (hasEngine) {
+        return chooseEngine(m_services.replicas, query, now);
+    }
+    // A request that may have run isn't refused any more.
+    if (m_history.runs == 0) {
+        query.timeLeft = m_deadline - now;
+    }
+    query.isCallerRetry = m_isCallerRetry;
+    return choosePlain(m_services.replicas, query, now, m_services.random);
 }
 
 void exchange::dispatch()
@@ -68,6 +84,7 @@
         choice = chooseReplica(now, m_holdDeadline);
     }
     m_choiceReason = choice.why;
+    m_expectedTime = choice.expectedTime;
     if (choice.target == nullptr) {
         if (now < m_holdDeadline && awaitsReplica(m_history, choice, m_isCallerRetry)) {
             hold(choice.why);
@@ -75,8 +92,8 @@
             constexpr int statusBadGateway = 502;
             respondWithError(statusBadGateway, "no_replica", "the request may have run and no other replica is left");
         } else {
-            refuse(choice.saturated ? refusal_cause::adapter_backlog : refusal_cause::no_replica, "no_replica",
-                   choice.why);
+            const refusal_cause cause = causeOf(choice);
+            refuse(cause, cause == refusal_cause::replicas_busy ? "replicas_busy" : "no_replica", choice.why);
         }
         return;
     }
--- a/libs/gateway/src/exchange_reading.cpp
+++ b/libs/gateway/src/exchange_reading.cpp
@@ -1,6 +1,7 @@
 // How an exchange reads the response of a replica, and what the end of a response means for the request.
 
 #include "exchange.hpp"
+#include "milliseconds.hpp"
 
 #include <medlarrack/http1/answer_origin.hpp>
 #include <medlarrack/log/log.hpp>
@@ -27,6 +28,10 @@
 
 constexpr int statusOk = 200;
 
+/// Multiples of its usual duration of work from which a replica is logged as slow, and below which it no longer is.
+constexpr double slowReplicaStart = 2;
+constexpr double slowReplicaEnd = 1.4;
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -63,6 +68,10 @@
     m_lastProgressAt = now;
     if (metadata.load) {
         m_replica->setReportedLoad(metadata.load->running + metadata.load->waiting, now);
+        // A misdirected response may come from another replica.
+        if (metadata.load->workPercent && !metadata.misdirected) {
+            m_replica->speed.recordPercent(*metadata.load->workPercent, now);
+        }
     }
     m_responseMetadata = std::move(metadata);
     if (!m_responseHeadSent) {
@@ -181,11 +190,28 @@
     if (std::exchange(m_responseHeadSent, true)) {
         return;
     }
-    m_replica->recordSuccess(m_services.clock.now() - m_sentAt);
+    recordSuccess();
     const body_framing framing = m_caller->acceptsChunkedBody() ? body_framing::chunked : body_framing::none;
     m_services.format.appendResponseHead(out, m_responseHead, framing, 0, m_caller->decideTerms());
 }
 
+void exchange::recordSuccess()
+{
+    const core::monotonic_time now = m_services.clock.now();
+    const std::uint32_t waiting = m_responseMetadata.load ? m_responseMetadata.load->waiting : 0;
+    m_replica->recordSuccess(now - m_sentAt, waiting, now);
+    const double slowdown = m_replica->speed.slowdown(now);
+    const bool isSlow = slowdown >= (m_replica->loggedSlow ? slowReplicaEnd : slowReplicaStart);
+    if (isSlow != std::exchange(m_replica->loggedSlow, isSlow)) {
+        constexpr double percent = 100;
+        log::write(log::level::info, isSlow ? "replica is slower than usual" : "replica is as fast as usual again",
+                   {{"replica", m_replicaId},
+                    {"service", m_serviceName},
+                    {"work_percent", static_cast<std::uint64_t>(slowdown * percent)},
+                    {"work_ms", inMilliseconds(m_replica->speed.workTime(now).value_or(std::chrono::nanoseconds(0)))}});
+    }
+}
+
 void exchange::onCallerWritable()
 {
     if (m_readPaused && m_connection != nullptr) {
@@ -217,7 +243,7 @@
         return;
     }
     if (success) {
-        m_replica->recordSuccess(m_services.clock.now() - m_sentAt);
+        recordSuccess();
         sendResponse();
         return;
     }
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -6,6 +6,7 @@
 #include <medlarrack/core/hash.hpp>
 #include <medlarrack/gateway/drain_schedule.hpp>
 #include <medlarrack/gateway/gateway_service.hpp>
+#include <medlarrack/gateway/replica_choice.hpp>
 #include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/page_server.hpp>
 #include <medlarrack/log/log.hpp>
@@ -15,6 +16,8 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace medlarrack::gateway {
@@ -305,6 +308,29 @@
         }
     }
 
+    void showWorkTimes()
+    {
+        const core::monotonic_time now = clock.now();
+        std::set<std::string_view> shown;
+        for (const auto &[id, one] : replicas.all()) {
+            const std::string &service = one->record.service;
+            // Engines are not chosen by the duration of their work.
+            if (one->agent || !shown.insert(service).second) {
+                continue;
+            }
+            const auto times = workTimes(replicas, service, now);
+            if (!times) {
+                continue;
+            }
+            metrics.gauge("medlarrack_gateway_shortest_work_seconds",
+                          "Learned duration of work at the fastest replica of a service", {.service = service},
+                          std::chrono::duration<double>(times->shortest).count());
+            metrics.gauge("medlarrack_gateway_longest_work_seconds",
+                          "Learned duration of work at the slowest replica of a service", {.service = service},
+                          std::chrono::duration<double>(times->longest).count());
+        }
+    }
+
     [[nodiscard]] bool isReady() const
     {
         return !drainSchedule && !routes.isEmpty() && !replicas.all().empty();
@@ -334,6 +360,7 @@
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callerServer.busy()));
             showTenants();
+            showWorkTimes();
             metrics.gauge("medlarrack_gateway_held_bytes", "Bytes of responses that are collected", {},
                           static_cast<double>(heldBytes.heldBytes()));
             metrics.gauge("medlarrack_gateway_max_held_bytes", "Their bound for the process", {},
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -51,6 +51,7 @@
     known.removalDue.reset();
     if (restarted) {
         known.health.reset();
+        known.speed.reset();
         known.quietUntil.reset();
         known.requestLimit = {};
         known.othersLoad = 0;
--- a/libs/gateway/src/retry_after.cpp
+++ b/libs/gateway/src/retry_after.cpp
@@ -1,4 +1,4 @@
-#include <medlarrack/gateway/replica.hpp>
+#include <medlarrack/gateway/replica_choice.hpp>
 #include <medlarrack/gateway/retry_after.hpp>
 #include <medlarrack/suspects/suspect_table.hpp>
 
@@ -20,6 +20,8 @@
 constexpr milliseconds maxBacklogTime{1'500};
 /// A replica has a free slot within this time.
 constexpr milliseconds freeSlotTime{200};
+/// Limits the time for queues at replicas, which learned durations of work may overestimate.
+constexpr milliseconds maxQueueTime{2'000};
 
 bool anyHoldsModel(const replica_table &table, std::string_view service)
 {
@@ -77,6 +79,8 @@
         return std::min(maxBacklogTime, freeSlotTime + shortestBacklogTime(table, service));
     case refusal_cause::quiet:
         return quietTime(table, service, now).value_or(freeSlotTime);
+    case refusal_cause::replicas_busy:
+        return std::clamp(std::chrono::ceil<milliseconds>(timeToRoom(table, service, now)), freeSlotTime, maxQueueTime);
     case refusal_cause::rejected:
         break;
     }
--- a/libs/gateway/tests/fleet_fixture.hpp
+++ b/libs/gateway/tests/fleet_fixture.hpp
@@ -12,6 +12,7 @@
 {
     core::manual_clock clock;
     replica_table table{"dc1"};
+    std::minstd_rand choiceRandom{1};
 
     replica_ptr add(const std::string &id, const std::string &dataCentre = "dc1", const std::string &service = "llm",
                     std::uint32_t slots = 32)
@@ -46,7 +47,7 @@
 
     replica_choice choosePlainOne(std::span<const std::string> tried = {})
     {
-        return choosePlain(table, {"plain", "", "", 1, 0, tried}, clock.now());
+        return choosePlain(table, {"plain", "", "", 1, 0, tried}, clock.now(), choiceRandom);
     }
 };
 
--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -66,7 +66,7 @@
                 return false;
             }
             --run.second->outstanding;
-            run.second->health.recordSuccess(milliseconds(run.second->record.id == "a" ? 300 : 60));
+            run.second->recordSuccess(milliseconds(run.second->record.id == "a" ? 300 : 60), 0, clock.now());
             return true;
         });
         const replica_choice choice = choosePlainOne();
@@ -90,6 +90,94 @@
     BOOST_TEST(choosePlainOne().target->record.id == "tried");
 }
 
+// Guards against gateways that all send their requests to the same replica until the next report.
+BOOST_AUTO_TEST_CASE(gateways_with_the_same_reports_choose_different_replicas)
+{
+    for (int index = 0; index < 4; ++index) {
+        const replica_ptr one = add("p" + std::to_string(index), "dc1", "plain", 6);
+        one->recordSuccess(milliseconds(60), 0, clock.now());
+        one->setReportedLoad(static_cast<std::uint64_t>(3 + index), clock.now());
+    }
+    clock.advance(milliseconds(200));
+    std::map<std::string, int> chosen;
+    for (int request = 0; request < 400; ++request) {
+        ++chosen[choosePlainOne().target->record.id];
+    }
+    BOOST_TEST(chosen.size() == 4U);
+    for (const auto &[id, times] : chosen) {
+        BOOST_TEST(times < 200, id);
+    }
+}
+
+// Guards against a slow replica that is never used again, and against one that keeps getting its share.
+BOOST_AUTO_TEST_CASE(a_slow_replica_gets_an_occasional_request)
+{
+    for (const char *id : {"a", "b", "c"}) {
+        const replica_ptr one = add(id, "dc1", "plain", 6);
+        one->recordSuccess(milliseconds(60), 0, clock.now());
+        one->speed.recordPercent(id == std::string_view("a") ? 400 : 100, clock.now());
+    }
+    const choice_query query{.service = "plain", .timeLeft = milliseconds(4'000)};
+    const auto requestsToSlow = [&](const choice_query &asked) {
+        int count = 0;
+        for (int request = 0; request < 640; ++request) {
+            count += choosePlain(table, asked, clock.now(), choiceRandom).target->record.id == "a" ? 1 : 0;
+        }
+        return count;
+    };
+    BOOST_TEST(requestsToSlow(query) == 0);
+    clock.advance(milliseconds(1'500));
+    const int probes = requestsToSlow(query);
+    BOOST_TEST(probes >= 5);
+    BOOST_TEST(probes <= 40);
+    // One that has little time left, or was refused before, isn't spent on it.
+    BOOST_TEST(requestsToSlow({.service = "plain", .timeLeft = milliseconds(400)}) == 0);
+    BOOST_TEST(requestsToSlow({.service = "plain", .timeLeft = milliseconds(4'000), .isCallerRetry = true}) == 0);
+    table.find("a")->outstanding = 1;
+    BOOST_TEST(requestsToSlow(query) == 0);
+}
+
+// Guards against requests that wait at replicas until their callers have given up, and against refusals while replicas
+// are idle.
+BOOST_AUTO_TEST_CASE(a_request_that_no_replica_can_answer_in_time_is_refused)
+{
+    for (const char *id : {"a", "b"}) {
+        add(id, "dc1", "plain", 6)->recordSuccess(milliseconds(60), 0, clock.now());
+    }
+    const auto isRefused = [&](int timeLeftMs, bool isCallerRetry = false) {
+        const choice_query query{
+            .service = "plain", .timeLeft = milliseconds(timeLeftMs), .isCallerRetry = isCallerRetry};
+        const replica_choice choice = choosePlain(table, query, clock.now(), choiceRandom);
+        BOOST_TEST((choice.target == nullptr) == choice.saturated);
+        return choice.target == nullptr;
+    };
+    const auto report = [&](std::uint64_t load) {
+        table.find("a")->setReportedLoad(load, clock.now());
+        table.find("b")->setReportedLoad(load, clock.now());
+    };
+    // 54 wait at six slots: ten times the duration of work.
+    report(60);
+    BOOST_TEST(isRefused(300));
+    BOOST_TEST(isRefused(600));
+    BOOST_TEST(!isRefused(1'000));
+    // Those that were refused before go first.
+    BOOST_TEST(isRefused(700));
+    BOOST_TEST(!isRefused(700, true));
+    BOOST_TEST(isRefused(500, true));
+    // One replica with room is enough.
+    table.find("b")->setReportedLoad(5, clock.now());
+    BOOST_TEST(!isRefused(100));
+    // Less than half of the slots are taken, and nothing waits.
+    report(2);
+    BOOST_TEST(!isRefused(20));
+    BOOST_TEST(!isRefused(1));
+    // A request that may have run is never refused, and old reports refuse nothing.
+    report(1'000);
+    BOOST_TEST(choosePlainOne().target != nullptr);
+    clock.advance(milliseconds(301));
+    BOOST_TEST(!isRefused(1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(engine_choice, fixture)
@@ -571,7 +659,7 @@
     const auto isExpected = [&](std::span<const std::string> excluded = {}) {
         const choice_query plainQuery{.service = "plain", .tried = excluded};
         const choice_query engineQuery{.service = "llm", .model = "m", .batchSize = 32, .tried = excluded};
-        const replica_choice ofPlain = choosePlain(table, plainQuery, clock.now());
+        const replica_choice ofPlain = choosePlain(table, plainQuery, clock.now(), choiceRandom);
         const replica_choice ofEngines = chooseEngine(table, engineQuery, clock.now());
         BOOST_TEST((ofPlain.target == nullptr && ofEngines.target == nullptr));
         BOOST_TEST(ofPlain.hindered == ofEngines.hindered);
--- a/libs/gateway/tests/test_retry_after.cpp
+++ b/libs/gateway/tests/test_retry_after.cpp
@@ -82,4 +82,27 @@
     BOOST_TEST(!allAreQuiet(table, "no such service", clock.now()));
 }
 
+// Guards against callers that return together, or before a queue at the replicas has been served.
+BOOST_AUTO_TEST_CASE(callers_return_spread_when_the_shortest_queue_has_become_short)
+{
+    using std::chrono::milliseconds;
+    for (const char *id : {"p0", "p1"}) {
+        add(id, "dc1", "llm", 6)->recordSuccess(milliseconds(60), 0, clock.now());
+    }
+    BOOST_TEST(delayFor(refusal_cause::replicas_busy) == 200);
+    // 60 and 120 wait at six slots of 60 ms: 600 and 1,200 ms.
+    table.find("p0")->setReportedLoad(66, clock.now());
+    table.find("p1")->setReportedLoad(126, clock.now());
+    std::set<long> times;
+    for (std::uint32_t value = 0; value < 1'000; value += 7) {
+        times.insert(delayFor(refusal_cause::replicas_busy, value));
+    }
+    BOOST_TEST(*times.begin() == 300);
+    BOOST_TEST(*times.rbegin() >= 440);
+    BOOST_TEST(times.size() > 50U);
+    table.find("p0")->setReportedLoad(100'000, clock.now());
+    table.find("p1")->setReportedLoad(100'000, clock.now());
+    BOOST_TEST(delayFor(refusal_cause::replicas_busy) == 2'000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
