--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <medlarrack/gateway/prompt_sizes.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 
 #include <chrono>
@@ -36,6 +37,12 @@
     std::optional<std::chrono::nanoseconds> timeLeft;
     /// The request comes back after a refusal: it goes before first attempts.
     bool isCallerRetry = false;
+    /// Tokens of the prompt; 0 if not known.
+    std::uint32_t promptTokens = 0;
+    /// Sizes of the service's prompts. Null: engines are not chosen by the size of the prompt.
+    const prompt_sizes *sizes = nullptr;
+    /// Random number by which requests of the same kind are spread over engines of about the same expected time.
+    std::uint64_t salt = 0;
 };
 
 /// The replica chosen for a request.
