Shed requests of an overloaded gateway, least urgent first

A gateway that can't handle its share of the traffic delayed all its requests and kept all its callers.

own_load decides from the delay of the periodic task, the use of processor, link and memory, and the new settings cpu_share and link_mbps which new requests are refused with 503 and a short Retry-After, and which responses close their connections. Readiness isn't affected.

Not run with processes under real processor limits.

--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <medlarrack/gateway/key_policy.hpp>
+#include <medlarrack/gateway/own_load.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 #include <medlarrack/settings/fault.hpp>
@@ -40,6 +41,10 @@
     key_policy keyPolicy;
     /// Memory that the process may use. A share of it is for what is kept for others.
     std::uint32_t memoryLimitMb = 256;
+    /// Processor cores that the process may use; 0 if unknown.
+    double cpuShare = 0;
+    /// Bandwidth of its link in Mbit/s; 0 if unknown.
+    double linkMbps = 0;
     /// Longest answer of the store.
     std::uint32_t maxStoreAnswerKb = 32'768;
     std::string logLevel = "info";
@@ -48,6 +53,9 @@
 /// Bytes that may be kept for others.
 [[nodiscard]] std::size_t maxHeldBytes(const gateway_settings &settings);
 
+/// The limits by which the process judges its own load.
+[[nodiscard]] own_limits ownLimits(const gateway_settings &settings);
+
 /// This gateway's budget for the retries of one service. Gateways don't exchange counts: each applies the ratio to its
 /// own requests.
 [[nodiscard]] overload::retry_budget makeRetryBudget(const gateway_settings &settings);
--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -307,6 +307,7 @@
 
 void caller_connection::write(std::string_view bytes)
 {
+    m_services.ownLoad.recordSent(bytes.size());
     m_stream->write(bytes);
 }
 
@@ -319,7 +320,8 @@
 {
     // Pipelined requests have been received, so they are answered too.
     const bool hasNextRequest = !m_unparsed.empty() || hasUnreadBytes();
-    m_closeAnnounced = !m_keepAlive || ((m_draining || m_callerEnded) && !hasNextRequest);
+    const bool shouldLeave = m_draining || m_callerEnded || m_services.ownLoad.closesConnection();
+    m_closeAnnounced = !m_keepAlive || (shouldLeave && !hasNextRequest);
     if (m_closeAnnounced) {
         return {.closes = true};
     }
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -61,7 +61,7 @@
 void exchange::advance()
 {
     if (m_route == nullptr) {
-        if (!findRoute() || !authorize() || !admitByQuota()) {
+        if (!findRoute() || !authorize() || !admitByOwnLoad() || !admitByQuota()) {
             return;
         }
         initFromRoute();
@@ -91,6 +91,19 @@
     return true;
 }
 
+bool exchange::admitByOwnLoad()
+{
+    // A stream that is resumed has cost the fleet more already than it costs this process now.
+    if (resumesStream() || m_services.ownLoad.admits(urgency())) {
+        return true;
+    }
+    m_services.metrics.count("medlarrack_gateway_shed_requests_total", "Requests refused by an overloaded gateway",
+                             {.requestClass = std::to_string(urgency())});
+    sendRefusal("gateway_overloaded", "this gateway is overloaded",
+                own_load::retryAfter(static_cast<std::uint32_t>(m_services.random())));
+    return false;
+}
+
 void exchange::initFromRoute()
 {
     const milliseconds callerTimeout = m_requestMetadata.timeLeft.value_or(defaultTimeout);
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -75,6 +75,8 @@
     bool authorize();
     /// The same if another state has come into force since; the key of a request that has waited may be revoked.
     bool isStillAuthorized();
+    /// False if the request was refused because this process is overloaded.
+    bool admitByOwnLoad();
     /// Counts the request toward its tenant's quota. False if it was refused instead.
     bool admitByQuota();
     /// What the replica is told: 0 is served first.
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -11,6 +11,7 @@
 #include <medlarrack/gateway/caller_format.hpp>
 #include <medlarrack/gateway/caller_retry_detector.hpp>
 #include <medlarrack/gateway/key_policy.hpp>
+#include <medlarrack/gateway/own_load.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/metrics/registry.hpp>
@@ -56,6 +57,7 @@
     overload::byte_account &heldBytes;
     const key_policy &keyPolicy;
     quota::tenant_limiter &tenantLimiter;
+    own_load &ownLoad;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -1,6 +1,7 @@
 #include "caller_server.hpp"
 #include "http_run_stopper.hpp"
 #include "milliseconds.hpp"
+#include "process_use.hpp"
 #include "store_reader.hpp"
 
 #include <medlarrack/core/hash.hpp>
@@ -31,6 +32,8 @@
 constexpr milliseconds tickInterval{25};
 /// Interval for closing expired idle connections; short compared to their idle times of seconds.
 constexpr milliseconds idleConnectionCheckInterval{500};
+/// Interval for reading the use of processor and memory, which takes system calls.
+constexpr milliseconds useReadingInterval{250};
 /// Poll interval of the store in percent of the change bound: leaves time to repeat one failed call within the bound.
 constexpr int pollIntervalPercent = 38;
 /// Replicas whose entries expired in an outage of the store are listed again within about two seconds of its return.
@@ -63,6 +66,7 @@
         , runStopper(owner, callerFormat)
         , random(static_cast<std::minstd_rand::result_type>(time.wallNow().time_since_epoch().count()))
         , heldBytes(maxHeldBytes(given), kilobytes(given.responseBounds.maxBodyKb), http1::byte_stream::readBytes)
+        , ownLoad(ownLimits(given))
         , services{time,
                    callerFormat,
                    routes,
@@ -89,7 +93,8 @@
                    runStopper,
                    heldBytes,
                    settings.keyPolicy,
-                   tenantLimiter}
+                   tenantLimiter,
+                   ownLoad}
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
                 given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
                 [this](const store_update &update) {
@@ -209,6 +214,7 @@
     {
         const core::monotonic_time now = clock.now();
         lastTickAt = now;
+        updateOwnLoad(now);
         replicas.removeExpired(now);
         callerServer.tick(now);
         agents.tick();
@@ -233,6 +239,27 @@
         });
     }
 
+    void updateOwnLoad(core::monotonic_time now)
+    {
+        const bool wasShedding = ownLoad.shedShare() > 0;
+        if (now >= nextUseReading) {
+            nextUseReading = now + useReadingInterval;
+            processUse = readProcessUse();
+        }
+        ownLoad.recordTick(now, tickInterval, processUse);
+        const bool isShedding = ownLoad.shedShare() > 0;
+        if (isShedding != wasShedding) {
+            constexpr double percent = 100;
+            log::write(isShedding ? log::level::warning : log::level::info,
+                       isShedding ? "overloaded, requests are shed" : "overload has ended",
+                       {{"lag_ms", inMilliseconds(ownLoad.lag())},
+                        {"cpu_percent", static_cast<std::uint64_t>(ownLoad.cpuUse() * percent)},
+                        {"link_percent", static_cast<std::uint64_t>(ownLoad.linkUse() * percent)},
+                        {"memory_percent", static_cast<std::uint64_t>(ownLoad.memoryUse() * percent)},
+                        {"busy", static_cast<std::uint64_t>(callerServer.busy())}});
+        }
+    }
+
     void settleLostRuns(core::monotonic_time now)
     {
         crashDetector.resolveOverdueRuns(now, [this](const core::instance_ref &target) {
@@ -308,6 +335,17 @@
         }
     }
 
+    void showOwnLoad()
+    {
+        metrics.gauge("medlarrack_gateway_loop_lag_seconds", "Delay of the last periodic task", {},
+                      std::chrono::duration<double>(ownLoad.lag()).count());
+        metrics.gauge("medlarrack_gateway_shed_share", "Share of the new requests that is refused in an overload", {},
+                      ownLoad.shedShare());
+        metrics.gauge("medlarrack_gateway_cpu_use", "Share of the processor limit in use", {}, ownLoad.cpuUse());
+        metrics.gauge("medlarrack_gateway_link_use", "Share of the link in use for answers", {}, ownLoad.linkUse());
+        metrics.gauge("medlarrack_gateway_memory_use", "Share of the memory limit in use", {}, ownLoad.memoryUse());
+    }
+
     void showWorkTimes()
     {
         const core::monotonic_time now = clock.now();
@@ -361,6 +399,7 @@
                           static_cast<double>(callerServer.busy()));
             showTenants();
             showWorkTimes();
+            showOwnLoad();
             metrics.gauge("medlarrack_gateway_held_bytes", "Bytes of responses that are collected", {},
                           static_cast<double>(heldBytes.heldBytes()));
             metrics.gauge("medlarrack_gateway_max_held_bytes", "Their bound for the process", {},
@@ -396,6 +435,7 @@
     http_run_stopper runStopper;
     std::minstd_rand random;
     overload::byte_account heldBytes;
+    own_load ownLoad;
     exchange_services services;
     store_reader store;
     // Ends before what the requests in progress use, which it answers then.
@@ -404,6 +444,8 @@
     asio::steady_timer tickTimer;
     core::monotonic_time lastTickAt{};
     core::monotonic_time nextIdleConnectionCheck{};
+    own_use processUse;
+    core::monotonic_time nextUseReading{};
     std::optional<drain_schedule> drainSchedule;
     std::function<void()> onDrainComplete;
 };
@@ -434,6 +476,7 @@
     m_impl->settings.gracePeriod = settings.gracePeriod;
     m_impl->settings.responseBounds = settings.responseBounds;
     m_impl->settings.keyPolicy = settings.keyPolicy;
+    m_impl->ownLoad.setLimits(ownLimits(settings));
     m_impl->heldBytes.setLimits(maxHeldBytes(settings), kilobytes(settings.responseBounds.maxBodyKb));
 }
 
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -12,6 +12,9 @@
 constexpr std::int64_t largestKb = 1'048'576;
 constexpr std::int64_t leastMemoryMb = 32;
 constexpr std::int64_t largestMemoryMb = 1'048'576;
+constexpr double mostCores = 1'024;
+constexpr double fastestLinkMbps = 1'000'000;
+constexpr std::size_t bytesPerMb = 1'048'576;
 /// The rest is for tables, buffers of connections and copies in progress.
 constexpr std::size_t heldShareDivisor = 4;
 constexpr milliseconds shortestChangeBound{100};
@@ -61,6 +64,8 @@
     reader.integer("max_event_kb", value.responseBounds.maxEventKb, 1, largestKb);
     reader.integer("max_stream_kb", value.responseBounds.maxStreamKb, 1, largestKb);
     reader.integer("memory_limit_mb", value.memoryLimitMb, leastMemoryMb, largestMemoryMb);
+    reader.number("cpu_share", value.cpuShare, 0, mostCores);
+    reader.number("link_mbps", value.linkMbps, 0, fastestLinkMbps);
     if (kilobytes(value.responseBounds.maxBodyKb) > maxHeldBytes(value) / 2) {
         reader.addFault("max_response_kb", "is more than an eighth of memory_limit_mb");
     }
@@ -72,10 +77,17 @@
 
 std::size_t maxHeldBytes(const gateway_settings &settings)
 {
-    constexpr std::size_t bytesPerMb = 1'048'576;
     return settings.memoryLimitMb * bytesPerMb / heldShareDivisor;
 }
 
+own_limits ownLimits(const gateway_settings &settings)
+{
+    const auto known = [](double value) {
+        return value > 0 ? std::optional(value) : std::nullopt;
+    };
+    return {known(settings.cpuShare), known(settings.linkMbps), settings.memoryLimitMb * bytesPerMb};
+}
+
 overload::retry_budget makeRetryBudget(const gateway_settings &settings)
 {
     return {settings.retryRatio * usedShareOfRetries, extraRetriesPerWindow, settings.retryWindow};
