--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -75,6 +75,8 @@
     bool authorize();
     /// The same if another state has come into force since; the key of a request that has waited may be revoked.
     bool isStillAuthorized();
+    /// False if the request was refused because this process is overloaded.
+    bool admitByOwnLoad();
     /// Counts the request toward its tenant's quota. False if it was refused instead.
     bool admitByQuota();
     /// What the replica is told: 0 is served first.
@@ -139,6 +141,8 @@
     void failRunOfOtherOrigin(std::string &body);
     /// Appends the head of the caller's stream unless it has been sent.
     void beginStream(std::string &out);
+    /// The replica has answered, or begun its stream, without an error.
+    void recordSuccess();
     /// Whether the response is a replica's event stream, whose events are relayed as they come.
     [[nodiscard]] bool isReplicaStream() const;
     [[nodiscard]] ended_run describeEndedRun(bool endsWithConnection) const;
@@ -270,6 +274,8 @@
     /// When the response last made progress: by its head, by bytes of a body, or by a complete event with data.
     core::monotonic_time m_lastProgressAt{};
     std::string_view m_choiceReason;
+    /// Expected time to the answer of a plain service, by the latest choice.
+    std::chrono::nanoseconds m_expectedTime{0};
     attempt_history m_history;
     std::vector<std::string> m_triedReplicas;
     /// The last replica that the request was taken from because it was silent. It may have paused only, so it is tried
