Prefer a few engines for long prompts

Short prompts missed their limit of 500 ms behind long ones that could have been prefilled elsewhere, and all gateways chose the same engine while their reports were the same.

Each gateway learns from the prompts of a service which are long there and their share of all tokens (prompt_sizes). As many engines of each data centre as that share are preferred for long prompts, by rendezvous hashing of the service's list. An engine with more than 400 ms to prefill gets no long prompt while another one that can serve it has less. Up to 60 ms are added at random to the expected time of an engine. Requests without a token count and services without engines are handled as before.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -101,6 +101,9 @@
         service != nullptr && service->engine) {
         m_engineBatchSize = service->engine->batchSize;
     }
+    if (m_engineBatchSize > 0) {
+        m_services.promptSizes[m_serviceName].record(m_requestMetadata.promptTokens, m_startedAt);
+    }
     m_services.retryBudgetFor(m_serviceName).onFirstAttempt(m_startedAt);
     if (!m_requestMetadata.adapter.empty()) {
         m_adapterDemand = m_services.adapterDemand.recordRequest(m_requestMetadata.adapter, m_startedAt);
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -42,6 +42,11 @@
     query.origin = m_origin;
     query.demand = m_adapterDemand;
     query.mayRunAgain = mayRetry(*m_route, attempt_outcome::unknown, {m_history.runs + 1, m_history.rejections});
+    if (const auto sizes = m_services.promptSizes.find(m_serviceName); sizes != m_services.promptSizes.end()) {
+        query.promptTokens = m_requestMetadata.promptTokens;
+        query.sizes = &sizes->second;
+        query.salt = m_fingerprint ^ m_streamKey;
+    }
     query.maxLoadWait = std::chrono::duration_cast<milliseconds>(loadedBy - now);
     return hasEngine ? chooseEngine(m_services.replicas, query, now) : choosePlain(m_services.replicas, query, now);
 }
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -11,6 +11,7 @@
 #include <medlarrack/gateway/caller_format.hpp>
 #include <medlarrack/gateway/caller_retry_detector.hpp>
 #include <medlarrack/gateway/key_policy.hpp>
+#include <medlarrack/gateway/prompt_sizes.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/metrics/registry.hpp>
@@ -22,7 +23,9 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <random>
+#include <string>
 #include <string_view>
 
 namespace medlarrack::gateway {
@@ -56,6 +59,8 @@
     overload::byte_account &heldBytes;
     const key_policy &keyPolicy;
     quota::tenant_limiter &tenantLimiter;
+    /// Sizes of the prompts by service.
+    std::map<std::string, prompt_sizes, std::less<>> &promptSizes;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -86,7 +86,8 @@
                    runStopper,
                    heldBytes,
                    settings.keyPolicy,
-                   tenantLimiter}
+                   tenantLimiter,
+                   promptSizes}
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
                 given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
                 [this](const store_update &update) {
@@ -363,6 +364,7 @@
     suspects::crash_detector crashDetector{suspects::sharedLimits, core::hash64(settings.name)};
     resumption::stream_directory streams;
     quota::tenant_limiter tenantLimiter;
+    std::map<std::string, prompt_sizes, std::less<>> promptSizes;
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> retryBudgets;
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -22,8 +22,8 @@
 constexpr std::chrono::milliseconds maxWaitOfLong{400};
 /// Divisor of a long prompt's prefill time that is added where it would delay short ones.
 constexpr int delayedPart = 2;
-/// Largest random addition to an engine's expected time. Reports are 200 ms old: without it all processes choose the same
-/// engine in that time. At 24 and 68 gateways, 40 to 100 ms gave the shortest first events.
+/// Largest random addition to an engine's expected time. Reports are 200 ms old: without it all processes choose the
+/// same engine in that time. At 24 and 68 gateways, 40 to 100 ms gave the shortest first events.
 constexpr std::chrono::milliseconds maxJitter{60};
 /// Added for a short prompt at an engine that is preferred for long ones: reports are 200 ms old, and during about a
 /// third of that time a long prompt of 300 ms is sent there.
@@ -242,6 +242,7 @@
                 m_preferred.push_back(it->second);
             }
         }
+        std::sort(m_preferred.begin(), m_preferred.end(), std::less<>());
     }
 
     [[nodiscard]] bool isLong() const
@@ -249,7 +250,8 @@
         return m_isLong;
     }
 
-    /// What is added to the engine's expected time: a part at random, and the delay that the prompt would cause or meet.
+    /// What is added to the engine's expected time: a part at random, and the delay that the prompt would cause or
+    /// meet.
     [[nodiscard]] std::chrono::nanoseconds addition(const replica &engine) const
     {
         return m_salt == 0 ? penalty(engine) : penalty(engine) + jitter(engine);
@@ -266,7 +268,7 @@
         if (m_preferred.empty()) {
             return {};
         }
-        const bool preferred = std::find(m_preferred.begin(), m_preferred.end(), &engine) != m_preferred.end();
+        const bool preferred = std::binary_search(m_preferred.begin(), m_preferred.end(), &engine, std::less<>());
         if (m_isLong) {
             return preferred ? std::chrono::nanoseconds(0) : engine.prefill.timeFor(m_tokens) / delayedPart;
         }
@@ -285,7 +287,7 @@
     std::uint32_t m_tokens;
     core::monotonic_time m_now;
     bool m_isLong = false;
-    /// Empty if long prompts are rare.
+    /// In the order of their addresses; empty if long prompts are rare.
     std::vector<const replica *> m_preferred;
 };
 
@@ -507,14 +509,16 @@
         }
     }
     const double saturatedLoad = saturationFraction * query.batchSize;
-    if (const replica_ptr holder = leastLoaded(holders, preference, now); holder != nullptr && holder->load() < saturatedLoad) {
+    if (const replica_ptr holder = leastLoaded(holders, preference, now);
+        holder != nullptr && holder->load() < saturatedLoad) {
         replica_choice chosen{.target = holder, .why = "adapter loaded"};
         if (loading.empty()) {
             chosen.alsoLoadAt = furtherHome(table, engines, *holder, query, preference, now);
         }
         return chosen;
     }
-    if (const replica_ptr next = leastLoaded(loading, preference, now); next != nullptr && next->load() < saturatedLoad) {
+    if (const replica_ptr next = leastLoaded(loading, preference, now);
+        next != nullptr && next->load() < saturatedLoad) {
         return {.target = next, .needsLoad = true, .why = "adapter is being loaded"};
     }
     const home_choice home = nextHome(table, known, query, preference, now);
