--- a/libs/overload/include/medlarrack/overload/run_queue.hpp
+++ b/libs/overload/include/medlarrack/overload/run_queue.hpp
@@ -68,10 +68,16 @@
     /// The earliest deadline in the queue.
     [[nodiscard]] std::optional<core::monotonic_time> nextDeadline() const;
 
+    /// Changes the limits for requests that are queued from now on; those that wait stay.
+    void setLimits(queue_limits limits);
     /// Sets the weight of an operator for fair queueing. The default is 1.
     void setWeight(std::string_view operatorName, double weight);
     /// Run time statistics from which waits are estimated.
     [[nodiscard]] service_estimate &estimate();
+    /// Queued requests, per class, that would be served before a request of this class and operator if it were queued
+    /// now.
+    [[nodiscard]] std::array<std::size_t, 3> queuedAhead(core::request_class priority,
+                                                         std::string_view operatorName) const;
     /// Expected wait of a request of this class and operator if it were queued now.
     [[nodiscard]] std::chrono::nanoseconds expectedWait(core::request_class priority, std::string_view operatorName,
                                                         std::size_t concurrency) const;
--- a/libs/overload/src/run_queue.cpp
+++ b/libs/overload/src/run_queue.cpp
@@ -158,6 +158,11 @@
     return earliest;
 }
 
+void run_queue::setLimits(queue_limits limits)
+{
+    m_limits = limits;
+}
+
 void run_queue::setWeight(std::string_view operatorName, double weight)
 {
     m_weights.insert_or_assign(std::string(operatorName), std::max(weight, minWeight));
@@ -168,8 +173,7 @@
     return m_estimate;
 }
 
-std::chrono::nanoseconds run_queue::expectedWait(core::request_class priority, std::string_view operatorName,
-                                                 std::size_t concurrency) const
+std::array<std::size_t, 3> run_queue::queuedAhead(core::request_class priority, std::string_view operatorName) const
 {
     std::array<std::size_t, 3> ahead{};
     for (core::request_class higher : core::allRequestClasses) {
@@ -189,7 +193,13 @@
         }
     }
     ahead.at(static_cast<std::size_t>(priority)) = static_cast<std::size_t>(sameAhead);
-    return m_estimate.waitBehind(ahead, concurrency);
+    return ahead;
+}
+
+std::chrono::nanoseconds run_queue::expectedWait(core::request_class priority, std::string_view operatorName,
+                                                 std::size_t concurrency) const
+{
+    return m_estimate.waitBehind(queuedAhead(priority, operatorName), concurrency);
 }
 
 run_queue::class_queue &run_queue::classQueue(core::request_class priority)
