--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -12,6 +12,7 @@
 #include <medlarrack/gateway/caller_retry_detector.hpp>
 #include <medlarrack/gateway/key_policy.hpp>
 #include <medlarrack/gateway/own_load.hpp>
+#include <medlarrack/gateway/prompt_sizes.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/metrics/registry.hpp>
@@ -23,7 +24,9 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <random>
+#include <string>
 #include <string_view>
 
 namespace medlarrack::gateway {
@@ -58,6 +61,8 @@
     const key_policy &keyPolicy;
     quota::tenant_limiter &tenantLimiter;
     own_load &ownLoad;
+    /// Sizes of the prompts by service.
+    std::map<std::string, prompt_sizes, std::less<>> &promptSizes;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -95,7 +95,8 @@
                    heldBytes,
                    settings.keyPolicy,
                    tenantLimiter,
-                   ownLoad}
+                   ownLoad,
+                   promptSizes}
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
                 given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
                 [this](const store_update &update) {
@@ -433,6 +434,7 @@
     suspects::crash_detector crashDetector{suspects::sharedLimits, core::hash64(settings.name)};
     resumption::stream_directory streams;
     quota::tenant_limiter tenantLimiter;
+    std::map<std::string, prompt_sizes, std::less<>> promptSizes;
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> retryBudgets;
