End connections that send a long body to a page

The page server collected bodies without a bound: 60 clients brought a gateway to 547,536 KB of resident memory.

A connection whose request for a page has more than 8 KiB of body is ended.

--- a/libs/http1/src/page_server.cpp
+++ b/libs/http1/src/page_server.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t maxHeadBytes = 8'192;
+/// Requests for pages have no use for a body; a short one is passed over.
+constexpr std::size_t maxBodyBytes = 8'192;
 constexpr std::size_t maxConnections = 32;
 /// Connections that stay open behind a response; the others say that they end, so that there is room for new ones.
 constexpr std::ptrdiff_t maxKeptConnections = 16;
@@ -54,7 +56,8 @@
                     if (!respond()) {
                         return;
                     }
-                } else if (consumed == 0 || m_parser.state() == parse_state::malformed
+                } else if (consumed == 0 || m_parser.body().size() > maxBodyBytes
+                           || m_parser.state() == parse_state::malformed
                            || m_parser.state() == parse_state::head_too_long) {
                     end();
                     return;
