Bound the framing of chunked requests, and tell how much of a body is to come

Chunk extensions and trailers of requests were read without end, and an announced length was not known before its bytes.

A request whose chunk sizes, extensions and trailers take more than the bound of a head and 128 bytes for each chunk is malformed.

--- a/libs/http1/include/medlarrack/http1/message_parser.hpp
+++ b/libs/http1/include/medlarrack/http1/message_parser.hpp
@@ -3,6 +3,7 @@
 #include <medlarrack/http1/message_head.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -27,7 +28,8 @@
 };
 
 /// Parses one HTTP/1 message at a time. Stricter than the protocol where two readers could disagree on where a message
-/// ends: such messages are malformed.
+/// ends: such messages are malformed. So are requests whose chunk sizes, chunk extensions and trailers take more than
+/// the bound of a head and 128 bytes for each chunk.
 class message_parser
 {
 public:
@@ -50,6 +52,9 @@
     [[nodiscard]] const message_head &head() const;
     /// Body bytes parsed and not yet taken, without chunk framing.
     [[nodiscard]] std::string &body();
+    [[nodiscard]] const std::string &body() const;
+    /// Bytes of the body that are still to come, as its head states; 0 for a chunked body.
+    [[nodiscard]] std::uint64_t announcedBytes() const;
     /// Whether any byte of the message has been seen.
     [[nodiscard]] bool started() const;
     /// Whether the connection may carry another message after this one.
--- a/libs/http1/src/message_parser.cpp
+++ b/libs/http1/src/message_parser.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Enough for a chunk's size, its line ends and an extension such as a signature.
+constexpr std::uint64_t framingBytesPerChunk = 128;
+
 bool isTokenCharacter(char character)
 {
     static constexpr std::string_view others = "!#$%&'*+-.^_`|~";
@@ -58,6 +61,8 @@
         body.clear();
         fault = {};
         headBytes = 0;
+        framingBytes = 0;
+        chunks = 0;
         lastByte = '\0';
         anyLine = false;
         lineEmpty = true;
@@ -80,6 +85,7 @@
             reject(why);
             return 0;
         }
+        const std::size_t bodyBytes = body.size();
         const std::size_t consumed = http_parser_execute(&parser, &callbacks(), bytes.data(), bytes.size());
         const http_errno error = HTTP_PARSER_ERRNO(&parser);
         if (error == HPE_PAUSED) {
@@ -87,6 +93,13 @@
             http_parser_pause(&parser, 0);
             return consumed;
         }
+        if (state == parse_state::body && kind == message_kind::request) {
+            framingBytes += consumed - (inHead ? scannedBytes : 0) - (body.size() - bodyBytes);
+            if (framingBytes > maxHeadBytes + chunks * framingBytesPerChunk) {
+                reject("the chunk sizes, chunk extensions and trailers are longer than allowed");
+                return consumed;
+            }
+        }
         if (state == parse_state::head_too_long) {
             return consumed;
         }
@@ -106,10 +119,12 @@
     /// one before for some readers only, and takes any byte behind a carriage return for the end of the head.
     std::string_view lineFault(std::string_view bytes)
     {
+        scannedBytes = 0;
         for (const char byte : bytes) {
             if (headScanned) {
                 return {};
             }
+            ++scannedBytes;
             if (lastByte == '\n' && (byte == ' ' || byte == '\t')) {
                 return "a header line is continued on the next one";
             }
@@ -144,6 +159,7 @@
             made.on_header_value = onValue;
             made.on_headers_complete = onHead;
             made.on_body = onBody;
+            made.on_chunk_header = onChunk;
             made.on_message_complete = onComplete;
             return made;
         }();
@@ -263,6 +279,12 @@
         return 0;
     }
 
+    static int onChunk(http_parser *parser)
+    {
+        ++of(parser).chunks;
+        return 0;
+    }
+
     static int onComplete(http_parser *parser)
     {
         impl &self = of(parser);
@@ -280,6 +302,11 @@
     std::string body;
     std::string_view fault;
     std::size_t headBytes = 0;
+    /// Bytes of the head among those that were fed last.
+    std::size_t scannedBytes = 0;
+    /// Bytes behind the head that belong to no body.
+    std::uint64_t framingBytes = 0;
+    std::uint64_t chunks = 0;
     char lastByte = '\0';
     bool anyLine = false;
     bool lineEmpty = true;
@@ -332,11 +359,22 @@
     return m_impl->head;
 }
 
+const std::string &message_parser::body() const
+{
+    return m_impl->body;
+}
+
 std::string &message_parser::body()
 {
     return m_impl->body;
 }
 
+std::uint64_t message_parser::announcedBytes() const
+{
+    const http_parser &parser = m_impl->parser;
+    return m_impl->state == parse_state::body && (parser.flags & F_CONTENTLENGTH) != 0 ? parser.content_length : 0;
+}
+
 bool message_parser::started() const
 {
     return m_impl->started;
--- a/libs/http1/tests/test_message_parser.cpp
+++ b/libs/http1/tests/test_message_parser.cpp
@@ -123,4 +123,41 @@
     BOOST_TEST(!isHopByHop("Content-Type"));
 }
 
+// Guards against reading without end what belongs to no body.
+BOOST_AUTO_TEST_CASE(extensions_and_trailers_of_requests_are_bounded)
+{
+    for (const std::string start : {"1;a=", "1\r\nx\r\n0\r\nName: "}) {
+        message_parser parser(message_kind::request, headLimit);
+        parser.feed("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+        parser.feed(start + std::string(900, 'e'));
+        BOOST_TEST((parser.state() == parse_state::body));
+        parser.feed(std::string(400, 'e'));
+        BOOST_TEST((parser.state() == parse_state::malformed));
+    }
+}
+
+// Guards against the same bound for bodies in many small chunks with extensions.
+BOOST_AUTO_TEST_CASE(a_body_in_one_byte_chunks_is_within_the_bounds)
+{
+    message_parser parser(message_kind::request, headLimit);
+    parser.feed("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int index = 0; index < 5'000; ++index) {
+        parser.feed("00000001;signature=" + std::string(64, 's') + "\r\nx\r\n");
+    }
+    parser.feed("0\r\n\r\n");
+    BOOST_TEST((parser.state() == parse_state::complete));
+    BOOST_TEST(parser.body().size() == 5'000U);
+}
+
+// Guards against collecting a body whose head states that it is too long.
+BOOST_AUTO_TEST_CASE(a_parser_tells_how_much_of_a_body_is_to_come)
+{
+    message_parser parser(message_kind::request, headLimit);
+    parser.feed("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1073741824\r\n\r\nbody");
+    BOOST_TEST(parser.announcedBytes() == 1'073'741'820U);
+    message_parser chunked(message_kind::request, headLimit);
+    chunked.feed("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo");
+    BOOST_TEST(chunked.announcedBytes() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
