Keep descriptors of the agent free from links without a greeting

Silent connections used up all 256 descriptors of a test, and neither the page nor the engine could be reached.

Beyond, links wait to be accepted, and the oldest link that has sent no greeting for 1 s makes room. A failed accept is tried again after 50 ms rather than at once.

--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -7,8 +7,10 @@
 #include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/listen.hpp>
 #include <medlarrack/http1/page_server.hpp>
+#include <medlarrack/http1/peer_connections.hpp>
 #include <medlarrack/log/log.hpp>
 #include <medlarrack/metrics/registry.hpp>
+#include <medlarrack/overload/rate_limiter.hpp>
 #include <medlarrack/quota/usage_ledger.hpp>
 #include <medlarrack/resumption/origin_table.hpp>
 #include <medlarrack/suspects/suspect_table.hpp>
@@ -17,6 +19,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <list>
 #include <random>
 #include <set>
@@ -29,6 +32,12 @@
 constexpr std::chrono::milliseconds maxReportAge = report_schedule::idleInterval * 2;
 /// Time limit of a call to the engine, which is on the same machine and answers in a few milliseconds.
 constexpr std::chrono::milliseconds engineCallTimeout{500};
+/// Delay after a failed accept, and until the next try while all links are in use.
+constexpr std::chrono::milliseconds acceptRetryDelay{50};
+/// Gateways greet as soon as they are connected. While all links are in use, those that have not are closed.
+constexpr std::chrono::milliseconds greetingGrace{1'000};
+constexpr double refusalLinesPerSecond = 1;
+constexpr double refusalLineBurst = 5;
 constexpr std::size_t bytesPerKb = 1'024;
 /// Longest time between messages to a gateway, which drops the link after three of these intervals without one.
 constexpr std::chrono::milliseconds heartbeatInterval{500};
@@ -43,6 +52,7 @@
     std::string name;
     std::unique_ptr<agent_protocol::message_connection> connection;
     std::uint64_t pendingPrefillTokens = 0;
+    core::monotonic_time madeAt{};
     bool lost = false;
 };
 
@@ -143,6 +153,7 @@
         , clock(givenClock)
         , acceptor(ioContext)
         , timer(ioContext)
+        , acceptTimer(ioContext)
         , pages(ioContext,
                 [this](std::string_view target) {
                     return servePage(target);
@@ -185,6 +196,7 @@
         acceptor.close(ignored);
         pages.close();
         timer.cancel();
+        acceptTimer.cancel();
         links.clear();
         reportClient.reset();
         orderClient.reset();
@@ -235,16 +247,60 @@
         return {ok, "text/plain; version=0.0.4", metrics.text()};
     }
 
+    /// Whether there is room for one link more, perhaps because one without a greeting was closed for it.
+    bool makeRoomForLink()
+    {
+        if (links.size() < maxLinkCount) {
+            return true;
+        }
+        const core::monotonic_time now = clock.now();
+        // In the order in which they were made.
+        const auto found = std::ranges::find_if(links, [now](const gateway_link &link) {
+            return link.name.empty() && now - link.madeAt >= greetingGrace;
+        });
+        if (found == links.end()) {
+            return false;
+        }
+        metrics.count("medlarrack_agent_refused_peers_total", "Connections closed for want of a greeting", {});
+        if (refusalLines.tryAcquire(now)) {
+            log::write(log::level::warning, "link closed",
+                       {{"why", "no greeting was sent, and all links are in use"},
+                        {"links", static_cast<std::uint64_t>(links.size())},
+                        {"unlogged", std::exchange(unloggedRefusals, 0)}});
+        } else {
+            ++unloggedRefusals;
+        }
+        links.erase(found);
+        return true;
+    }
+
+    void acceptLater()
+    {
+        acceptTimer.expires_after(acceptRetryDelay);
+        acceptTimer.async_wait([weak = weak_from_this()](const std::error_code &error) {
+            if (const auto self = weak.lock(); self != nullptr && !self->stopped && !error) {
+                self->accept();
+            }
+        });
+    }
+
     void accept()
     {
+        if (!makeRoomForLink()) {
+            acceptLater();
+            return;
+        }
         acceptor.async_accept([weak = weak_from_this()](const std::error_code &error, asio::ip::tcp::socket socket) {
             const auto self = weak.lock();
             if (self == nullptr || self->stopped || error == asio::error::operation_aborted) {
                 return;
             }
-            if (!error) {
-                self->addLink(std::move(socket));
+            if (error) {
+                log::write(log::level::warning, "failed to accept connection", {{"why", error.message()}});
+                self->acceptLater();
+                return;
             }
+            self->addLink(std::move(socket));
             self->accept();
         });
     }
@@ -252,6 +308,7 @@
     void addLink(asio::ip::tcp::socket socket)
     {
         const auto added = links.emplace(links.end());
+        added->madeAt = clock.now();
         added->connection = std::make_unique<agent_protocol::message_connection>(
             std::make_shared<http1::byte_stream>(context, std::move(socket)),
             [this, added](const agent_protocol::message &message) {
@@ -587,6 +644,10 @@
     const core::clock &clock;
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer timer;
+    asio::steady_timer acceptTimer;
+    const std::size_t maxLinkCount = http1::maxPeerConnections();
+    overload::rate_limiter refusalLines{refusalLinesPerSecond, refusalLineBurst, clock.now()};
+    std::uint64_t unloggedRefusals = 0;
     /// Reports prove themselves: they run forward, and a late one frees no slot that an order could take.
     std::unique_ptr<http1::call_client> reportClient;
     /// Orders have a connection of their own, on which no report can be taken for the answer to an order.
