Count callers' bodies in the account of the gateway, and bound their connections

Callers' bodies were counted nowhere: 60 clients with bodies short of their end brought a gateway with a limit of 64 MB to 257,792 KB of resident memory. Silent connections used up its descriptors.

Long bodies have a holding in the byte account under the caller's address and wait unread without room; small pieces and responses to be taken are summed at each tick. While there is no room, the longest body that stands still, or has waited for 2 s, is refused with 503 and a Retry-After, and the caller with the most bytes to take that takes none is reset. A body announced to be over the limit gets 413 at its head. Callers may use three quarters of the descriptors, or max_connections; connections without a whole head make room.

--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -40,6 +41,9 @@
     key_policy keyPolicy;
     /// Memory that the process may use. A share of it is for what is kept for others.
     std::uint32_t memoryLimitMb = 256;
+    /// Connections that callers may have open; 0 for three quarters of the descriptors that the process may open. The
+    /// others are for replicas, agents, the store and pages.
+    std::uint32_t maxConnections = 0;
     /// Longest answer of the store.
     std::uint32_t maxStoreAnswerKb = 32'768;
     std::string logLevel = "info";
@@ -48,6 +52,9 @@
 /// Bytes that may be kept for others.
 [[nodiscard]] std::size_t maxHeldBytes(const gateway_settings &settings);
 
+/// Connections that callers may have open at this process.
+[[nodiscard]] std::size_t maxCallerConnections(const gateway_settings &settings);
+
 /// This gateway's budget for the retries of one service. Gateways don't exchange counts: each applies the ratio to its
 /// own requests.
 [[nodiscard]] overload::retry_budget makeRetryBudget(const gateway_settings &settings);
--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -17,8 +17,17 @@
 /// Bytes of answers that may wait for a caller while its next pipelined request is begun.
 constexpr std::size_t maxUntakenBytes = 65'536;
 
-/// The request is taken at once by another process or, of a caller that ended its side, on another connection.
-constexpr std::chrono::milliseconds promptRetryAfter{50};
+/// The same while more than half of the room for what is kept for others is in use: one read.
+constexpr std::size_t maxReadAheadWithLittleRoom = 0;
+/// A longer body is counted by itself.
+constexpr std::size_t shortBodyBytes = 16'384;
+/// A body that grows by less stands still.
+constexpr std::size_t leastProgress = 4'096;
+constexpr std::string_view noMemoryCode = "no_memory";
+constexpr std::string_view noMemoryWhy = "the memory for requests and responses is used up";
+/// Memory is given back within moments, as callers that stand still are refused.
+constexpr std::chrono::milliseconds memoryRetryAfter{500};
+
 constexpr std::string_view stoppingCode = "stopping";
 constexpr std::string_view stoppingWhy = "this process is about to end";
 constexpr std::string_view endedCode = "caller_ended";
@@ -35,12 +44,15 @@
 } // namespace
 
 caller_connection::caller_connection(std::weak_ptr<void> server, exchange_services &services,
-                                     std::shared_ptr<http1::byte_stream> stream)
+                                     std::shared_ptr<http1::byte_stream> stream, std::string peerAddress)
     : m_server(std::move(server))
     , m_services(services)
     , m_stream(std::move(stream))
     , m_parser(http1::message_kind::request, services.routes.limits().maxHeadBytes)
     , m_lastActivityAt(services.clock.now())
+    , m_connectedAt(m_lastActivityAt)
+    , m_peerAddress(std::move(peerAddress))
+    , m_tookAt(m_lastActivityAt)
     , m_idleAllowance(services.routes.limits().idleTimeout)
 {
 }
@@ -59,6 +71,7 @@
 void caller_connection::end(connection_end how)
 {
     m_closed = true;
+    m_awaitsRoom = false;
     if (const auto current = std::exchange(m_exchange, nullptr)) {
         if (how == connection_end::lost && m_stream->hasTimedOut()) {
             recordUnanswered(*current, "unreachable", "its caller acknowledged or read nothing in time");
@@ -70,6 +83,10 @@
     if (how != connection_end::lost && !m_callerEnded) {
         recordLateRequests(how);
     }
+    // The connection object stays until its descriptor is closed.
+    dropRequestBytes();
+    std::exchange(m_unparsed, {});
+    std::exchange(m_parser.body(), {});
     switch (how) {
     case connection_end::finished:
         m_stream->finish();
@@ -167,7 +184,7 @@
     m_lastActivityAt = m_services.clock.now();
     m_unparsed.append(bytes);
     parse();
-    if (!m_closed && m_unparsed.size() > maxReadAheadBytes) {
+    if (!m_closed && m_unparsed.size() > maxReadAhead()) {
         m_stream->stopReading();
     }
 }
@@ -192,19 +209,31 @@
         m_maxHeadBytes = std::max(m_maxHeadBytes, limits.maxHeadBytes);
         m_maxBodyBytes = std::max(m_maxBodyBytes, limits.maxBodyBytes);
         m_parser.setMaxHeadBytes(m_maxHeadBytes);
+        const bool wasInBody = m_parser.state() == http1::parse_state::body;
         const std::size_t consumed = m_parser.feed(m_unparsed);
         m_unparsed.erase(0, consumed);
+        if (m_unparsed.empty() && m_unparsed.capacity() > http1::byte_stream::readBytes) {
+            // An empty string keeps its memory as long as the connection lives.
+            std::exchange(m_unparsed, {});
+        }
         switch (m_parser.state()) {
         case http1::parse_state::head:
             break;
         case http1::parse_state::body:
-            sendContinueIfExpected();
-            [[fallthrough]];
         case http1::parse_state::complete:
-            if (m_parser.body().size() > m_maxBodyBytes) {
+            m_hadHead = true;
+            if (m_parser.body().size() > m_maxBodyBytes
+                || m_parser.announcedBytes() > m_maxBodyBytes - m_parser.body().size()) {
                 sendErrorAndClose(statusContentTooLarge, "body_too_large", "the body is longer than allowed");
             } else if (m_parser.state() == http1::parse_state::complete) {
                 startExchange();
+            } else {
+                if (!wasInBody || m_parser.body().size() >= m_bodyMark + leastProgress) {
+                    m_bodyMark = m_parser.body().size();
+                    m_bodyGrewAt = m_lastActivityAt;
+                }
+                sendContinueIfExpected();
+                countBody();
             }
             break;
         case http1::parse_state::malformed:
@@ -218,6 +247,44 @@
     m_parsing = false;
 }
 
+std::size_t caller_connection::maxReadAhead() const
+{
+    const overload::byte_account &account = m_services.heldBytes;
+    return account.heldBytes() > account.limit() / 2 ? maxReadAheadWithLittleRoom : maxReadAheadBytes;
+}
+
+void caller_connection::countBody()
+{
+    const std::size_t bytes = m_parser.body().size();
+    if (m_bodyHolding == nullptr) {
+        if (bytes <= shortBodyBytes) {
+            return;
+        }
+        m_bodyHolding = m_services.heldBytes.hold(m_peerAddress, [this] {
+            onRoomForBody();
+        });
+    }
+    if (!m_bodyHolding->resize(bytes) && !std::exchange(m_awaitsRoom, true)) {
+        m_awaitsRoomSince = m_services.clock.now();
+        m_stream->stopReading();
+    }
+}
+
+void caller_connection::onRoomForBody()
+{
+    m_awaitsRoom = false;
+    // The caller wasn't silent meanwhile.
+    m_lastActivityAt = m_services.clock.now();
+    m_bodyGrewAt = m_lastActivityAt;
+    m_stream->startReading();
+}
+
+void caller_connection::dropRequestBytes()
+{
+    m_bodyHolding.reset();
+    m_shortRequestBytes = 0;
+}
+
 bool caller_connection::refusesRequests() const
 {
     return m_refuseFrom && m_services.clock.now() >= *m_refuseFrom;
@@ -251,6 +318,20 @@
         refuseRequest(endedCode, endedWhy);
         return;
     }
+    if (m_services.heldBytes.isOverfull()) {
+        m_services.metrics.count("medlarrack_gateway_refused_peers_total",
+                                 "Peers that were turned away because they or others are outside the limits",
+                                 {.code = std::string(noMemoryCode)});
+        refuseRequest(noMemoryCode, noMemoryWhy, memoryRetryAfter);
+        return;
+    }
+    if (m_bodyHolding != nullptr) {
+        static_cast<void>(m_bodyHolding->resize(m_parser.body().size()));
+        static_cast<void>(m_bodyHolding->settle());
+        m_awaitsRoom = false;
+    } else {
+        m_shortRequestBytes = m_parser.body().capacity();
+    }
     m_exchange =
         std::make_shared<exchange>(m_services, static_cast<caller_channel &>(*this), head, std::move(m_parser.body()));
     m_parser.reset();
@@ -269,7 +350,7 @@
     }
 }
 
-void caller_connection::refuseRequest(std::string_view code, std::string_view why)
+void caller_connection::refuseRequest(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter)
 {
     const request_metadata request = m_services.format.readRequest(m_parser.head());
     log::write(log::level::info, "request refused", {{"request_id", request.id}, {"why", why}});
@@ -277,7 +358,7 @@
     response.status = statusUnavailable;
     response.code = code;
     response.message = why;
-    response.retryAfter = promptRetryAfter;
+    response.retryAfter = retryAfter;
     response.connection = decideTerms();
     response.omitsBody = m_parser.head().method == "HEAD";
     std::string out;
@@ -288,16 +369,19 @@
         return;
     }
     m_parser.reset();
+    dropRequestBytes();
     m_continueSent = false;
 }
 
-void caller_connection::sendErrorAndClose(int status, std::string_view code, std::string_view why)
+void caller_connection::sendErrorAndClose(int status, std::string_view code, std::string_view why,
+                                          std::optional<std::chrono::milliseconds> retryAfter)
 {
     log::write(log::level::info, "connection refused", {{"status", status}, {"code", code}, {"why", why}});
     local_response response;
     response.status = status;
     response.code = code;
     response.message = why;
+    response.retryAfter = retryAfter;
     response.connection.closes = true;
     std::string out;
     m_services.format.appendLocalResponse(out, response, "");
@@ -340,6 +424,7 @@
     m_lastActivityAt = m_services.clock.now();
     m_idleAllowance.onIdle(m_services.routes.limits().idleTimeout);
     m_exchange = nullptr;
+    dropRequestBytes();
     if (m_closeAnnounced) {
         end(connection_end::finished);
         return;
@@ -394,11 +479,19 @@
         return;
     }
     const auto self = shared_from_this();
+    if (const std::size_t taken = m_stream->sent(); taken != m_takenBytes || m_stream->queued() == 0) {
+        m_takenBytes = taken;
+        m_tookAt = now;
+    }
     if (m_exchange != nullptr) {
         const auto current = m_exchange;
         current->tick(now);
         return;
     }
+    if (m_awaitsRoom) {
+        // Its bytes are left unread on purpose.
+        return;
+    }
     if (m_awaitsTaking) {
         // The stream gives up a caller that takes nothing.
         if (refusesRequests()) {
@@ -482,6 +575,70 @@
     return m_stream->hasUnreadBytes();
 }
 
+std::size_t caller_connection::smallBytes() const
+{
+    const std::size_t received = m_bodyHolding == nullptr ? m_parser.body().capacity() + m_shortRequestBytes : 0;
+    return m_unparsed.capacity() + received + untakenBytes();
+}
+
+const std::string &caller_connection::peerAddress() const
+{
+    return m_peerAddress;
+}
+
+std::size_t caller_connection::bodyBytes() const
+{
+    return m_parser.body().size();
+}
+
+std::optional<std::chrono::nanoseconds> caller_connection::bodyStandstill(core::monotonic_time now) const
+{
+    if (m_closed || m_exchange != nullptr || m_awaitsRoom || m_parser.state() != http1::parse_state::body
+        || hasUnreadBytes()) {
+        return std::nullopt;
+    }
+    return now - m_bodyGrewAt;
+}
+
+std::optional<std::chrono::nanoseconds> caller_connection::roomWait(core::monotonic_time now) const
+{
+    return m_awaitsRoom && !m_closed ? std::optional(now - m_awaitsRoomSince) : std::nullopt;
+}
+
+std::optional<std::chrono::nanoseconds> caller_connection::takingStandstill(core::monotonic_time now) const
+{
+    return untakenBytes() > 0 ? std::optional(now - m_tookAt) : std::nullopt;
+}
+
+std::optional<std::chrono::nanoseconds> caller_connection::timeWithoutHead(core::monotonic_time now) const
+{
+    return m_closed || m_hadHead || hasUnreadBytes() ? std::nullopt : std::optional(now - m_connectedAt);
+}
+
+void caller_connection::refuseForMemory()
+{
+    const auto self = shared_from_this();
+    sendErrorAndClose(statusUnavailable, noMemoryCode, noMemoryWhy, memoryRetryAfter);
+}
+
+void caller_connection::dropUntaken()
+{
+    const auto self = shared_from_this();
+    if (const auto current = m_exchange) {
+        current->abandon(noMemoryCode, noMemoryWhy, memoryRetryAfter);
+    }
+    if (!m_closed) {
+        end(connection_end::aborted);
+    }
+    m_stream->abortUnsent();
+}
+
+void caller_connection::dropWithoutHead()
+{
+    const auto self = shared_from_this();
+    end(connection_end::closed);
+}
+
 bool caller_connection::isIdle() const
 {
     return m_exchange == nullptr && !m_parser.started() && !m_awaitsTaking;
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -8,6 +8,7 @@
 #include <medlarrack/core/idle_allowance.hpp>
 #include <medlarrack/http1/byte_stream.hpp>
 #include <medlarrack/http1/message_parser.hpp>
+#include <medlarrack/overload/byte_account.hpp>
 
 #include <chrono>
 #include <memory>
@@ -17,6 +18,9 @@
 
 namespace medlarrack::gateway {
 
+/// The request is taken at once by another process or, of a caller that ended its side, on another connection.
+inline constexpr std::chrono::milliseconds promptRetryAfter{50};
+
 /// A caller's connection: handles one request at a time and writes the responses in order.
 class caller_connection final : public std::enable_shared_from_this<caller_connection>,
                                 private http1::byte_stream_listener,
@@ -25,7 +29,7 @@
 public:
     /// The connection's bytes may be watched longer than its server lives, which `server` tells.
     caller_connection(std::weak_ptr<void> server, exchange_services &services,
-                      std::shared_ptr<http1::byte_stream> stream);
+                      std::shared_ptr<http1::byte_stream> stream, std::string peerAddress);
     ~caller_connection() override;
 
     void start();
@@ -52,6 +56,27 @@
     [[nodiscard]] bool awaitsTaking() const;
     [[nodiscard]] bool hasUnreadBytes() const;
 
+    /// Bytes that are kept for the caller apart from a long body, which the account of the process counts itself.
+    [[nodiscard]] std::size_t smallBytes() const;
+    /// Bytes of the body that is being received.
+    [[nodiscard]] std::size_t bodyBytes() const;
+    [[nodiscard]] const std::string &peerAddress() const;
+    /// Time for which the body that is being received has hardly grown; nothing if none is received, or if its bytes
+    /// aren't read.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> bodyStandstill(core::monotonic_time now) const;
+    /// Time for which the body has waited for room; nothing if it doesn't.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> roomWait(core::monotonic_time now) const;
+    /// Time for which the caller has taken no byte of those that wait for it; nothing if none wait.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> takingStandstill(core::monotonic_time now) const;
+    /// Time since the connection was made without a whole head; nothing once there has been one.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> timeWithoutHead(core::monotonic_time now) const;
+    /// Refuses the request that is being received, for lack of memory, and closes the connection.
+    void refuseForMemory();
+    /// Drops the answers that the caller doesn't take, with a reset.
+    void dropUntaken();
+    /// Closes a connection that has sent no whole head.
+    void dropWithoutHead();
+
 private:
     void onBytes(std::string_view bytes) override;
     void onWritten() override;
@@ -71,8 +96,16 @@
     [[nodiscard]] bool refusesRequests() const;
     void startExchange();
     void sendContinueIfExpected();
-    void refuseRequest(std::string_view code, std::string_view why);
-    void sendErrorAndClose(int status, std::string_view code, std::string_view why);
+    void refuseRequest(std::string_view code, std::string_view why,
+                       std::chrono::milliseconds retryAfter = promptRetryAfter);
+    void sendErrorAndClose(int status, std::string_view code, std::string_view why,
+                           std::optional<std::chrono::milliseconds> retryAfter = {});
+    /// Counts the body that is being received, and stops reading it while the process has no room for more.
+    void countBody();
+    void onRoomForBody();
+    /// The request has ended: gives back its bytes.
+    void dropRequestBytes();
+    [[nodiscard]] std::size_t maxReadAhead() const;
     enum class connection_end {
         /// After all that was written.
         finished,
@@ -106,6 +139,19 @@
     std::string m_unparsed;
     core::monotonic_time m_lastActivityAt{};
     core::monotonic_time m_requestStartedAt{};
+    core::monotonic_time m_bodyGrewAt{};
+    /// Size of the body at that time.
+    std::size_t m_bodyMark = 0;
+    core::monotonic_time m_awaitsRoomSince{};
+    const core::monotonic_time m_connectedAt;
+    std::string m_peerAddress;
+    /// Counts a long body until its request has ended.
+    std::unique_ptr<overload::byte_holding> m_bodyHolding;
+    /// Bytes of a short request in progress.
+    std::size_t m_shortRequestBytes = 0;
+    /// When the caller took bytes last, or there were none for it to take.
+    core::monotonic_time m_tookAt{};
+    std::size_t m_takenBytes = 0;
     /// The largest limits that have been in force since the request began.
     std::size_t m_maxHeadBytes = 0;
     std::size_t m_maxBodyBytes = 0;
@@ -122,6 +168,8 @@
     bool m_closed = false;
     bool m_parsing = false;
     bool m_awaitsTaking = false;
+    bool m_awaitsRoom = false;
+    bool m_hadHead = false;
     bool m_continueSent = false;
 };
 
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -4,6 +4,7 @@
 #include <medlarrack/log/log.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace medlarrack::gateway {
@@ -15,6 +16,18 @@
 /// Requests that were sent before the listener closed are read within this time, also by a busy process.
 constexpr std::chrono::milliseconds unreadRequestTime{500};
 
+/// Bodies that stand still for this long, and answers of which nothing is taken, are the first to go when memory is
+/// used up. Callers on slow links pause for less.
+constexpr std::chrono::milliseconds standstillTime{500};
+/// Beyond all but this part of the limit, new bodies and responses hardly find room.
+constexpr std::size_t nearlyFullDivisor = 4;
+/// Bodies wait this long for room. Callers abandon requests that take longer than a few seconds.
+constexpr std::chrono::milliseconds longestRoomWait{2'000};
+/// A caller sends its head within this time of connecting, on the longest link; others may be closed for want of room.
+constexpr std::chrono::milliseconds headGrace{250};
+constexpr double logLinesPerSecond = 1;
+constexpr double logBurst = 5;
+
 } // namespace
 
 caller_server::caller_server(asio::io_context &context, exchange_services &services)
@@ -22,6 +35,7 @@
     , m_services(services)
     , m_acceptor(context)
     , m_acceptRetryTimer(context)
+    , m_logRate(logLinesPerSecond, logBurst, services.clock.now())
 {
 }
 
@@ -44,6 +58,10 @@
 
 void caller_server::accept()
 {
+    m_awaitsRoom = !makeRoom();
+    if (m_awaitsRoom) {
+        return;
+    }
     m_acceptor.async_accept(
         [this, weak = std::weak_ptr(m_self)](const std::error_code &error, asio::ip::tcp::socket socket) {
             // Closing the acceptor doesn't stop a handler that is already queued.
@@ -69,8 +87,11 @@
 
 void caller_server::addConnection(asio::ip::tcp::socket socket)
 {
+    std::error_code ignored;
+    std::string peerAddress = socket.remote_endpoint(ignored).address().to_string();
     auto stream = std::make_shared<http1::byte_stream>(m_context, std::move(socket));
-    auto connection = std::make_shared<caller_connection>(m_self, m_services, std::move(stream));
+    auto connection =
+        std::make_shared<caller_connection>(m_self, m_services, std::move(stream), std::move(peerAddress));
     if (m_draining) {
         connection->drain();
     }
@@ -103,9 +124,120 @@
             connection->closeIfIdle();
         }
     }
-    std::erase_if(m_connections, [this](const auto &connection) {
-        return connection->isClosed() && (m_draining ? !connection->isOpen() : !connection->hasUnsentBytes());
+    relieveMemory(now);
+    // Those that have ended count until their descriptors are closed.
+    std::erase_if(m_connections, [](const auto &connection) {
+        return connection->isClosed() && !connection->isOpen();
+    });
+    resumeAccepting();
+}
+
+void caller_server::setMaxConnections(std::size_t count)
+{
+    m_maxConnections = count;
+    resumeAccepting();
+}
+
+void caller_server::resumeAccepting()
+{
+    if (m_awaitsRoom && !m_closing) {
+        accept();
+    }
+}
+
+bool caller_server::makeRoom()
+{
+    if (m_connections.size() < m_maxConnections) {
+        return true;
+    }
+    const core::monotonic_time now = m_services.clock.now();
+    const auto longest = std::ranges::max_element(m_connections, {}, [now](const auto &connection) {
+        return connection->timeWithoutHead(now).value_or(std::chrono::nanoseconds(-1));
     });
+    if (longest == m_connections.end()
+        || (*longest)->timeWithoutHead(now).value_or(std::chrono::nanoseconds(-1)) < headGrace) {
+        return false;
+    }
+    recordTurnedAway("no_connection", "no whole head was sent, and all connections are in use", **longest, 0);
+    (*longest)->dropWithoutHead();
+    m_connections.erase(longest);
+    return true;
+}
+
+void caller_server::relieveMemory(core::monotonic_time now)
+{
+    std::size_t smallBytes = 0;
+    for (const auto &connection : m_connections) {
+        smallBytes += connection->smallBytes();
+    }
+    overload::byte_account &account = m_services.heldBytes;
+    account.setUnshared(smallBytes);
+    if (account.waiting() == 0 && account.heldBytes() <= account.limit()) {
+        return;
+    }
+    // While there is room for others, only addresses that have used up their share lose a body.
+    const bool isNearlyFull = account.heldBytes() > account.limit() - account.limit() / nearlyFullDivisor;
+    std::set<std::string_view> waitingAddresses;
+    for (const auto &connection : m_connections) {
+        if (!isNearlyFull && connection->roomWait(now)) {
+            waitingAddresses.insert(connection->peerAddress());
+        }
+    }
+    std::shared_ptr<caller_connection> still;
+    std::shared_ptr<caller_connection> untaken;
+    std::shared_ptr<caller_connection> waiting;
+    for (const auto &connection : m_connections) {
+        if (connection->bodyStandstill(now).value_or(std::chrono::nanoseconds(0)) >= standstillTime
+            && (isNearlyFull || waitingAddresses.contains(connection->peerAddress()))
+            && (still == nullptr || connection->bodyBytes() > still->bodyBytes())) {
+            still = connection;
+        }
+        if (connection->takingStandstill(now).value_or(std::chrono::nanoseconds(0)) >= standstillTime
+            && (untaken == nullptr || connection->untakenBytes() > untaken->untakenBytes())) {
+            untaken = connection;
+        }
+        if (connection->roomWait(now).value_or(std::chrono::nanoseconds(0)) >= longestRoomWait
+            && (waiting == nullptr || connection->bodyBytes() > waiting->bodyBytes())) {
+            waiting = connection;
+        }
+    }
+    if (still != nullptr) {
+        recordTurnedAway("no_memory", "its body stood still while memory was used up", *still, still->bodyBytes());
+        still->refuseForMemory();
+    } else if (waiting != nullptr) {
+        recordTurnedAway("no_memory", "there was no room for its body in time", *waiting, waiting->bodyBytes());
+        waiting->refuseForMemory();
+    }
+    if (untaken != nullptr) {
+        recordTurnedAway("no_memory", "it took none of its answer while memory was used up", *untaken,
+                         untaken->untakenBytes());
+        untaken->dropUntaken();
+    }
+}
+
+void caller_server::recordTurnedAway(std::string_view code, std::string_view why, const caller_connection &connection,
+                                     std::size_t bytes)
+{
+    m_services.metrics.count("medlarrack_gateway_refused_peers_total",
+                             "Peers that were turned away because they or others are outside the limits",
+                             {.code = std::string(code)});
+    if (!m_logRate.tryAcquire(m_services.clock.now())) {
+        ++m_unloggedCallers;
+        return;
+    }
+    log::write(log::level::warning, "caller turned away",
+               {{"code", code},
+                {"why", why},
+                {"address", connection.peerAddress()},
+                {"bytes", static_cast<std::uint64_t>(bytes)},
+                {"held_bytes", static_cast<std::uint64_t>(m_services.heldBytes.heldBytes())},
+                {"connections", static_cast<std::uint64_t>(m_connections.size())},
+                {"unlogged", std::exchange(m_unloggedCallers, 0)}});
+}
+
+std::size_t caller_server::size() const
+{
+    return m_connections.size();
 }
 
 void caller_server::drain()
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -4,13 +4,17 @@
 #include "exchange_services.hpp"
 
 #include <medlarrack/core/reason.hpp>
+#include <medlarrack/overload/rate_limiter.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace medlarrack::gateway {
@@ -25,6 +29,8 @@
     [[nodiscard]] bool listen(const asio::ip::tcp::endpoint &at, core::reason &why);
     [[nodiscard]] std::uint16_t port() const;
     void tick(core::monotonic_time now);
+    /// Connections beyond this number wait to be accepted. Those without a whole head are closed to make room.
+    void setMaxConnections(std::size_t count);
     /// Closes each connection after its next response, whose head says so; new ones are still accepted.
     void drain();
     /// Requests that come from this time on are refused.
@@ -35,6 +41,8 @@
     /// Answers or refuses the requests in progress and closes their connections, as the process is about to end. Called
     /// again until all are closed.
     void endRequests(std::string_view code, std::string_view why);
+    /// Connections whose descriptors are open.
+    [[nodiscard]] std::size_t size() const;
     /// Connections with a request in progress.
     [[nodiscard]] std::size_t busy() const;
     /// Bytes of answers that callers have yet to take.
@@ -51,6 +59,14 @@
     /// Accepts the connections that the system has already made.
     void acceptWaiting();
     void addConnection(asio::ip::tcp::socket socket);
+    /// Goes on accepting if it has stopped for want of room and there is room now.
+    void resumeAccepting();
+    /// Whether there is room for one connection more, perhaps because another one was closed for it.
+    [[nodiscard]] bool makeRoom();
+    /// Counts what is kept for callers, and turns those away that hold the most or stand still if there is no room.
+    void relieveMemory(core::monotonic_time now);
+    void recordTurnedAway(std::string_view code, std::string_view why, const caller_connection &connection,
+                          std::size_t bytes);
 
     asio::io_context &m_context;
     exchange_services &m_services;
@@ -60,6 +76,11 @@
     std::optional<core::monotonic_time> m_refuseFrom;
     bool m_draining = false;
     bool m_closing = false;
+    std::size_t m_maxConnections = std::numeric_limits<std::size_t>::max();
+    bool m_awaitsRoom = false;
+    overload::rate_limiter m_logRate;
+    /// Callers that were turned away since the last line in the log.
+    std::uint64_t m_unloggedCallers = 0;
     /// Expires with the server, for handlers that may run later.
     std::shared_ptr<caller_server> m_self{this, [](caller_server *) {}};
 };
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -36,6 +36,12 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusNotFound = 404;
 
+/// Room for the longest message of a peer, whichever kind it is.
+std::size_t largestHolding(const gateway_settings &settings, const catalog::request_limits &limits)
+{
+    return std::max(kilobytes(settings.responseBounds.maxBodyKb), limits.maxBodyBytes);
+}
+
 } // namespace
 
 class gateway_service::impl : public std::enable_shared_from_this<impl>
@@ -59,7 +65,7 @@
                  })
         , runStopper(owner, callerFormat)
         , random(static_cast<std::minstd_rand::result_type>(time.wallNow().time_since_epoch().count()))
-        , heldBytes(maxHeldBytes(given), kilobytes(given.responseBounds.maxBodyKb), http1::byte_stream::readBytes)
+        , heldBytes(maxHeldBytes(given), largestHolding(given, routes.limits()), http1::byte_stream::readBytes)
         , services{time,
                    callerFormat,
                    routes,
@@ -112,6 +118,7 @@
         if (!callerServer.listen(*callersAt, why) || !adminServer.listen(*adminAt, why)) {
             return false;
         }
+        callerServer.setMaxConnections(maxCallerConnections(settings));
         store.start();
         tick();
         return true;
@@ -153,6 +160,7 @@
     {
         const std::uint64_t version = state.version;
         if (routes.update(std::move(state))) {
+            heldBytes.setLimits(maxHeldBytes(settings), largestHolding(settings, routes.limits()));
             log::write(log::level::info, "published state taken",
                        {{"state_version", version}, {"revision", store.revision()}});
         }
@@ -334,11 +342,15 @@
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callerServer.busy()));
             showTenants();
-            metrics.gauge("medlarrack_gateway_held_bytes", "Bytes of responses that are collected", {},
+            metrics.gauge("medlarrack_gateway_connections", "Connections of callers, with those that are being closed",
+                          {}, static_cast<double>(callerServer.size()));
+            metrics.gauge("medlarrack_gateway_max_connections", "Their bound", {},
+                          static_cast<double>(maxCallerConnections(settings)));
+            metrics.gauge("medlarrack_gateway_held_bytes", "Bytes of requests and responses that are kept", {},
                           static_cast<double>(heldBytes.heldBytes()));
             metrics.gauge("medlarrack_gateway_max_held_bytes", "Their bound for the process", {},
                           static_cast<double>(heldBytes.limit()));
-            metrics.gauge("medlarrack_gateway_waiting_for_memory", "Responses that aren't read on until there is room",
+            metrics.gauge("medlarrack_gateway_waiting_for_memory", "Messages that aren't read on until there is room",
                           {}, static_cast<double>(heldBytes.waiting()));
             metrics.gauge("medlarrack_gateway_untaken_bytes", "Bytes of answers that callers have yet to take", {},
                           static_cast<double>(callerServer.untakenBytes()));
@@ -407,7 +419,10 @@
     m_impl->settings.gracePeriod = settings.gracePeriod;
     m_impl->settings.responseBounds = settings.responseBounds;
     m_impl->settings.keyPolicy = settings.keyPolicy;
-    m_impl->heldBytes.setLimits(maxHeldBytes(settings), kilobytes(settings.responseBounds.maxBodyKb));
+    m_impl->settings.memoryLimitMb = settings.memoryLimitMb;
+    m_impl->settings.maxConnections = settings.maxConnections;
+    m_impl->heldBytes.setLimits(maxHeldBytes(settings), largestHolding(settings, m_impl->routes.limits()));
+    m_impl->callerServer.setMaxConnections(maxCallerConnections(settings));
 }
 
 std::uint16_t gateway_service::callersPort() const
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -1,7 +1,10 @@
 #include <medlarrack/gateway/gateway_settings.hpp>
 #include <medlarrack/http1/call_client.hpp>
+#include <medlarrack/http1/peer_connections.hpp>
 #include <medlarrack/settings/typed_settings.hpp>
 
+#include <algorithm>
+
 namespace medlarrack::gateway {
 
 namespace {
@@ -14,6 +17,7 @@
 constexpr std::int64_t largestMemoryMb = 1'048'576;
 /// The rest is for tables, buffers of connections and copies in progress.
 constexpr std::size_t heldShareDivisor = 4;
+constexpr std::int64_t largestConnections = 1'048'576;
 constexpr milliseconds shortestChangeBound{100};
 constexpr milliseconds longestChangeBound{60'000};
 constexpr double shortestGraceSeconds = 0.5;
@@ -64,6 +68,7 @@
     if (kilobytes(value.responseBounds.maxBodyKb) > maxHeldBytes(value) / 2) {
         reader.addFault("max_response_kb", "is more than an eighth of memory_limit_mb");
     }
+    reader.integer("max_connections", value.maxConnections, 0, largestConnections);
     reader.integer("max_store_answer_kb", value.maxStoreAnswerKb, 1, largestKb);
     reader.word("log_level", value.logLevel, {"debug", "info", "warning", "error"});
 }
@@ -76,6 +81,12 @@
     return settings.memoryLimitMb * bytesPerMb / heldShareDivisor;
 }
 
+std::size_t maxCallerConnections(const gateway_settings &settings)
+{
+    const std::size_t most = http1::maxPeerConnections();
+    return settings.maxConnections == 0 ? most : std::min<std::size_t>(settings.maxConnections, most);
+}
+
 overload::retry_budget makeRetryBudget(const gateway_settings &settings)
 {
     return {settings.retryRatio * usedShareOfRetries, extraRetriesPerWindow, settings.retryWindow};
--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -99,6 +99,8 @@
     /// Closes with a reset, so that the peer sees that what it got isn't whole. It follows what was written before,
     /// which may be answers that the peer hasn't read yet; the listener gets no more events.
     void abort();
+    /// The same, but drops what the system hasn't taken yet.
+    void abortUnsent();
 
 private:
     class impl;
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -450,6 +450,14 @@
         resetOnceAcknowledged();
     }
 
+    void abortUnsent()
+    {
+        std::exchange(pending, {});
+        std::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     void resetOnceAcknowledged()
     {
         const auto now = asio::steady_timer::clock_type::now();
@@ -612,4 +620,9 @@
     m_impl->abort();
 }
 
+void byte_stream::abortUnsent()
+{
+    m_impl->abortUnsent();
+}
+
 } // namespace medlarrack::http1
--- a/libs/overload/include/medlarrack/overload/byte_account.hpp
+++ b/libs/overload/include/medlarrack/overload/byte_account.hpp
@@ -27,9 +27,14 @@
     /// must neither end nor resize a holding. Holdings must end before the account.
     [[nodiscard]] std::unique_ptr<byte_holding> hold(std::string_view holder, std::function<void()> onRoom);
     void setLimits(std::size_t limit, std::size_t maxHolding);
+    /// Sets the number of bytes that are kept outside of holdings, such as the many small ones of connections. They
+    /// take room from the holdings and have no share.
+    void setUnshared(std::size_t bytes);
 
     [[nodiscard]] std::size_t limit() const;
     [[nodiscard]] std::size_t heldBytes() const;
+    /// Whether more is held than the limit and the steps by which holdings may exceed it.
+    [[nodiscard]] bool isOverfull() const;
     /// Holdings that wait for room.
     [[nodiscard]] std::size_t waiting() const;
 
--- a/libs/overload/src/byte_account.cpp
+++ b/libs/overload/src/byte_account.cpp
@@ -33,7 +33,9 @@
     std::size_t limit = 0;
     std::size_t maxHolding = 0;
     std::size_t step = 0;
+    /// Includes those without a holder.
     std::size_t heldBytes = 0;
+    std::size_t unsharedBytes = 0;
     holder_map holders;
     /// In the order in which they began, as in each holder.
     holding_list growing;
@@ -134,6 +136,21 @@
     m_impl->wake();
 }
 
+void byte_account::setUnshared(std::size_t bytes)
+{
+    const std::size_t before = std::exchange(m_impl->unsharedBytes, bytes);
+    m_impl->heldBytes += bytes - before;
+    if (bytes < before) {
+        m_impl->wake();
+    }
+}
+
+bool byte_account::isOverfull() const
+{
+    constexpr std::size_t toleranceDivisor = 4;
+    return m_impl->heldBytes > m_impl->limit + m_impl->limit / toleranceDivisor;
+}
+
 std::size_t byte_account::limit() const
 {
     return m_impl->limit;
--- a/libs/overload/tests/test_byte_account.cpp
+++ b/libs/overload/tests/test_byte_account.cpp
@@ -174,3 +174,20 @@
         }
     }
 }
+
+// Guards against giving holdings the room that is taken by what connections keep in small pieces.
+BOOST_AUTO_TEST_CASE(bytes_outside_of_holdings_take_room_from_them)
+{
+    byte_account account(1'000, 100, step);
+    const growing_message oldest(account, "a", 100);
+    growing_message other(account, "b", 100);
+    account.setUnshared(890);
+    other.grow();
+    BOOST_TEST(!other.mayGrow);
+    BOOST_TEST(!account.isOverfull());
+    account.setUnshared(1'300);
+    BOOST_TEST(account.isOverfull());
+    account.setUnshared(0);
+    BOOST_TEST(other.mayGrow);
+    BOOST_TEST(account.heldBytes() == step);
+}
