--- a/libs/http1/src/message_parser.cpp
+++ b/libs/http1/src/message_parser.cpp
@@ -9,6 +9,9 @@
 
 /// Enough for a chunk's size, its line ends and an extension such as a signature.
 constexpr std::uint64_t framingBytesPerChunk = 128;
+constexpr std::size_t statusDigits = 3;
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
 
 bool isTokenCharacter(char character)
 {
@@ -67,6 +70,9 @@
         anyLine = false;
         lineEmpty = true;
         headScanned = false;
+        inStatusLine = true;
+        afterVersion = false;
+        statusBytes = 0;
         valueBegun = false;
         endsWithStream = false;
         skipsBody = noBody;
@@ -131,6 +137,7 @@
             if (lastByte == '\r' && byte != '\n') {
                 return "a carriage return in the head ends no line";
             }
+            countStatusBytes(byte);
             if (byte == '\n') {
                 headScanned = anyLine && lineEmpty;
                 lineEmpty = true;
@@ -143,6 +150,18 @@
         return {};
     }
 
+    /// The library gives the status as a number only, and takes any count of digits.
+    void countStatusBytes(char byte)
+    {
+        if (!inStatusLine || byte == '\r' || (byte == '\n' && !anyLine)) {
+            return;
+        }
+        const bool isBlank = byte == ' ' || byte == '\n';
+        inStatusLine = byte != '\n' && !(isBlank && statusBytes > 0);
+        afterVersion = afterVersion || isBlank;
+        statusBytes += afterVersion && !isBlank ? 1 : 0;
+    }
+
     void reject(std::string_view why)
     {
         state = parse_state::malformed;
@@ -236,6 +255,10 @@
         if (parsed.http_major != 1) {
             return "not HTTP/1";
         }
+        if (kind == message_kind::response
+            && (statusBytes != statusDigits || head.status < minStatus || head.status > maxStatus)) {
+            return "the status is not a number from 100 to 599";
+        }
         std::size_t lengths = 0;
         std::size_t encodings = 0;
         for (const header &field : head.headers) {
@@ -311,6 +334,9 @@
     bool anyLine = false;
     bool lineEmpty = true;
     bool headScanned = false;
+    bool inStatusLine = true;
+    bool afterVersion = false;
+    std::size_t statusBytes = 0;
     bool valueBegun = false;
     bool endsWithStream = false;
     bool skipsBody = false;
