--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -45,6 +46,9 @@
     double cpuShare = 0;
     /// Bandwidth of its link in Mbit/s; 0 if unknown.
     double linkMbps = 0;
+    /// Connections that callers may have open; 0 for three quarters of the descriptors that the process may open. The
+    /// others are for replicas, agents, the store and pages.
+    std::uint32_t maxConnections = 0;
     /// Longest answer of the store.
     std::uint32_t maxStoreAnswerKb = 32'768;
     std::string logLevel = "info";
@@ -55,6 +59,8 @@
 
 /// The limits by which the process judges its own load.
 [[nodiscard]] own_limits ownLimits(const gateway_settings &settings);
+/// Connections that callers may have open at this process.
+[[nodiscard]] std::size_t maxCallerConnections(const gateway_settings &settings);
 
 /// This gateway's budget for the retries of one service. Gateways don't exchange counts: each applies the ratio to its
 /// own requests.
