--- a/libs/gateway/src/route_page.cpp
+++ b/libs/gateway/src/route_page.cpp
@@ -15,6 +15,7 @@
 #include <charconv>
 #include <memory>
 #include <optional>
+#include <random>
 #include <utility>
 
 namespace medlarrack::gateway {
@@ -240,14 +241,21 @@
         query.batchSize = hasEngine ? batchSize : 1;
         query.mayRunAgain = mayRetry(*m_route, attempt_outcome::unknown, {1, 0});
         query.maxLoadWait = maxHoldTime(timeout, callerIdleTimeout(*m_route), false);
+        query.timeLeft = timeout;
+        if (const auto sizes = m_services.promptSizes.find(m_service); sizes != m_services.promptSizes.end()) {
+            query.promptTokens = m_metadata.promptTokens;
+            query.sizes = &sizes->second;
+        }
         if (!m_metadata.adapter.empty()) {
             // A request counts itself; this one must leave no trace.
             adapter_demand demand = m_services.adapterDemand;
             query.demand = demand.recordRequest(m_metadata.adapter, m_now);
         }
         describeCandidates(hasEngine);
+        // A copy: the choices of requests don't depend on who looks at this page.
+        std::minstd_rand random = m_services.random;
         const replica_choice choice = hasEngine ? chooseEngine(m_services.replicas, query, m_now)
-                                                : choosePlain(m_services.replicas, query, m_now);
+                                                : choosePlain(m_services.replicas, query, m_now, random);
         if (choice.target != nullptr) {
             return {{"outcome", choice.needsLoad ? "waits_for_adapter" : "sent"},
                     {"replica", choice.target->record.id},
