--- a/libs/http1/include/medlarrack/http1/message_parser.hpp
+++ b/libs/http1/include/medlarrack/http1/message_parser.hpp
@@ -29,8 +29,8 @@
 
 /// Parses one HTTP/1 message at a time. Stricter than the protocol where two readers could disagree on where a message
 /// ends: such messages are malformed. So are requests whose chunk sizes, chunk extensions and trailers take more than
-/// the bound of a head and 128 bytes for each chunk, and responses whose status is not a number of three digits from 100
-/// to 599.
+/// the bound of a head and 128 bytes for each chunk, and responses whose status is not a number of three digits from
+/// 100 to 599.
 class message_parser
 {
 public:
