--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <medlarrack/gateway/key_policy.hpp>
+#include <medlarrack/gateway/own_load.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
 #include <medlarrack/settings/fault.hpp>
@@ -41,6 +42,10 @@
     key_policy keyPolicy;
     /// Memory that the process may use. A share of it is for what is kept for others.
     std::uint32_t memoryLimitMb = 256;
+    /// Processor cores that the process may use; 0 if unknown.
+    double cpuShare = 0;
+    /// Bandwidth of its link in Mbit/s; 0 if unknown.
+    double linkMbps = 0;
     /// Connections that callers may have open; 0 for three quarters of the descriptors that the process may open. The
     /// others are for replicas, agents, the store and pages.
     std::uint32_t maxConnections = 0;
@@ -52,6 +57,8 @@
 /// Bytes that may be kept for others.
 [[nodiscard]] std::size_t maxHeldBytes(const gateway_settings &settings);
 
+/// The limits by which the process judges its own load.
+[[nodiscard]] own_limits ownLimits(const gateway_settings &settings);
 /// Connections that callers may have open at this process.
 [[nodiscard]] std::size_t maxCallerConnections(const gateway_settings &settings);
 
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -61,7 +61,7 @@
 void exchange::advance()
 {
     if (m_route == nullptr) {
-        if (!findRoute() || !authorize() || !admitByQuota()) {
+        if (!findRoute() || !authorize() || !admitByOwnLoad() || !admitByQuota()) {
             return;
         }
         initFromRoute();
@@ -91,6 +91,19 @@
     return true;
 }
 
+bool exchange::admitByOwnLoad()
+{
+    // A stream that is resumed has cost the fleet more already than it costs this process now.
+    if (resumesStream() || m_services.ownLoad.admits(urgency())) {
+        return true;
+    }
+    m_services.metrics.count("medlarrack_gateway_shed_requests_total", "Requests refused by an overloaded gateway",
+                             {.requestClass = std::to_string(urgency())});
+    sendRefusal("gateway_overloaded", "this gateway is overloaded",
+                own_load::retryAfter(static_cast<std::uint32_t>(m_services.random())));
+    return false;
+}
+
 void exchange::initFromRoute()
 {
     const milliseconds callerTimeout = m_requestMetadata.timeLeft.value_or(defaultTimeout);
@@ -101,6 +114,9 @@
         service != nullptr && service->engine) {
         m_engineBatchSize = service->engine->batchSize;
     }
+    if (m_engineBatchSize > 0) {
+        m_services.promptSizes[m_serviceName].record(m_requestMetadata.promptTokens, m_startedAt);
+    }
     m_services.retryBudgetFor(m_serviceName).onFirstAttempt(m_startedAt);
     if (!m_requestMetadata.adapter.empty()) {
         m_adapterDemand = m_services.adapterDemand.recordRequest(m_requestMetadata.adapter, m_startedAt);
@@ -262,6 +278,7 @@
                 {"rejections", m_history.rejections},
                 {"load_waits", m_loadWaits},
                 {"waited_ms", m_sentAt > m_startedAt ? inMilliseconds(m_sentAt - m_startedAt) : 0},
+                {"expected_ms", inMilliseconds(m_expectedTime)},
                 {"first_byte_ms", inMilliseconds(m_timeToFirstByte)},
                 {"ms", inMilliseconds(now - m_startedAt)},
                 {"state_version", m_services.routes.version()},
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -23,6 +23,14 @@
 constexpr milliseconds maxIdleIfNotRepeatable{400};
 constexpr milliseconds maxIdleIfRepeatable{60'000};
 
+refusal_cause causeOf(const replica_choice &choice)
+{
+    if (!choice.saturated) {
+        return refusal_cause::no_replica;
+    }
+    return choice.expectedTime.count() > 0 ? refusal_cause::replicas_busy : refusal_cause::adapter_backlog;
+}
+
 } // namespace
 
 replica_choice exchange::chooseReplica(core::monotonic_time now, core::monotonic_time loadedBy) const
@@ -42,8 +50,21 @@
     query.origin = m_origin;
     query.demand = m_adapterDemand;
     query.mayRunAgain = mayRetry(*m_route, attempt_outcome::unknown, {m_history.runs + 1, m_history.rejections});
+    if (const auto sizes = m_services.promptSizes.find(m_serviceName); sizes != m_services.promptSizes.end()) {
+        query.promptTokens = m_requestMetadata.promptTokens;
+        query.sizes = &sizes->second;
+        query.salt = m_fingerprint ^ m_streamKey;
+    }
     query.maxLoadWait = std::chrono::duration_cast<milliseconds>(loadedBy - now);
-    return hasEngine ? chooseEngine(m_services.replicas, query, now) : choosePlain(m_services.replicas, query, now);
+    if (hasEngine) {
+        return chooseEngine(m_services.replicas, query, now);
+    }
+    // A request that may have run isn't refused any more.
+    if (m_history.runs == 0) {
+        query.timeLeft = m_deadline - now;
+    }
+    query.isCallerRetry = m_isCallerRetry;
+    return choosePlain(m_services.replicas, query, now, m_services.random);
 }
 
 void exchange::dispatch()
@@ -68,6 +89,7 @@
         choice = chooseReplica(now, m_holdDeadline);
     }
     m_choiceReason = choice.why;
+    m_expectedTime = choice.expectedTime;
     if (choice.target == nullptr) {
         if (now < m_holdDeadline && awaitsReplica(m_history, choice, m_isCallerRetry)) {
             hold(choice.why);
@@ -75,8 +97,8 @@
             constexpr int statusBadGateway = 502;
             respondWithError(statusBadGateway, "no_replica", "the request may have run and no other replica is left");
         } else {
-            refuse(choice.saturated ? refusal_cause::adapter_backlog : refusal_cause::no_replica, "no_replica",
-                   choice.why);
+            const refusal_cause cause = causeOf(choice);
+            refuse(cause, cause == refusal_cause::replicas_busy ? "replicas_busy" : "no_replica", choice.why);
         }
         return;
     }
@@ -182,6 +204,7 @@
     }
     dropBody();
     m_responseBytes = 0;
+    m_responseMetadata.notRun = false;
     m_eventsBeforeRun = m_eventSplitter.eventCount();
     m_partialEventBytes = 0;
     m_readPaused = false;
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -1,11 +1,14 @@
 #include "caller_server.hpp"
 #include "http_run_stopper.hpp"
 #include "milliseconds.hpp"
+#include "process_use.hpp"
+#include "route_page.hpp"
 #include "store_reader.hpp"
 
 #include <medlarrack/core/hash.hpp>
 #include <medlarrack/gateway/drain_schedule.hpp>
 #include <medlarrack/gateway/gateway_service.hpp>
+#include <medlarrack/gateway/replica_choice.hpp>
 #include <medlarrack/http1/call_client.hpp>
 #include <medlarrack/http1/page_server.hpp>
 #include <medlarrack/log/log.hpp>
@@ -15,6 +18,8 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace medlarrack::gateway {
@@ -28,6 +33,8 @@
 constexpr milliseconds tickInterval{25};
 /// Interval for closing expired idle connections; short compared to their idle times of seconds.
 constexpr milliseconds idleConnectionCheckInterval{500};
+/// Interval for reading the use of processor and memory, which takes system calls.
+constexpr milliseconds useReadingInterval{250};
 /// Poll interval of the store in percent of the change bound: leaves time to repeat one failed call within the bound.
 constexpr int pollIntervalPercent = 38;
 /// Replicas whose entries expired in an outage of the store are listed again within about two seconds of its return.
@@ -66,6 +73,7 @@
         , runStopper(owner, callerFormat)
         , random(static_cast<std::minstd_rand::result_type>(time.wallNow().time_since_epoch().count()))
         , heldBytes(maxHeldBytes(given), largestHolding(given, routes.limits()), http1::byte_stream::readBytes)
+        , ownLoad(ownLimits(given))
         , services{time,
                    callerFormat,
                    routes,
@@ -92,7 +100,9 @@
                    runStopper,
                    heldBytes,
                    settings.keyPolicy,
-                   tenantLimiter}
+                   tenantLimiter,
+                   ownLoad,
+                   promptSizes}
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
                 given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
                 [this](const store_update &update) {
@@ -214,6 +224,7 @@
     {
         const core::monotonic_time now = clock.now();
         lastTickAt = now;
+        updateOwnLoad(now);
         replicas.removeExpired(now);
         callerServer.tick(now);
         agents.tick();
@@ -238,6 +249,27 @@
         });
     }
 
+    void updateOwnLoad(core::monotonic_time now)
+    {
+        const bool wasShedding = ownLoad.shedShare() > 0;
+        if (now >= nextUseReading) {
+            nextUseReading = now + useReadingInterval;
+            processUse = readProcessUse();
+        }
+        ownLoad.recordTick(now, tickInterval, processUse);
+        const bool isShedding = ownLoad.shedShare() > 0;
+        if (isShedding != wasShedding) {
+            constexpr double percent = 100;
+            log::write(isShedding ? log::level::warning : log::level::info,
+                       isShedding ? "overloaded, requests are shed" : "overload has ended",
+                       {{"lag_ms", inMilliseconds(ownLoad.lag())},
+                        {"cpu_percent", static_cast<std::uint64_t>(ownLoad.cpuUse() * percent)},
+                        {"link_percent", static_cast<std::uint64_t>(ownLoad.linkUse() * percent)},
+                        {"memory_percent", static_cast<std::uint64_t>(ownLoad.memoryUse() * percent)},
+                        {"busy", static_cast<std::uint64_t>(callerServer.busy())}});
+        }
+    }
+
     void settleLostRuns(core::monotonic_time now)
     {
         crashDetector.resolveOverdueRuns(now, [this](const core::instance_ref &target) {
@@ -313,6 +345,40 @@
         }
     }
 
+    void showOwnLoad()
+    {
+        metrics.gauge("medlarrack_gateway_loop_lag_seconds", "Delay of the last periodic task", {},
+                      std::chrono::duration<double>(ownLoad.lag()).count());
+        metrics.gauge("medlarrack_gateway_shed_share", "Share of the new requests that is refused in an overload", {},
+                      ownLoad.shedShare());
+        metrics.gauge("medlarrack_gateway_cpu_use", "Share of the processor limit in use", {}, ownLoad.cpuUse());
+        metrics.gauge("medlarrack_gateway_link_use", "Share of the link in use for answers", {}, ownLoad.linkUse());
+        metrics.gauge("medlarrack_gateway_memory_use", "Share of the memory limit in use", {}, ownLoad.memoryUse());
+    }
+
+    void showWorkTimes()
+    {
+        const core::monotonic_time now = clock.now();
+        std::set<std::string_view> shown;
+        for (const auto &[id, one] : replicas.all()) {
+            const std::string &service = one->record.service;
+            // Engines are not chosen by the duration of their work.
+            if (one->agent || !shown.insert(service).second) {
+                continue;
+            }
+            const auto times = workTimes(replicas, service, now);
+            if (!times) {
+                continue;
+            }
+            metrics.gauge("medlarrack_gateway_shortest_work_seconds",
+                          "Learned duration of work at the fastest replica of a service", {.service = service},
+                          std::chrono::duration<double>(times->shortest).count());
+            metrics.gauge("medlarrack_gateway_longest_work_seconds",
+                          "Learned duration of work at the slowest replica of a service", {.service = service},
+                          std::chrono::duration<double>(times->longest).count());
+        }
+    }
+
     [[nodiscard]] bool isReady() const
     {
         return !drainSchedule && !routes.isEmpty() && !replicas.all().empty();
@@ -342,6 +408,8 @@
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callerServer.busy()));
             showTenants();
+            showWorkTimes();
+            showOwnLoad();
             metrics.gauge("medlarrack_gateway_connections", "Connections of callers, with those that are being closed",
                           {}, static_cast<double>(callerServer.size()));
             metrics.gauge("medlarrack_gateway_max_connections", "Their bound", {},
@@ -359,6 +427,9 @@
                           static_cast<double>(callerServer.awaitingCallers()));
             return {statusOk, "text/plain; version=0.0.4", metrics.text()};
         }
+        if (target.substr(0, target.find('?')) == routePagePath) {
+            return explainRoute(services, target);
+        }
         return {statusNotFound, "text/plain", "no such page\n"};
     }
 
@@ -375,12 +446,14 @@
     suspects::crash_detector crashDetector{suspects::sharedLimits, core::hash64(settings.name)};
     resumption::stream_directory streams;
     quota::tenant_limiter tenantLimiter;
+    std::map<std::string, prompt_sizes, std::less<>> promptSizes;
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> retryBudgets;
     http_run_stopper runStopper;
     std::minstd_rand random;
     overload::byte_account heldBytes;
+    own_load ownLoad;
     exchange_services services;
     store_reader store;
     // Ends before what the requests in progress use, which it answers then.
@@ -389,6 +462,8 @@
     asio::steady_timer tickTimer;
     core::monotonic_time lastTickAt{};
     core::monotonic_time nextIdleConnectionCheck{};
+    own_use processUse;
+    core::monotonic_time nextUseReading{};
     std::optional<drain_schedule> drainSchedule;
     std::function<void()> onDrainComplete;
 };
@@ -419,6 +494,7 @@
     m_impl->settings.gracePeriod = settings.gracePeriod;
     m_impl->settings.responseBounds = settings.responseBounds;
     m_impl->settings.keyPolicy = settings.keyPolicy;
+    m_impl->ownLoad.setLimits(ownLimits(settings));
     m_impl->settings.memoryLimitMb = settings.memoryLimitMb;
     m_impl->settings.maxConnections = settings.maxConnections;
     m_impl->heldBytes.setLimits(maxHeldBytes(settings), largestHolding(settings, m_impl->routes.limits()));
