--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -93,10 +93,11 @@
 // Guards against gateways that all send their requests to the same replica until the next report.
 BOOST_AUTO_TEST_CASE(gateways_with_the_same_reports_choose_different_replicas)
 {
+    std::uint64_t load = 3;
     for (int index = 0; index < 4; ++index) {
         const replica_ptr one = add("p" + std::to_string(index), "dc1", "plain", 6);
         one->recordSuccess(milliseconds(60), 0, clock.now());
-        one->setReportedLoad(static_cast<std::uint64_t>(3 + index), clock.now());
+        one->setReportedLoad(load++, clock.now());
     }
     clock.advance(milliseconds(200));
     std::map<std::string, int> chosen;
