Explain the choice of plain replicas with a copy of the random source

A copy leaves the next choice as it is. test_gateway passes on the merged code; test_platform was not run on it.

--- a/libs/gateway/src/route_page.cpp
+++ b/libs/gateway/src/route_page.cpp
@@ -246,8 +246,11 @@
             query.demand = demand.recordRequest(m_metadata.adapter, m_now);
         }
         describeCandidates(hasEngine);
+        query.timeLeft = timeout;
+        // A copy: this choice must not change the next one.
+        std::minstd_rand random = m_services.random;
         const replica_choice choice = hasEngine ? chooseEngine(m_services.replicas, query, m_now)
-                                                : choosePlain(m_services.replicas, query, m_now);
+                                                : choosePlain(m_services.replicas, query, m_now, random);
         if (choice.target != nullptr) {
             return {{"outcome", choice.needsLoad ? "waits_for_adapter" : "sent"},
                     {"replica", choice.target->record.id},
@@ -260,6 +263,9 @@
             return refuse(refusal_cause::quiet, "replicas_quiet",
                           "all replicas asked for quiet or limit their requests");
         }
+        if (choice.saturated && !hasEngine) {
+            return refuse(refusal_cause::replicas_busy, "replicas_busy", choice.why);
+        }
         return refuse(choice.saturated ? refusal_cause::adapter_backlog : refusal_cause::no_replica, "no_replica",
                       choice.why);
     }
