--- a/libs/gateway/src/route_page.cpp
+++ b/libs/gateway/src/route_page.cpp
@@ -268,6 +268,9 @@
             return refuse(refusal_cause::quiet, "replicas_quiet",
                           "all replicas asked for quiet or limit their requests");
         }
+        if (choice.saturated && !hasEngine) {
+            return refuse(refusal_cause::replicas_busy, "replicas_busy", choice.why);
+        }
         return refuse(choice.saturated ? refusal_cause::adapter_backlog : refusal_cause::no_replica, "no_replica",
                       choice.why);
     }
