Name the cost of requests without a token count by what it is

Cause: tenant_quota used the platform's field name, which only platform/ may know. Change: plainTokens becomes defaultCost in the catalog; the platform's reader still reads the same field. Result: the tenants and tenant_documents cases of test_platform pass; no behaviour changes.

--- a/libs/catalog/include/medlarrack/catalog/tenant.hpp
+++ b/libs/catalog/include/medlarrack/catalog/tenant.hpp
@@ -19,7 +19,7 @@
     /// Units are the tokens of prompts and outputs; otherwise each request costs one unit.
     bool countsTokens = false;
     /// Cost of a request that names no number of tokens, if tokens are counted.
-    std::uint32_t plainTokens = 0;
+    std::uint32_t defaultCost = 0;
 };
 
 /// A customer whose requests carry one of its keys. The keys themselves are not kept.
--- a/libs/gateway/src/request_terms.cpp
+++ b/libs/gateway/src/request_terms.cpp
@@ -10,7 +10,7 @@
         return 1;
     }
     return request.hasTokenCount ? static_cast<double>(request.promptTokens) + request.maxOutputTokens
-                                 : quota.plainTokens;
+                                 : quota.defaultCost;
 }
 
 std::uint32_t requestUrgency(const catalog::route &route, const catalog::tenant *tenant)
