--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -25,7 +25,7 @@
 /// Divisor of a long prompt's prefill time that is added where it would delay short ones.
 constexpr int delayedPart = 2;
 /// Largest random addition to an engine's expected time. Reports are 200 ms old: without it all processes choose the
-/// same engine in that time. At 24 and 68 gateways, 40 to 100 ms gave the shortest first events.
+/// same engine in that time.
 constexpr std::chrono::milliseconds maxJitter{60};
 /// Added for a short prompt at an engine that is preferred for long ones: reports are 200 ms old, and during about a
 /// third of that time a long prompt of 300 ms is sent there.
