Queue requests at the gateway while no engine has capacity, where the settings ask for it

Cause: a first attempt for which every engine is saturated was refused at once and a returning one asked again every 50 ms, in no order of urgency. Change: with queue_requests such requests wait in it, the more urgent and those that came back first, and are refused once their deadline can't be met. It is off by default, so that deployments are served as before.

--- a/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/medlarrack/gateway/gateway_settings.hpp
@@ -40,6 +40,8 @@
     std::chrono::seconds retryWindow{10};
     response_bounds responseBounds;
     key_policy keyPolicy;
+    /// Whether requests wait in a queue while no engine has capacity for them, the more urgent first.
+    bool queueRequests = false;
     /// Memory that the process may use. A share of it is for what is kept for others.
     std::uint32_t memoryLimitMb = 256;
     /// Processor cores that the process may use; 0 if unknown.
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -117,6 +117,7 @@
 
 void caller_server::tick(core::monotonic_time now)
 {
+    m_services.capacityWaiters.tick(now);
     for (std::size_t index = 0; index < m_connections.size(); ++index) {
         const auto connection = m_connections[index];
         connection->tick(now);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -49,6 +49,7 @@
 
 exchange::~exchange()
 {
+    leaveCapacityQueue();
     closeConnection();
     releaseReplica();
 }
@@ -261,6 +262,7 @@
 void exchange::finish(std::string_view outcome, int status, std::string_view why)
 {
     m_finished = true;
+    leaveCapacityQueue();
     closeConnection();
     const core::monotonic_time now = m_services.clock.now();
     log::write(log::level::info, "request ended",
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -29,6 +29,7 @@
 /// another replica only if it certainly has not run, or if the route allows another run.
 class exchange final : public std::enable_shared_from_this<exchange>,
                        public adapter_waiter,
+                       public capacity_waiter,
                        private http1::call_observer
 {
 public:
@@ -53,6 +54,10 @@
     void adapterLoaded() override;
     void engineLost() override;
 
+    [[nodiscard]] bool canLeaveQueue() const override;
+    void leftQueue() override;
+    void refusedByQueue(const admission_refusal &refusal) override;
+
     /// Id of the caller's attempt; empty if the caller sent none.
     [[nodiscard]] std::string_view requestId() const;
 
@@ -126,6 +131,9 @@
     /// Holds the request until the next dispatch.
     void hold(std::string_view why, std::chrono::milliseconds interval = heldDispatchInterval);
     void waitForAdapter(const replica_choice &choice);
+    /// Queues the request until an engine has capacity. The exchange may have ended when this returns.
+    void waitForCapacity(core::monotonic_time now);
+    void leaveCapacityQueue();
     void sendRequest(const replica_ptr &to);
     /// Whether the head states a body that exceeds its bound.
     [[nodiscard]] bool announcesTooMuch(const http1::message_head &head) const;
@@ -316,6 +324,10 @@
     bool m_originRecorded = false;
     bool m_readPaused = false;
     bool m_waitingForAdapter = false;
+    /// Id in the queue of requests that wait for capacity; 0 if this one doesn't.
+    std::uint64_t m_queueId = 0;
+    /// Set until the request leaves that queue.
+    bool m_isQueued = false;
     bool m_finished = false;
     std::chrono::nanoseconds m_timeToFirstByte{0};
 };
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -22,6 +22,8 @@
 /// connection just as the request is sent, it is unknown whether the request ran.
 constexpr milliseconds maxIdleIfNotRepeatable{400};
 constexpr milliseconds maxIdleIfRepeatable{60'000};
+/// Requests that wait for capacity and are asked before another one is dispatched.
+constexpr std::size_t maxAskedBefore = 8;
 
 refusal_cause causeOf(const replica_choice &choice)
 {
@@ -82,6 +84,9 @@
     if (!isStillAuthorized() || holdOrRefuseIfSuspect()) {
         return;
     }
+    if (m_history.runs == 0) {
+        m_services.capacityWaiters.serve(m_serviceName, maxAskedBefore, now);
+    }
     replica_choice choice = chooseReplica(now, m_holdDeadline);
     if (choice.target == nullptr && !m_silentReplica.empty()) {
         std::erase(m_triedReplicas, std::exchange(m_silentReplica, {}));
@@ -91,7 +96,9 @@
     m_choiceReason = choice.why;
     m_expectedTime = choice.expectedTime;
     if (choice.target == nullptr) {
-        if (now < m_holdDeadline && awaitsReplica(m_history, choice, m_isCallerRetry)) {
+        if (m_services.capacityWaiters.isEnabled() && m_history.runs == 0 && choice.saturated && now < m_holdDeadline) {
+            waitForCapacity(now);
+        } else if (now < m_holdDeadline && awaitsReplica(m_history, choice, m_isCallerRetry)) {
             hold(choice.why);
         } else if (m_history.runs > 0) {
             constexpr int statusBadGateway = 502;
@@ -140,6 +147,66 @@
     m_services.adapterWaiters.add(*choice.target, m_requestMetadata.adapter, weak_from_this());
 }
 
+void exchange::waitForCapacity(core::monotonic_time now)
+{
+    const auto self = shared_from_this();
+    waiting_request request;
+    if (m_tenant != nullptr) {
+        request.tenant = m_tenant->name;
+        request.weight = std::max(1.0, m_tenant->quota.perSecond);
+    }
+    request.urgency = urgency();
+    request.isReturning = m_isCallerRetry;
+    request.bytes = m_requestBody.size();
+    request.latestStart = m_holdDeadline;
+    m_isQueued = true;
+    const std::uint64_t id = m_services.capacityWaiters.add(m_serviceName, std::move(request), weak_from_this(), now);
+    if (!m_isQueued) {
+        return;
+    }
+    m_queueId = id;
+    log::write(log::level::info, "request waits for capacity",
+               {{"request_id", m_requestMetadata.id},
+                {"why", m_choiceReason},
+                {"waits_until_ms", inMilliseconds(m_holdDeadline - m_startedAt)}});
+}
+
+void exchange::leaveCapacityQueue()
+{
+    m_isQueued = false;
+    if (const std::uint64_t id = std::exchange(m_queueId, 0); id != 0) {
+        m_services.capacityWaiters.remove(m_serviceName, id);
+    }
+}
+
+bool exchange::canLeaveQueue() const
+{
+    const replica_choice choice = chooseReplica(m_services.clock.now(), m_holdDeadline);
+    return choice.target != nullptr || !choice.saturated;
+}
+
+void exchange::leftQueue()
+{
+    const auto self = shared_from_this();
+    leaveCapacityQueue();
+    dispatch();
+}
+
+void exchange::refusedByQueue(const admission_refusal &refusal)
+{
+    const auto self = shared_from_this();
+    leaveCapacityQueue();
+    if (allAreQuiet(m_services.replicas, m_serviceName, m_services.clock.now())) {
+        refuse(refusal_cause::quiet, refusal.why.code, refusal.why.message);
+        return;
+    }
+    // Never earlier than adapters that are to be loaded first, and spread out so that callers don't return together.
+    const milliseconds backlog = retryAfter(refusal_cause::adapter_backlog, m_services.replicas, m_serviceName,
+                                            m_services.clock.now(), static_cast<std::uint32_t>(m_services.random()));
+    const milliseconds jitter(static_cast<std::int64_t>(m_services.random() % (refusal.retryAfter.count() / 2 + 1)));
+    sendRefusal(refusal.why.code, refusal.why.message, std::max(backlog, refusal.retryAfter + jitter));
+}
+
 void exchange::adapterLoaded()
 {
     if (!m_waitingForAdapter || m_finished) {
--- a/libs/gateway/src/exchange_responses.cpp
+++ b/libs/gateway/src/exchange_responses.cpp
@@ -95,6 +95,7 @@
     const auto self = shared_from_this();
     const request_ending ending = chooseEnding(progress());
     m_waitingForAdapter = false;
+    leaveCapacityQueue();
     m_nextDispatchAt.reset();
     withdrawProbe();
     closeConnection();
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -2,6 +2,7 @@
 
 #include "adapter_waiters.hpp"
 #include "agent_links.hpp"
+#include "capacity_waiters.hpp"
 #include "connection_pool.hpp"
 #include "run_stopper.hpp"
 
@@ -63,6 +64,7 @@
     own_load &ownLoad;
     /// Sizes of the prompts by service.
     std::map<std::string, prompt_sizes, std::less<>> &promptSizes;
+    capacity_waiters &capacityWaiters;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -102,7 +102,8 @@
                    settings.keyPolicy,
                    tenantLimiter,
                    ownLoad,
-                   promptSizes}
+                   promptSizes,
+                   capacityWaiters}
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
                 given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
                 [this](const store_update &update) {
@@ -115,6 +116,7 @@
                       })
         , tickTimer(owner)
     {
+        capacityWaiters.setEnabled(given.queueRequests);
     }
 
     bool start(core::reason &why)
@@ -447,6 +449,7 @@
     resumption::stream_directory streams;
     quota::tenant_limiter tenantLimiter;
     std::map<std::string, prompt_sizes, std::less<>> promptSizes;
+    capacity_waiters capacityWaiters;
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> retryBudgets;
@@ -494,6 +497,7 @@
     m_impl->settings.gracePeriod = settings.gracePeriod;
     m_impl->settings.responseBounds = settings.responseBounds;
     m_impl->settings.keyPolicy = settings.keyPolicy;
+    m_impl->capacityWaiters.setEnabled(settings.queueRequests);
     m_impl->ownLoad.setLimits(ownLimits(settings));
     m_impl->settings.memoryLimitMb = settings.memoryLimitMb;
     m_impl->settings.maxConnections = settings.maxConnections;
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -55,6 +55,7 @@
     reader.integer("agent_port", value.agentPort, 1, highestPort);
     reader.duration("change_bound_ms", value.changeBound, shortestChangeBound, longestChangeBound);
     value.keyPolicy.outdatedAfter = value.changeBound;
+    reader.flag("queue_requests", value.queueRequests);
     reader.flag("fail_closed", value.keyPolicy.failClosed);
     reader.duration("revoke_bound_ms", value.keyPolicy.revokeBound, shortestChangeBound, longestChangeBound);
     double graceSeconds = std::chrono::duration<double>(value.gracePeriod).count();
