Bound what an entry holds for its callers, and their connections

Cause: bodies, the records of their chunks and whole responses were counted nowhere, and connections were bounded only by a setting above the descriptors.

Change: http::server takes a core::byte_budget. Bodies beyond 16 KiB are claims under the caller's address and are not read on without room; one that stands still for 500 ms meanwhile, or waits for 2 s, gets 503 with a Retry-After and has not run. Responses are counted until they are taken; the connection with the most that has taken none for 500 ms is closed while more than callers.max_held_bytes is held. RESTinio's records of chunks are not made, and a body is moved to the handler in place of a copy. The oldest connection without a head makes room for a new one; callers and pages may use 5/8 and 1/8 of the descriptors. The list of adapters is written one by one.

--- a/libs/entry/include/medlarrack/entry/entry_settings.hpp
+++ b/libs/entry/include/medlarrack/entry/entry_settings.hpp
@@ -24,6 +24,8 @@
     std::chrono::milliseconds readTimeout{10'000};
     std::chrono::milliseconds writeTimeout{10'000};
     std::size_t maxBufferedBytes = 4U << 20U;
+    /// Bytes held for all callers and readers of pages; 0 for 16 times the longer of the body and the buffer above.
+    std::size_t maxHeldBytes = 0;
 };
 
 /// Limits for requests.
--- a/libs/entry/src/entry_service.cpp
+++ b/libs/entry/src/entry_service.cpp
@@ -5,8 +5,11 @@
 #include <medlarrack/entry/entry_service.hpp>
 #include <medlarrack/entry/sidecar_link.hpp>
 #include <medlarrack/http/server.hpp>
+#include <medlarrack/http1/peer_connections.hpp>
 #include <medlarrack/instances/view.hpp>
 #include <medlarrack/log/log.hpp>
+#include <medlarrack/log/turned_away.hpp>
+#include <medlarrack/overload/shared_byte_account.hpp>
 #include <medlarrack/tickets/state.hpp>
 
 #include <asio/post.hpp>
@@ -14,6 +17,7 @@
 #include <asio/strand.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <utility>
 
@@ -30,10 +34,28 @@
 constexpr auto maxEndingTime = 1'000ms;
 constexpr std::size_t maxDebugTargets = 1'000;
 
-http::server_limits serverLimits(const listen_settings &settings)
+/// What one read of a connection adds to a body at most.
+constexpr std::size_t bodyStep = 65'536;
+/// Longest bodies for which the process has room, unless its settings say otherwise.
+constexpr std::size_t heldBodies = 16;
+/// Part of the connections of peers that is for readers of pages where they have a port of their own.
+constexpr std::size_t pageConnectionsDivisor = 6;
+
+std::shared_ptr<overload::shared_byte_account> makeAccount(const listen_settings &settings, const core::clock &clock)
+{
+    const std::size_t limit = settings.maxHeldBytes != 0
+        ? settings.maxHeldBytes
+        : heldBodies * std::max(settings.maxBodyBytes, settings.maxBufferedBytes);
+    return std::make_shared<overload::shared_byte_account>(limit, settings.maxBodyBytes, bodyStep, clock,
+                                                           log::writeTurnedAway);
+}
+
+http::server_limits serverLimits(const listen_settings &settings, std::size_t maxConnections,
+                                 std::shared_ptr<core::byte_budget> budget)
 {
-    return {settings.maxBodyBytes, settings.maxHeaderBytes, settings.maxConnections,
-            settings.readTimeout,  settings.writeTimeout,   settings.maxBufferedBytes};
+    return {settings.maxBodyBytes, settings.maxHeaderBytes, std::min(settings.maxConnections, maxConnections),
+            settings.readTimeout,  settings.writeTimeout,   settings.maxBufferedBytes,
+            std::move(budget)};
 }
 
 } // namespace
@@ -50,6 +72,7 @@
         , m_readerState(dependencies.readerState)
         , m_tables(std::make_shared<shared_tables>(std::move(settings), dependencies))
         , m_settings(m_tables->settings)
+        , m_account(makeAccount(m_settings.callers, m_clock))
         , m_watcher(std::make_shared<load_watcher>(std::shared_ptr<target_directory>(m_tables, &m_tables->targets),
                                                    dependencies.link, m_clock, m_settings.routing.maxLoadWatches))
         , m_frontend(m_context, shared_tables::environment(m_tables), m_tables->admission, m_tables->registry, hooks())
@@ -140,7 +163,12 @@
                 m_frontend.handleCaller(request, responder, !m_settings.admin);
             };
         }
-        server = std::make_unique<http::server>(m_context, serverLimits(settings), std::move(handler));
+        const std::size_t connections = http1::maxPeerConnections();
+        const std::size_t pageConnections =
+            m_settings.admin ? std::max<std::size_t>(connections / pageConnectionsDivisor, 1) : 0;
+        server = std::make_unique<http::server>(
+            m_context, serverLimits(settings, admin ? pageConnections : connections - pageConnections, m_account),
+            std::move(handler));
         return server->start(settings.address, settings.port, why);
     }
 
@@ -191,6 +219,11 @@
                                  static_cast<double>(m_tables->suspects.size()));
         m_tables->registry.gauge("medlarrack_entry_load_watches", "Load streams open", {},
                                  static_cast<double>(m_watcher->watches()));
+        m_tables->registry.gauge("medlarrack_entry_held_bytes", "Bytes of requests and responses held for callers", {},
+                                 static_cast<double>(m_account->heldBytes()));
+        m_tables->registry.gauge("medlarrack_entry_refused_peers",
+                                 "Peers turned away since the start because they or others are outside the limits", {},
+                                 static_cast<double>(m_account->turnedAway()));
     }
 
     void scheduleTick()
@@ -271,6 +304,7 @@
     const std::function<std::string()> m_readerState;
     const std::shared_ptr<shared_tables> m_tables;
     const entry_settings &m_settings;
+    const std::shared_ptr<overload::shared_byte_account> m_account;
     const std::shared_ptr<load_watcher> m_watcher;
     http_frontend m_frontend;
     std::unique_ptr<http::server> m_callerServer;
--- a/libs/entry/src/entry_settings.cpp
+++ b/libs/entry/src/entry_settings.cpp
@@ -13,6 +13,7 @@
 using settings::object_reader;
 
 constexpr std::int64_t maxBytes = std::int64_t{1} << 30;
+constexpr std::int64_t maxHeldBytes = std::int64_t{1} << 40;
 
 void readListen(object_reader &reader, listen_settings &value)
 {
@@ -26,6 +27,15 @@
     reader.integer("max_buffered_bytes", value.maxBufferedBytes, 1, maxBytes);
 }
 
+void readCallers(object_reader &reader, listen_settings &value)
+{
+    readListen(reader, value);
+    reader.integer("max_held_bytes", value.maxHeldBytes, 0, maxHeldBytes);
+    if (value.maxHeldBytes != 0 && value.maxHeldBytes < value.maxBodyBytes) {
+        reader.addFault("max_held_bytes", "is less than max_body_bytes");
+    }
+}
+
 void readRequests(object_reader &reader, request_settings &value)
 {
     reader.duration("default_deadline_ms", value.defaultDeadline, 1ms, 24h);
@@ -111,7 +121,7 @@
     });
     reader.require("platform");
     reader.object("callers", [&](object_reader &part) {
-        readListen(part, value.callers);
+        readCallers(part, value.callers);
     });
     reader.object("admin", [&](object_reader &part) {
         readListen(part, value.admin.emplace());
--- a/libs/entry/src/http_frontend.cpp
+++ b/libs/entry/src/http_frontend.cpp
@@ -22,9 +22,9 @@
 constexpr auto notReadyRetryAfter = 1'000ms;
 constexpr std::string_view debugRequestsPrefix = "/debug/requests/";
 
-void respondJson(http::responder &responder, const std::string &body)
+void respondJson(http::responder &responder, std::string body)
 {
-    responder.respond(200, {{"Content-Type", "application/json"}}, body);
+    responder.respond(200, {{"Content-Type", "application/json"}}, std::move(body));
 }
 
 void respondText(http::responder &responder, int status, std::string body)
@@ -221,21 +221,25 @@
         refuse(responder, wrongMethod("GET"));
         return;
     }
-    nlohmann::json data = nlohmann::json::array();
+    // Written one by one: as values, a long list takes several times its text.
+    std::string body = R"({"data":[)";
+    bool isFirst = true;
     for (const std::string &name : m_environment->tickets.adaptersOf(operatorName)) {
         const auto adapter = m_environment->tickets.findAdapter(name);
         if (!adapter) {
             continue;
         }
         for (const auto &[version, source] : adapter->versions) {
-            data.push_back({{"id", name + "@" + version},
-                            {"object", "model"},
-                            {"owned_by", operatorName},
-                            {"parent", adapter->baseModel},
-                            {"current", version == adapter->current}});
+            body += std::exchange(isFirst, false) ? "" : ",";
+            body += dump({{"id", name + "@" + version},
+                          {"object", "model"},
+                          {"owned_by", operatorName},
+                          {"parent", adapter->baseModel},
+                          {"current", version == adapter->current}});
         }
     }
-    respondJson(responder, dump({{"object", "list"}, {"data", std::move(data)}}));
+    body += R"(],"object":"list"})";
+    respondJson(responder, std::move(body));
 }
 
 void http_frontend::issueIdempotencyKey(const http::request &request, http::responder &responder,
--- a/libs/http/include/medlarrack/http/server.hpp
+++ b/libs/http/include/medlarrack/http/server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <medlarrack/core/byte_budget.hpp>
 #include <medlarrack/core/reason.hpp>
 
 #include <asio/io_context.hpp>
@@ -23,7 +24,8 @@
     std::size_t maxBodyBytes = 1U << 20U;
     /// Largest sum of header names and values in bytes; more is answered with status 431.
     std::size_t maxHeaderBytes = 16U << 10U;
-    /// Connections open at once; further ones are closed at once.
+    /// Connections open at once. Beyond, the oldest one that has sent no whole head for a while is closed to make room;
+    /// if there is none, the new one is.
     std::size_t maxConnections = 4096;
     /// Time to receive a whole request from the end of the response before it, so also how long an idle connection is
     /// kept; at least 2 s. Responses state less than that.
@@ -32,6 +34,9 @@
     std::chrono::milliseconds writeTimeout{10'000};
     /// Bytes buffered for a slow reader before its stream is broken off.
     std::size_t maxBufferedBytes = 4U << 20U;
+    /// Counts bodies and responses if set. Bodies without room wait to be read; those that stand still or wait for long
+    /// are answered with status 503, and peers that take none of their response are closed.
+    std::shared_ptr<core::byte_budget> budget = nullptr;
 };
 
 /// Called once for each whole request, on a worker thread of the io_context. The responder may be kept and used later
--- a/libs/http/src/listener.cpp
+++ b/libs/http/src/listener.cpp
@@ -16,14 +16,66 @@
 /// Pause after an error, such as too many open files, that would recur at once.
 constexpr std::chrono::milliseconds retryPause{100};
 
+connection_link *parsedLink()
+{
+    return parsing_scope::current;
+}
+
+restinio::impl::http_parser_ctx_t &contextOf(http_parser *parser)
+{
+    return *static_cast<restinio::impl::http_parser_ctx_t *>(parser->data);
+}
+
+int onHeadersComplete(http_parser *parser)
+{
+    if (connection_link *link = parsedLink()) {
+        link->onHead();
+    }
+    return restinio::impl::restinio_headers_complete_cb(parser);
+}
+
+int onBody(http_parser *parser, const char *at, std::size_t length)
+{
+    const int result = restinio::impl::restinio_body_cb(parser, at, length);
+    if (connection_link *link = parsedLink(); link != nullptr && result == 0) {
+        link->onBody(contextOf(parser).m_body.size());
+    }
+    return result;
+}
+
+/// RESTinio records each chunk, which takes many times the memory of a body in short chunks, and nobody reads it.
+int onChunkHeader(http_parser *)
+{
+    return 0;
+}
+
+int onMessageComplete(http_parser *parser)
+{
+    using methods_mapper = restinio_traits::http_methods_mapper_t;
+    // The request that RESTinio makes of it is constant, so the body would have to be copied.
+    if (connection_link *link = parsedLink()) {
+        link->keepBody(std::exchange(contextOf(parser).m_body, {}));
+    }
+    return restinio::impl::restinio_message_complete_cb<methods_mapper>(parser);
+}
+
+http_parser_settings makeParserSettings()
+{
+    auto made = restinio::impl::create_parser_settings<restinio_traits::http_methods_mapper_t>();
+    made.on_headers_complete = &onHeadersComplete;
+    made.on_body = &onBody;
+    made.on_chunk_header = &onChunkHeader;
+    made.on_message_complete = &onMessageComplete;
+    return made;
+}
+
 std::shared_ptr<restinio::impl::connection_factory_t<restinio_traits>>
 makeConnectionFactory(asio::io_context &context, listener::settings_type settings)
 {
     auto timers = settings.timer_factory()->create(context);
     auto socketOptions = settings.socket_options_setter();
     auto connectionSettings = std::make_shared<restinio::impl::connection_settings_t<restinio_traits>>(
-        std::move(settings), restinio::impl::create_parser_settings<restinio_traits::http_methods_mapper_t>(),
-        std::move(timers));
+        std::move(settings), makeParserSettings(), std::move(timers));
     return std::make_shared<restinio::impl::connection_factory_t<restinio_traits>>(std::move(connectionSettings),
                                                                                    std::move(socketOptions));
 }
--- a/libs/http/src/restinio_responder.cpp
+++ b/libs/http/src/restinio_responder.cpp
@@ -18,11 +18,12 @@
 
 restinio_responder::restinio_responder(restinio::request_handle_t request, std::shared_ptr<connection_link> link,
                                        std::shared_ptr<const connection_table> table, std::size_t maxBufferedBytes,
-                                       std::chrono::seconds reusableFor)
+                                       std::chrono::seconds reusableFor, std::unique_ptr<core::byte_claim> claim)
     : m_link(std::move(link))
     , m_table(std::move(table))
     , m_maxBufferedBytes(maxBufferedBytes)
     , m_reusableFor(reusableFor)
+    , m_claim(std::move(claim))
     , m_request(std::move(request))
 {
     m_link->requestStarted();
@@ -42,8 +43,11 @@
     finish();
     auto builder = m_request->create_response(statusLine(status));
     appendHeaders(builder, headers);
+    const std::size_t size = body.size();
+    m_link->addWhole(size);
     builder.set_body(std::move(body));
-    builder.done([link = m_link](const auto &) {
+    builder.done([link = m_link, size](const auto &) {
+        link->removeWhole(size);
         link->requestFinished();
     });
 }
--- a/libs/http/src/restinio_responder.hpp
+++ b/libs/http/src/restinio_responder.hpp
@@ -25,7 +25,7 @@
 public:
     restinio_responder(restinio::request_handle_t request, std::shared_ptr<connection_link> link,
                        std::shared_ptr<const connection_table> table, std::size_t maxBufferedBytes,
-                       std::chrono::seconds reusableFor);
+                       std::chrono::seconds reusableFor, std::unique_ptr<core::byte_claim> claim);
     ~restinio_responder() override;
 
     void respond(int status, header_list headers, std::string body) override;
@@ -57,6 +57,8 @@
     std::size_t m_maxBufferedBytes;
     /// What the response states if its connection stays open.
     std::chrono::seconds m_reusableFor;
+    /// The request's body is held by whoever holds this.
+    std::unique_ptr<core::byte_claim> m_claim;
     std::mutex m_mutex;
     state m_state = state::waiting;
     restinio::request_handle_t m_request;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -7,7 +7,12 @@
 #include <medlarrack/core/idle_allowance.hpp>
 #include <medlarrack/http/server.hpp>
 
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+
 #include <exception>
+#include <string_view>
 #include <utility>
 
 namespace medlarrack::http {
@@ -22,8 +27,10 @@
 constexpr std::chrono::hours handlerTimeLimit{24 * 365};
 /// With two, RESTinio goes on reading while a request is in progress, and so notices that the caller has left.
 constexpr std::size_t maxPipelinedRequests = 2;
+/// Memory is given back within moments, as peers that stand still are turned away.
+constexpr std::string_view memoryRetryAfterSeconds = "1";
 
-request makeRequest(const restinio::request_t &raw)
+request makeRequest(const restinio::request_t &raw, std::string body)
 {
     request made;
     made.method = raw.header().method().c_str();
@@ -31,7 +38,7 @@
     raw.header().for_each_field([&made](const restinio::http_header_field_t &field) {
         made.headers.emplace_back(field.name(), field.value());
     });
-    made.body = raw.body();
+    made.body = std::move(body);
     return made;
 }
 
@@ -46,6 +53,46 @@
 
 } // namespace
 
+namespace {
+
+/// Relieves memory at short intervals until it is stopped.
+class memory_watch : public std::enable_shared_from_this<memory_watch>
+{
+public:
+    memory_watch(asio::io_context &context, std::shared_ptr<detail::connection_table> table)
+        : m_timer(asio::make_strand(context))
+        , m_table(std::move(table))
+    {
+    }
+
+    void start()
+    {
+        asio::post(m_timer.get_executor(), [self = shared_from_this()] {
+            self->wait();
+        });
+    }
+
+private:
+    void wait()
+    {
+        // At each one, one request and one response at most are ended.
+        constexpr std::chrono::milliseconds interval{25};
+        m_timer.expires_after(interval);
+        m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error && !self->m_table->stopped()) {
+                self->m_table->relieveMemory(std::chrono::steady_clock::now());
+                self->wait();
+            }
+        });
+    }
+
+    asio::steady_timer m_timer;
+    std::shared_ptr<detail::connection_table> m_table;
+};
+
+} // namespace
+
 class server::impl
 {
 public:
@@ -53,7 +100,7 @@
         : m_context(context)
         , m_limits(limits)
         , m_handler(std::make_shared<request_handler>(std::move(handler)))
-        , m_table(std::make_shared<detail::connection_table>(limits.maxConnections))
+        , m_table(std::make_shared<detail::connection_table>(limits.maxConnections, limits.budget))
     {
     }
 
@@ -67,6 +114,10 @@
             why = {"cannot_listen", "cannot listen on " + address + ":" + std::to_string(port) + ": " + error.what()};
             return false;
         }
+        if (m_limits.budget) {
+            m_memoryWatch = std::make_shared<memory_watch>(m_context, m_table);
+            m_memoryWatch->start();
+        }
         return true;
     }
 
@@ -123,10 +174,15 @@
         if (!link || table->stopped()) {
             return restinio::request_rejected();
         }
-        auto received = makeRequest(*raw);
-        auto answer = std::make_shared<detail::restinio_responder>(std::move(raw), std::move(link), table,
-                                                                   limits.maxBufferedBytes, reusableFor);
-        if (headerBytes(received.headers) > limits.maxHeaderBytes) {
+        auto received = makeRequest(*raw, link->takeBody());
+        auto claim = link->onRequest();
+        auto answer = std::make_shared<detail::restinio_responder>(
+            std::move(raw), std::move(link), table, limits.maxBufferedBytes, reusableFor, std::move(claim));
+        if (limits.budget && limits.budget->isOverfull()) {
+            answer->respond(
+                503, {{"Content-Type", "application/json"}, {"Retry-After", std::string(memoryRetryAfterSeconds)}},
+                R"({"error":{"code":"no_memory","message":"the memory for requests is used up","outcome":"not_run"}})");
+        } else if (headerBytes(received.headers) > limits.maxHeaderBytes) {
             answer->respond(
                 431, {{"Content-Type", "application/json"}, {"Connection", "close"}},
                 R"({"error":{"code":"headers_too_large","message":"headers too large","outcome":"not_run"}})");
@@ -141,6 +197,7 @@
     std::shared_ptr<request_handler> m_handler;
     std::shared_ptr<detail::connection_table> m_table;
     std::shared_ptr<detail::listener> m_listener;
+    std::shared_ptr<memory_watch> m_memoryWatch;
 };
 
 server::server(asio::io_context &context, server_limits limits, request_handler handler)
--- a/libs/http/src/server_socket.cpp
+++ b/libs/http/src/server_socket.cpp
@@ -17,10 +17,14 @@
 std::string errorAnswer(int status)
 {
     const std::string text(statusText(status));
-    const std::string code = status == 413 ? "body_too_large" : status == 431 ? "headers_too_large" : "bad_request";
+    const std::string code = status == 413 ? "body_too_large"
+        : status == 431                    ? "headers_too_large"
+        : status == 503                    ? "no_memory"
+                                           : "bad_request";
     const std::string body = R"({"error":{"code":")" + code + R"(","message":")" + text + R"(","outcome":"not_run"}})";
-    return "HTTP/1.1 " + std::to_string(status) + " " + text + "\r\nContent-Type: application/json\r\nContent-Length: "
-        + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " " + text
+        + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
+        + (status == 503 ? "\r\nRetry-After: 1" : "") + "\r\nConnection: close\r\n\r\n" + body;
 }
 
 } // namespace
@@ -49,7 +53,9 @@
 {
     asio::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    m_link = std::make_shared<connection_link>(m_context.get_executor(), m_socket.native_handle());
+    const auto remote = m_socket.remote_endpoint(ignored);
+    m_link = std::make_shared<connection_link>(m_context.get_executor(), m_socket.native_handle(),
+                                               remote.address().to_string());
     return m_link;
 }
 
@@ -58,9 +64,17 @@
     m_socket.cancel(error);
 }
 
+void server_socket::cancelRead()
+{
+    asio::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
 void server_socket::shutdown(socket_type::shutdown_type what, asio::error_code &error)
 {
-    const int status = std::exchange(dueErrorStatus, 0);
+    const int parseError = std::exchange(dueErrorStatus, 0);
+    const int refusal = m_link ? m_link->takeRefusal() : 0;
+    const int status = parseError != 0 ? parseError : refusal;
     // An answer in progress on this connection must not be followed by one that its caller could take for it.
     if (status != 0 && m_link && !m_link->busy()) {
         answerError(status);
@@ -75,6 +89,7 @@
     asio::error_code error;
     m_socket.non_blocking(true, error);
     m_socket.write_some(asio::buffer(answer), error);
+    m_link->dropRead();
     m_link->markClosed();
     std::make_shared<lingering_close>(std::move(m_socket))->start();
 }
@@ -82,6 +97,7 @@
 void server_socket::close()
 {
     if (m_link) {
+        m_link->dropRead();
         m_link->markClosed();
     }
     asio::error_code ignored;
--- a/libs/http/src/server_socket.hpp
+++ b/libs/http/src/server_socket.hpp
@@ -1,14 +1,40 @@
 #pragma once
 
+#include "connection_link.hpp"
+
+#include <asio/any_io_executor.hpp>
+#include <asio/associated_executor.hpp>
+#include <asio/bind_executor.hpp>
+#include <asio/error.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <utility>
 
 namespace medlarrack::http::detail {
 
-class connection_link;
+/// Lets the parser's callbacks find the link of the connection whose bytes are being parsed on this thread.
+class parsing_scope
+{
+public:
+    explicit parsing_scope(connection_link *link)
+        : m_before(std::exchange(current, link))
+    {
+    }
+    parsing_scope(const parsing_scope &) = delete;
+    parsing_scope &operator=(const parsing_scope &) = delete;
+    ~parsing_scope()
+    {
+        current = m_before;
+    }
+
+    inline static thread_local connection_link *current = nullptr;
+
+private:
+    connection_link *m_before;
+};
 
 /// The socket type that RESTinio is given. It adds what RESTinio lacks: a link by which other threads break the
 /// connection off, and an error answer in place of a silent close when a request can't be parsed or is too large.
@@ -46,15 +72,53 @@
     void shutdown(socket_type::shutdown_type what, asio::error_code &error);
     void close();
 
+    /// Ends a read in progress with an error. On the connection's strand.
+    void cancelRead();
+
+    /// A connection whose body waits for room reads when there is some.
     template<typename Buffers, typename Handler>
-    auto async_read_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
+    void async_read_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
     {
-        return m_socket.async_read_some(buffers, std::forward<Handler>(handler));
+        const auto strand = asio::get_associated_executor(handler, m_socket.get_executor());
+        auto read = [this, buffers, strand, handler = std::forward<Handler>(handler),
+                     link = m_link](const asio::error_code &failure) mutable {
+            if (failure) {
+                handler(failure, std::size_t{0});
+                return;
+            }
+            link->beginRead(*this, strand);
+            m_socket.async_read_some(
+                buffers,
+                asio::bind_executor(
+                    strand,
+                    [link, handler = std::move(handler)](const asio::error_code &error, std::size_t size) mutable {
+                        link->endRead();
+                        const parsing_scope scope(link.get());
+                        // The connection is to end with the answer that is due.
+                        handler(link->isRefused() ? asio::error_code(asio::error::timed_out) : error, size);
+                    }));
+        };
+        if (m_link->awaitsRoom()) {
+            m_link->deferRead(std::move(read), strand);
+        } else {
+            read({});
+        }
     }
     template<typename Buffers, typename Handler>
-    auto async_write_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
+    void async_write_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
     {
-        return m_socket.async_write_some(buffers, std::forward<Handler>(handler));
+        const auto executor = asio::get_associated_executor(handler, m_socket.get_executor());
+        m_socket.async_write_some(buffers,
+                                  asio::bind_executor(executor,
+                                                      [link = m_link, handler = std::forward<Handler>(handler)](
+                                                          const asio::error_code &error, std::size_t size) mutable {
+                                                          if (size > 0) {
+                                                              link->recordTaken();
+                                                          }
+                                                          // A request behind the response may be parsed next.
+                                                          const parsing_scope scope(link.get());
+                                                          handler(error, size);
+                                                      }));
     }
 
 private:
