Bound what a sidecar holds for its peers, and their connections

Cause: requests that were never completed were bounded by 64 MB for each connection, untaken replies and streams without a body by nothing, and connections that never opened a stream stayed for 120 s.

Change: peer::server takes a core::byte_budget, peers.max_held_bytes. A stream counts 1 KiB and its request beyond 16 KiB is a claim under the peer's address; without room, or after peers.request_timeout_ms, it is refused as not processed. A connection that takes none of its replies for 500 ms while more than the limit is held is closed. A hello that is too long to be decoded is not kept.

--- a/libs/peer/include/medlarrack/peer/server.hpp
+++ b/libs/peer/include/medlarrack/peer/server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <medlarrack/core/byte_budget.hpp>
 #include <medlarrack/core/reason.hpp>
 #include <medlarrack/peer/messages.hpp>
 
@@ -23,6 +24,8 @@
 /// Limits of a peer server.
 struct server_limits
 {
+    /// Beyond, the oldest connection that has opened no stream for a while is closed to make room; if there is none,
+    /// the new one is.
     std::size_t maxConnections = 4096;
     std::uint32_t maxStreamsPerConnection = 1024;
     /// Bytes of incomplete requests held per connection; a stream that exceeds them is refused.
@@ -31,6 +34,11 @@
     std::chrono::milliseconds lossTimeout{3'000};
     /// A connection without streams is closed after this time.
     std::chrono::milliseconds idleTimeout{120'000};
+    /// A stream whose request isn't complete after this time is refused.
+    std::chrono::milliseconds requestTimeout{15'000};
+    /// Counts requests that are being received and replies if set. Streams without room are refused, and connections
+    /// whose peer takes none of its replies are closed.
+    std::shared_ptr<core::byte_budget> budget = nullptr;
 };
 
 /// Accepts connections of other processes: HTTP/2 with prior knowledge, one stream per request message.
--- a/libs/peer/src/client_connection.cpp
+++ b/libs/peer/src/client_connection.cpp
@@ -377,6 +377,10 @@
     }
 }
 
+void client_connection::onTick(steady_time)
+{
+}
+
 void client_connection::onFlushed()
 {
 }
--- a/libs/peer/src/client_connection.hpp
+++ b/libs/peer/src/client_connection.hpp
@@ -112,6 +112,7 @@
     void onGoaway() override;
     void onReceived() override;
     void onFlushed() override;
+    void onTick(steady_time now) override;
     void onClosed(const std::string &detail) override;
 
     std::weak_ptr<client_owner> m_owner;
--- a/libs/peer/src/connection.cpp
+++ b/libs/peer/src/connection.cpp
@@ -37,11 +37,16 @@
     return fields;
 }
 
-ssize_t pullFromSource(nghttp2_session *, int32_t, uint8_t *buffer, size_t length, uint32_t *flags,
-                       nghttp2_data_source *source, void *)
+} // namespace
+
+ssize_t connection::pullFromSource(nghttp2_session *, std::int32_t, std::uint8_t *buffer, std::size_t length,
+                                   std::uint32_t *flags, nghttp2_data_source *source, void *owner)
 {
     bool atEnd = false;
     const std::size_t pulled = static_cast<body_source *>(source->ptr)->pull(buffer, length, atEnd);
+    if (pulled > 0) {
+        static_cast<connection *>(owner)->m_lastTaken = std::chrono::steady_clock::now();
+    }
     if (atEnd) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
     } else if (pulled == 0) {
@@ -50,7 +55,7 @@
     return static_cast<ssize_t>(pulled);
 }
 
-nghttp2_data_provider providerOf(body_source &body)
+nghttp2_data_provider connection::providerOf(body_source &body)
 {
     nghttp2_data_provider provider{};
     provider.source.ptr = &body;
@@ -58,8 +63,6 @@
     return provider;
 }
 
-} // namespace
-
 void connection::session_deleter::operator()(nghttp2_session *session) const
 {
     nghttp2_session_del(session);
@@ -298,6 +301,11 @@
     return m_lastReceived;
 }
 
+connection::steady_time connection::lastTaken() const
+{
+    return m_lastTaken;
+}
+
 asio::ip::tcp::socket &connection::socket()
 {
     return m_socket;
@@ -341,10 +349,11 @@
         close("idle");
         return;
     }
+    onTick(now);
     if (busy && !m_finishing && silence >= period()) {
         sendPing();
-        pump();
     }
+    pump();
     armTimer();
 }
 
--- a/libs/peer/src/connection.hpp
+++ b/libs/peer/src/connection.hpp
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <nghttp2/nghttp2.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -85,6 +86,8 @@
     [[nodiscard]] bool isOpen() const;
     [[nodiscard]] bool hasSession() const;
     [[nodiscard]] steady_time lastReceived() const;
+    /// When bytes of a stream were last taken for the peer, as it allows. From any thread.
+    [[nodiscard]] steady_time lastTaken() const;
     [[nodiscard]] asio::ip::tcp::socket &socket();
 
     /// Whether the peer owes an answer, so that its silence counts.
@@ -105,6 +108,8 @@
     virtual void onReceived() = 0;
     /// All bytes that the session had given out are with the socket.
     virtual void onFlushed() = 0;
+    /// Called several times in one loss timeout.
+    virtual void onTick(steady_time now) = 0;
     /// Last call.
     virtual void onClosed(const std::string &detail) = 0;
 
@@ -115,6 +120,9 @@
         void operator()(nghttp2_session *session) const;
     };
 
+    static ssize_t pullFromSource(nghttp2_session *session, std::int32_t stream, std::uint8_t *buffer,
+                                  std::size_t length, std::uint32_t *flags, nghttp2_data_source *source, void *owner);
+    static nghttp2_data_provider providerOf(body_source &body);
     void read();
     void onReadable(const asio::error_code &error);
     bool take(const std::uint8_t *bytes, std::size_t length);
@@ -134,6 +142,7 @@
     steady_time m_silenceFrom;
     steady_time m_idleFrom;
     steady_time m_lastTick;
+    std::atomic<steady_time> m_lastTaken{steady_time{}};
     bool m_pingOutstanding = false;
     bool m_heard = false;
     bool m_writing = false;
--- a/libs/peer/src/server.cpp
+++ b/libs/peer/src/server.cpp
@@ -17,6 +17,13 @@
 using connection_pointer = std::shared_ptr<detail::server_connection>;
 
 constexpr std::chrono::milliseconds acceptRetry{100};
+/// A peer sends its first request within this time of connecting; others may be closed for want of room.
+constexpr std::chrono::milliseconds requestGrace{1'000};
+/// Connections beyond the limit that may be about to close, as a part of the limit.
+constexpr std::size_t closingDivisor = 16;
+/// Connections of which nothing is taken for this long are the first to go when memory is used up.
+constexpr std::chrono::milliseconds standstillTime{500};
+constexpr std::chrono::milliseconds reliefInterval{25};
 
 } // namespace
 
@@ -32,6 +39,7 @@
         , m_handler(std::move(handler))
         , m_acceptor(asio::make_strand(context))
         , m_retryTimer(m_acceptor.get_executor())
+        , m_reliefTimer(m_acceptor.get_executor())
     {
     }
 
@@ -60,6 +68,11 @@
         }
         m_port = m_acceptor.local_endpoint(error).port();
         accept();
+        if (m_limits.budget) {
+            asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+                self->relieveLater();
+            });
+        }
         return true;
     }
 
@@ -122,6 +135,7 @@
         std::erase_if(m_connections, [&](const connection_pointer &entry) {
             return entry.get() == &connection;
         });
+        m_ending.erase(&connection);
     }
 
 private:
@@ -132,6 +146,7 @@
             asio::error_code ignored;
             static_cast<void>(self->m_acceptor.close(ignored));
             self->m_retryTimer.cancel();
+            self->m_reliefTimer.cancel();
         });
         const std::lock_guard lock(m_mutex);
         m_doorClosed = true;
@@ -176,14 +191,99 @@
     void admit(asio::ip::tcp::socket socket)
     {
         auto connection = std::make_shared<detail::server_connection>(std::move(socket), shared_from_this(), m_limits);
+        connection_pointer ended;
+        bool isAdded = false;
         {
             const std::lock_guard lock(m_mutex);
-            if (m_doorClosed || m_connections.size() >= m_limits.maxConnections) {
+            if (m_doorClosed) {
                 return;
             }
-            m_connections.insert(connection);
+            if (m_connections.size() >= m_limits.maxConnections) {
+                ended = findIdle();
+            }
+            isAdded = m_connections.size() < m_limits.maxConnections || ended;
+            if (isAdded) {
+                m_connections.insert(connection);
+            }
+        }
+        if (ended) {
+            ended->shutDown();
+            recordNoRoom("no request was sent, and all connections are in use", *ended);
+        } else if (!isAdded) {
+            recordNoRoom("all connections are in use", *connection);
+        }
+        if (isAdded) {
+            connection->open();
+        }
+    }
+
+    // Finds the oldest connection without a whole request, which is to end then. Called with the mutex held.
+    connection_pointer findIdle()
+    {
+        if (m_connections.size() > m_limits.maxConnections + m_limits.maxConnections / closingDivisor) {
+            return nullptr;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        connection_pointer oldest;
+        std::chrono::nanoseconds longest = requestGrace;
+        for (const auto &connection : m_connections) {
+            const auto time = connection->timeWithoutRequest(now);
+            if (time && *time >= longest && !m_ending.contains(connection.get())) {
+                longest = *time;
+                oldest = connection;
+            }
+        }
+        if (oldest) {
+            m_ending.insert(oldest.get());
+        }
+        return oldest;
+    }
+
+    void recordNoRoom(std::string_view why, const detail::server_connection &connection)
+    {
+        if (m_limits.budget) {
+            m_limits.budget->recordTurnedAway({"no_connection", why, connection.address()});
+        }
+    }
+
+    void relieveLater()
+    {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        m_reliefTimer.expires_after(reliefInterval);
+        m_reliefTimer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error) {
+                self->relieveMemory();
+                self->relieveLater();
+            }
+        });
+    }
+
+    // Ends the connection with the most bytes to take of those that take none.
+    void relieveMemory()
+    {
+        if (!m_limits.budget->isFull()) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        connection_pointer found;
+        std::size_t most = 0;
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const auto &connection : m_connections) {
+                if (connection->untakenBytes() > most && connection->takingStandstill(now) >= standstillTime) {
+                    most = connection->untakenBytes();
+                    found = connection;
+                }
+            }
+        }
+        if (found) {
+            m_limits.budget->recordTurnedAway(
+                {"no_memory", "it took none of its replies while memory was used up", found->address(), most});
+            found->shutDown();
         }
-        connection->open();
     }
 
     asio::io_context &m_context;
@@ -192,10 +292,13 @@
     stream_handler m_handler;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_retryTimer;
+    asio::steady_timer m_reliefTimer;
     std::uint16_t m_port = 0;
     std::atomic<std::size_t> m_streams{0};
     mutable std::mutex m_mutex;
     std::set<connection_pointer> m_connections;
+    /// Those that are closed to make room.
+    std::set<const detail::server_connection *> m_ending;
     bool m_doorClosed = false;
 };
 
--- a/libs/peer/src/server_connection.cpp
+++ b/libs/peer/src/server_connection.cpp
@@ -4,6 +4,8 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
+
 namespace medlarrack::peer::detail {
 
 namespace {
@@ -12,6 +14,18 @@
 constexpr std::string_view statusBadRequest = "400";
 constexpr std::string_view statusNotImplemented = "501";
 constexpr std::string_view statusVersion = "505";
+/// What this process and the HTTP/2 library keep for a stream without a body.
+constexpr std::size_t emptyStreamBytes = 1'024;
+/// A longer request is counted by itself.
+constexpr std::size_t shortRequestBytes = 16'384;
+/// Digits of a hello; the decoder takes no more.
+constexpr std::size_t maxHelloDigits = 8'192;
+
+std::string remoteAddress(const asio::ip::tcp::socket &socket)
+{
+    asio::error_code ignored;
+    return socket.remote_endpoint(ignored).address().to_string();
+}
 
 } // namespace
 
@@ -20,6 +34,8 @@
     : connection(std::move(socket), side::server, {limits.lossTimeout, limits.idleTimeout})
     , m_owner(std::move(owner))
     , m_limits(limits)
+    , m_address(remoteAddress(this->socket()))
+    , m_acceptedAt(std::chrono::steady_clock::now())
 {
 }
 
@@ -126,15 +142,23 @@
         resetStream(id, NGHTTP2_REFUSED_STREAM);
         return;
     }
+    if (m_limits.budget && m_limits.budget->isOverfull()) {
+        m_limits.budget->recordTurnedAway({"no_memory", "the memory for requests is used up", m_address});
+        resetStream(id, NGHTTP2_REFUSED_STREAM);
+        return;
+    }
     if (m_streams.empty()) {
         expectAnswer();
     }
-    m_streams.emplace(id, std::make_shared<server_stream>(std::weak_ptr(sharedThis()), id));
+    const auto stream = std::make_shared<server_stream>(std::weak_ptr(sharedThis()), id);
+    stream->openedAt = std::chrono::steady_clock::now();
+    m_streams.emplace(id, stream);
+    static_cast<void>(countRequest(*stream));
 }
 
 void server_connection::onHeader(std::int32_t id, std::string_view name, std::string_view value)
 {
-    if (name != helloHeaderName) {
+    if (name != helloHeaderName || value.size() > maxHelloDigits) {
         return;
     }
     if (const auto stream = find(id)) {
@@ -158,16 +182,50 @@
     m_pendingRequestBytes += bytes.size();
     const bool tooLong = stream->request.size() > maxMessageBytes;
     if (tooLong || m_pendingRequestBytes > m_limits.maxPendingRequestBytes) {
-        releaseRequest(*stream);
-        stream->dispatched = true;
-        resetStream(id, NGHTTP2_REFUSED_STREAM);
+        refuseIncomplete(id, *stream, "too_long", "its request is longer than allowed");
+    } else if (!countRequest(*stream)) {
+        refuseIncomplete(id, *stream, "no_memory", "there was no room for its request");
+    }
+}
+
+void server_connection::refuseIncomplete(std::int32_t id, server_stream &stream, std::string_view code,
+                                         std::string_view why)
+{
+    if (m_limits.budget) {
+        m_limits.budget->recordTurnedAway({code, why, m_address, stream.request.size()});
     }
+    releaseRequest(stream);
+    stream.dispatched = true;
+    resetStream(id, NGHTTP2_REFUSED_STREAM);
+}
+
+bool server_connection::countRequest(server_stream &stream)
+{
+    const auto &budget = m_limits.budget;
+    if (!budget) {
+        return true;
+    }
+    const std::size_t unclaimed =
+        emptyStreamBytes + stream.helloText.size() + std::min(stream.request.capacity(), shortRequestBytes);
+    budget->addUnclaimed(static_cast<std::ptrdiff_t>(unclaimed) - static_cast<std::ptrdiff_t>(stream.unclaimedBytes));
+    stream.unclaimedBytes = unclaimed;
+    if (stream.request.size() <= shortRequestBytes) {
+        return true;
+    }
+    if (!stream.claim) {
+        stream.claim = budget->claim(m_address, [] {});
+    }
+    return stream.claim->resize(stream.request.capacity() - shortRequestBytes);
 }
 
 void server_connection::releaseRequest(server_stream &stream)
 {
     m_pendingRequestBytes -= stream.request.size();
     stream.request = std::string();
+    stream.claim.reset();
+    if (m_limits.budget) {
+        m_limits.budget->addUnclaimed(-static_cast<std::ptrdiff_t>(std::exchange(stream.unclaimedBytes, 0)));
+    }
 }
 
 // The hello rarely changes, so it is decoded only when its text does.
@@ -226,6 +284,12 @@
         }
         return;
     }
+    if (m_limits.budget && m_limits.budget->isOverfull()) {
+        m_limits.budget->recordTurnedAway({"no_memory", "the memory for requests is used up", m_address});
+        resetStream(id, NGHTTP2_REFUSED_STREAM);
+        return;
+    }
+    m_hadRequest = true;
     m_owner->streamOpened();
     stream->handed = true;
     m_owner->dispatch(m_lastHello, std::move(*request), std::make_shared<reply_handle>(stream));
@@ -262,9 +326,52 @@
     }
 }
 
+void server_connection::onTick(steady_time now)
+{
+    for (const auto &[id, stream] : m_streams) {
+        if (!stream->dispatched && now - stream->openedAt >= m_limits.requestTimeout) {
+            refuseIncomplete(id, *stream, "too_slow", "its request wasn't complete in time");
+        }
+    }
+}
+
+const std::string &server_connection::address() const
+{
+    return m_address;
+}
+
+void server_connection::addUntaken(std::ptrdiff_t bytes)
+{
+    if (bytes == 0) {
+        return;
+    }
+    if (m_untaken.fetch_add(bytes) == 0) {
+        m_untakenSince = std::chrono::steady_clock::now();
+    }
+    if (m_limits.budget) {
+        m_limits.budget->addUnclaimed(bytes);
+    }
+}
+
+std::size_t server_connection::untakenBytes() const
+{
+    return static_cast<std::size_t>(std::max<std::ptrdiff_t>(m_untaken, 0));
+}
+
+std::chrono::nanoseconds server_connection::takingStandstill(steady_time now) const
+{
+    return now - std::max(lastTaken(), m_untakenSince.load());
+}
+
+std::optional<std::chrono::nanoseconds> server_connection::timeWithoutRequest(steady_time now) const
+{
+    return m_hadRequest ? std::nullopt : std::optional<std::chrono::nanoseconds>(now - m_acceptedAt);
+}
+
 void server_connection::onClosed(const std::string &)
 {
     for (const auto &[id, stream] : std::exchange(m_streams, {})) {
+        releaseRequest(*stream);
         m_closedUnflushed += stream->handed ? 1 : 0;
         stream->markClosed();
     }
--- a/libs/peer/src/server_connection.hpp
+++ b/libs/peer/src/server_connection.hpp
@@ -5,6 +5,8 @@
 
 #include <medlarrack/peer/server.hpp>
 
+#include <atomic>
+#include <optional>
 #include <unordered_map>
 
 namespace medlarrack::peer::detail {
@@ -42,6 +44,16 @@
     /// Does what a stream's handle asked for. Thread-safe.
     void act(std::int32_t stream, server_stream::action what);
 
+    // From any thread.
+    [[nodiscard]] const std::string &address() const;
+    /// Counts bytes of replies that wait for the peer.
+    void addUntaken(std::ptrdiff_t bytes);
+    [[nodiscard]] std::size_t untakenBytes() const;
+    /// Time since the peer has taken any of them.
+    [[nodiscard]] std::chrono::nanoseconds takingStandstill(steady_time now) const;
+    /// Time since the connection was accepted; nothing once a whole request has arrived.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> timeWithoutRequest(steady_time now) const;
+
 private:
     [[nodiscard]] std::shared_ptr<server_connection> sharedThis();
     void perform(std::int32_t id, server_stream::action what);
@@ -51,6 +63,9 @@
     bool readHello(std::int32_t id, const server_stream &stream);
     void dispatch(std::int32_t id, const std::shared_ptr<server_stream> &stream);
     void releaseRequest(server_stream &stream);
+    /// Counts what is held of a request. Returns whether there is room for more.
+    bool countRequest(server_stream &stream);
+    void refuseIncomplete(std::int32_t id, server_stream &stream, std::string_view code, std::string_view why);
 
     [[nodiscard]] bool isBusy() const override;
     void onHeadersBegin(std::int32_t stream) override;
@@ -63,6 +78,7 @@
     void onGoaway() override;
     void onReceived() override;
     void onFlushed() override;
+    void onTick(steady_time now) override;
     void onClosed(const std::string &detail) override;
 
     std::shared_ptr<server_owner> m_owner;
@@ -73,6 +89,11 @@
     std::size_t m_pendingRequestBytes = 0;
     std::size_t m_closedUnflushed = 0;
     bool m_draining = false;
+    const std::string m_address;
+    const steady_time m_acceptedAt;
+    std::atomic<bool> m_hadRequest{false};
+    std::atomic<std::ptrdiff_t> m_untaken{0};
+    std::atomic<steady_time> m_untakenSince{steady_time{}};
 };
 
 } // namespace medlarrack::peer::detail
--- a/libs/peer/src/server_stream.cpp
+++ b/libs/peer/src/server_stream.cpp
@@ -27,6 +27,7 @@
     const std::size_t count = std::min(length, m_output.size() - m_taken);
     std::memcpy(buffer, m_output.data() + m_taken, count);
     m_taken += count;
+    countUntaken(-static_cast<std::ptrdiff_t>(count));
     if (m_taken == m_output.size()) {
         m_output.clear();
         m_taken = 0;
@@ -47,6 +48,7 @@
             return;
         }
         m_closed = true;
+        countUntaken(-static_cast<std::ptrdiff_t>(m_output.size() - m_taken));
         m_output = std::string();
         m_taken = 0;
         callback = std::exchange(m_onClosed, nullptr);
@@ -74,6 +76,7 @@
             return;
         }
         m_sent = true;
+        countUntaken(static_cast<std::ptrdiff_t>(bytes.size()));
         if (m_output.empty()) {
             m_output = std::move(bytes);
         } else {
@@ -164,6 +167,13 @@
     callback();
 }
 
+void server_stream::countUntaken(std::ptrdiff_t bytes) const
+{
+    if (const auto connection = m_connection.lock()) {
+        connection->addUntaken(bytes);
+    }
+}
+
 void server_stream::wake(action what)
 {
     if (const auto connection = m_connection.lock()) {
--- a/libs/peer/src/server_stream.hpp
+++ b/libs/peer/src/server_stream.hpp
@@ -2,6 +2,7 @@
 
 #include "connection.hpp"
 
+#include <medlarrack/core/byte_budget.hpp>
 #include <medlarrack/peer/codec.hpp>
 #include <medlarrack/peer/reply_stream.hpp>
 
@@ -36,6 +37,11 @@
     /// The handler has it.
     bool handed = false;
     bool responseStarted = false;
+    std::chrono::steady_clock::time_point openedAt;
+    /// Bytes counted outside of the claim.
+    std::size_t unclaimedBytes = 0;
+    /// For a request that isn't short.
+    std::unique_ptr<core::byte_claim> claim;
     std::size_t pull(std::uint8_t *buffer, std::size_t length, bool &atEnd) override;
     /// The stream is over; calls the closed callback unless the end was said here first.
     void markClosed();
@@ -55,6 +61,7 @@
     void wake(action what);
     void append(std::string bytes);
     void breakOff(action what);
+    void countUntaken(std::ptrdiff_t bytes) const;
 
     std::weak_ptr<server_connection> m_connection;
     std::int32_t m_id;
--- a/libs/peer/tests/test_hostile_input.cpp
+++ b/libs/peer/tests/test_hostile_input.cpp
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <chrono>
+#include <thread>
 
 using namespace medlarrack::peer;
 using namespace medlarrack::peer::tests;
@@ -86,6 +88,43 @@
     BOOST_TEST(!silent.readToEnd().empty());
 }
 
+// Guards against connections without a request that keep others out.
+BOOST_AUTO_TEST_CASE(a_connection_without_a_request_makes_room)
+{
+    worker_pool pool;
+    server_limits limits;
+    limits.maxConnections = 1;
+    test_server server(pool, echo, limits);
+    raw_peer silent(server.at());
+    silent.send(preface + emptySettings);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'100));
+    client client(pool.context(), {}, [] {
+        return helloOf("entry-1");
+    });
+    stream_record record;
+    client.start(server.at(), requestWith("x"), record.callbacks());
+    BOOST_REQUIRE(record.ended());
+    BOOST_TEST((record.end() == stream_end::finished), record.detail());
+    static_cast<void>(silent.readToEnd());
+}
+
+// Guards against requests that are never completed and keep their memory.
+BOOST_AUTO_TEST_CASE(a_request_that_is_not_complete_in_time_is_refused)
+{
+    worker_pool pool;
+    server_limits limits;
+    limits.lossTimeout = std::chrono::milliseconds(150);
+    limits.requestTimeout = std::chrono::milliseconds(100);
+    limits.idleTimeout = std::chrono::milliseconds(300);
+    test_server server(pool, echo, limits);
+    raw_peer slow(server.at());
+    const std::string head("\0\0\x06\x01\x04\0\0\0\x01\x83\x86\x84\x01\x01h", 15);
+    slow.send(preface + emptySettings + head);
+    // RST_STREAM of stream 1 with REFUSED_STREAM.
+    const std::string refusal("\0\0\x04\x03\0\0\0\0\x01\0\0\0\x07", 13);
+    BOOST_TEST(slow.readToEnd().find(refusal) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(streams_beyond_the_limit_wait_for_their_turn)
 {
     worker_pool pool;
--- a/libs/sidecar/include/medlarrack/sidecar/sidecar_settings.hpp
+++ b/libs/sidecar/include/medlarrack/sidecar/sidecar_settings.hpp
@@ -21,6 +21,15 @@
     std::size_t maxConnections = 4096;
 };
 
+/// The peers' server.
+struct peer_settings : listen_settings
+{
+    /// Bytes held for all peers and readers of pages; 0 for as many as the queue may hold.
+    std::size_t maxHeldBytes = 0;
+    /// A request that isn't complete after this time is refused.
+    std::chrono::milliseconds requestTimeout{15'000};
+};
+
 /// The target that this sidecar manages.
 struct target_settings
 {
@@ -79,7 +88,7 @@
     std::string logLevel = "info";
     std::size_t workers = 2;
     std::size_t maxMetricOperators = 200;
-    listen_settings peers;
+    peer_settings peers;
     listen_settings admin;
     target_settings target;
     std::string platformUrl;
--- a/libs/sidecar/src/service_options.hpp
+++ b/libs/sidecar/src/service_options.hpp
@@ -4,6 +4,7 @@
 #include <medlarrack/engine/target_driver.hpp>
 #include <medlarrack/http/client.hpp>
 #include <medlarrack/http/server.hpp>
+#include <medlarrack/overload/shared_byte_account.hpp>
 #include <medlarrack/peer/server.hpp>
 #include <medlarrack/sidecar/dispatcher.hpp>
 #include <medlarrack/sidecar/sidecar_settings.hpp>
@@ -16,7 +17,11 @@
 [[nodiscard]] core::instance_ref makeSelf(const sidecar_settings &settings, const core::clock &clock);
 [[nodiscard]] dispatcher_options makeOptions(const sidecar_settings &settings, const core::instance_ref &self);
 [[nodiscard]] std::unique_ptr<engine::target_driver> makeDriver(const sidecar_settings &settings, http::client &client);
-[[nodiscard]] peer::server_limits peerLimits(const sidecar_settings &settings);
-[[nodiscard]] http::server_limits adminLimits(const sidecar_settings &settings);
+[[nodiscard]] std::shared_ptr<overload::shared_byte_account> makeAccount(const sidecar_settings &settings,
+                                                                         const core::clock &clock);
+[[nodiscard]] peer::server_limits peerLimits(const sidecar_settings &settings,
+                                             std::shared_ptr<core::byte_budget> budget);
+[[nodiscard]] http::server_limits adminLimits(const sidecar_settings &settings,
+                                              std::shared_ptr<core::byte_budget> budget);
 
 } // namespace medlarrack::sidecar::detail
--- a/libs/sidecar/src/sidecar_service.cpp
+++ b/libs/sidecar/src/sidecar_service.cpp
@@ -61,15 +61,16 @@
               [this] {
                   return stateJson();
               })
+        , m_account(detail::makeAccount(m_settings, clock))
         , m_peers(
-              context, detail::peerLimits(m_settings),
+              context, detail::peerLimits(m_settings, m_account),
               [this] {
                   return hello();
               },
               [this](const auto &from, peer::message &&message, const std::shared_ptr<peer::reply_stream> &reply) {
                   onMessage(from, std::move(message), reply);
               })
-        , m_admin(context, detail::adminLimits(m_settings),
+        , m_admin(context, detail::adminLimits(m_settings, m_account),
                   [this](const http::request &request, const std::shared_ptr<http::responder> &answer) {
                       m_pages.handle(request, *answer);
                   })
@@ -231,6 +232,11 @@
         m_metrics.gauge("medlarrack_sidecar_queued", "Requests in the queue.", {}, load.queued);
         m_metrics.gauge("medlarrack_sidecar_places", "Requests that the target runs at once; 0 while it is down.", {},
                         load.batchSize);
+        m_metrics.gauge("medlarrack_sidecar_held_bytes", "Bytes of requests and replies held for peers.", {},
+                        static_cast<double>(m_account->heldBytes()));
+        m_metrics.gauge("medlarrack_sidecar_refused_peers",
+                        "Peers turned away since the start because they or others are outside the limits.", {},
+                        static_cast<double>(m_account->turnedAway()));
     }
 
     peer::load_report report() const
@@ -339,6 +345,7 @@
     dispatcher m_dispatcher;
     std::shared_ptr<detail::load_reporter> m_reporter;
     detail::admin_pages m_pages;
+    const std::shared_ptr<overload::shared_byte_account> m_account;
     peer::server m_peers;
     http::server m_admin;
     asio::strand<asio::io_context::executor_type> m_strand;
--- a/libs/sidecar/src/sidecar_settings.cpp
+++ b/libs/sidecar/src/sidecar_settings.cpp
@@ -22,6 +22,13 @@
     reader.integer("max_connections", value.maxConnections, 1, maxCount);
 }
 
+void readPeers(object_reader &reader, peer_settings &value)
+{
+    readListen(reader, value);
+    reader.integer("max_held_bytes", value.maxHeldBytes, 0, maxBytes);
+    reader.duration("request_timeout_ms", value.requestTimeout, 1s, 1h);
+}
+
 void readInstance(object_reader &reader, sidecar_settings &value)
 {
     reader.text("id", value.instanceId);
@@ -85,7 +92,7 @@
         part.integer("max_operators", value.maxMetricOperators, 0, 100'000);
     });
     reader.object("peers", [&](object_reader &part) {
-        readListen(part, value.peers);
+        readPeers(part, value.peers);
     });
     reader.object("admin", [&](object_reader &part) {
         readListen(part, value.admin);
