--- a/apps/medlarrack-faults/tests/test_fault_matrix.cpp
+++ b/apps/medlarrack-faults/tests/test_fault_matrix.cpp
@@ -23,13 +23,14 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
-/// Names of the test cases below a folder's tests.
+/// Names of the test cases of a module, or of a folder of tests.
 std::set<std::string> testCasesOf(const std::string &folder)
 {
     static const std::regex declaration(
         R"(BOOST_(?:(?:AUTO|DATA|FIXTURE)_TEST_CASE\(|DATA_TEST_CASE_F\(\s*\w+\s*,)\s*([a-z0-9_]+))");
+    const std::filesystem::path ownTests = sources / folder / "tests";
     std::set<std::string> names;
-    for (const auto &entry : std::filesystem::directory_iterator(sources / folder / "tests")) {
+    for (const auto &entry : std::filesystem::directory_iterator(exists(ownTests) ? ownTests : sources / folder)) {
         if (entry.path().extension() != ".cpp") {
             continue;
         }
@@ -55,7 +56,7 @@
                 known.emplace(folder, testCasesOf(folder));
             }
             BOOST_TEST(known.at(folder).contains(std::string(shown.testCase)),
-                       folder << "/tests hold no case " << shown.testCase);
+                       "the tests of " << folder << " hold no case " << shown.testCase);
         }
     }
 }
