Quotas: bound what a gateway admits before the first total

Cause: a gateway that stood still for more than a second took its tenants for idle ones and admitted everything that had waited for 200 ms, without a bound. And 200 ms were too short for a first total at a busy gateway: one request was refused 245 ms after the first. Change: before the first total, a gateway admits at most the burst, which is all that the bucket can hold, and waits 300 ms for the total: a tenant that asks for 7.5 times its rate gets 2.25 s of it then, a quarter of 8 s and the burst.

--- a/libs/quota/src/tenant_limiter.cpp
+++ b/libs/quota/src/tenant_limiter.cpp
@@ -25,9 +25,10 @@
 constexpr double maxUnreportedSeconds = 0.25;
 /// Share of a gateway that has never heard of a bucket. Small deployments have fewer gateways, larger ones hear sooner.
 constexpr double unknownShare = 1.0 / 16;
-/// Time for which a tenant that was idle here is admitted without news: a report is due within 100 ms, and its answer
-/// takes about as long. What all gateways admit in this time is bounded by what they are asked for.
-constexpr milliseconds firstTotalTime{200};
+/// Time for which a tenant that was idle here is admitted without news, up to its burst: a report is due within 100 ms,
+/// and its answer takes about as long. A tenant that asks for 7.5 times its rate gets 2.25 s of it from all gateways in
+/// this time, as much as a quarter of 8 s and a burst of one second.
+constexpr milliseconds firstTotalTime{300};
 /// Least share assumed in deciding when to report.
 constexpr double minReportShare = 1.0 / 64;
 /// Time of its share of the rate that a gateway saves up while it relies on it.
@@ -79,8 +80,9 @@
     double shareLevel = 0;
     core::monotonic_time shareFilledAt{};
     core::monotonic_time lastAskedAt{};
-    /// When the requests began that no idle time interrupts.
+    /// When the requests began that no idle time interrupts, and what had been admitted by then.
     core::monotonic_time activeSince{};
+    double admittedBefore = 0;
     std::map<std::string, agent_view, std::less<>> agents;
 };
 
@@ -100,6 +102,7 @@
             found->second.activeSince = now;
         } else if (now - found->second.lastAskedAt > totalLifetime) {
             found->second.activeSince = now;
+            found->second.admittedBefore = found->second.admitted;
         }
         found->second.lastAskedAt = now;
         found->second.limits = limits;
@@ -189,7 +192,9 @@
     impl::updateShare(state, now);
     const std::optional<double> level = impl::estimate(state, now);
     impl::refillShare(state, level && *level <= 0, now);
-    const bool awaitsFirstTotal = !level && now - state.activeSince < firstTotalTime;
+    // A process that stood still gets the requests of that time at once, and its totals are too old.
+    const bool awaitsFirstTotal =
+        !level && now - state.activeSince < firstTotalTime && state.admitted - state.admittedBefore < limits.burst;
     const bool reliesOnShare = !awaitsFirstTotal && (!level || *level <= 0);
     if (reliesOnShare && state.shareLevel <= 0) {
         ++state.refused;
--- a/libs/quota/tests/test_tenant_limiter.cpp
+++ b/libs/quota/tests/test_tenant_limiter.cpp
@@ -42,6 +42,34 @@
     BOOST_TEST((limiter.timeToAdmission("t", start + milliseconds(10'000)) >= milliseconds(200)));
 }
 
+// Guards against a tenant that uses a multiple of its burst at once: after a stall its totals are too old, and the
+// requests of that time are read together.
+BOOST_AUTO_TEST_CASE(after_a_stall_no_more_than_the_burst_is_admitted_without_news)
+{
+    tenant_limiter limiter;
+    constexpr double cost = 50;
+    BOOST_TEST(limiter.admit("t", limits, cost, start));
+    BOOST_TEST(!limiter.takeReports("a", anyTenant, start).empty());
+    limiter.recordTotal("a", {"t", -500, 7'500});
+    const auto admittedAt = [&limiter](core::monotonic_time now) {
+        double admitted = 0;
+        for (int count = 0; count < 100; ++count) {
+            admitted += limiter.admit("t", limits, cost, now) ? cost : 0;
+        }
+        return admitted;
+    };
+    BOOST_TEST(admittedAt(start + milliseconds(10)) <= cost);
+    BOOST_TEST(admittedAt(start + milliseconds(1'600)) <= limits.burst + cost);
+}
+
+// Guards against refusals below the quota by a process whose first report is answered late.
+BOOST_AUTO_TEST_CASE(requests_are_admitted_until_the_first_total_is_due)
+{
+    tenant_limiter limiter;
+    BOOST_TEST(limiter.admit("t", limits, 50, start));
+    BOOST_TEST(limiter.admit("t", limits, 50, start + milliseconds(245)));
+}
+
 // Guards against quota that is lost to requests that no replica has run.
 BOOST_AUTO_TEST_CASE(what_is_given_back_is_reported_as_unused)
 {
