Take a response of a peer with a wrong status for broken

Cause: onHeader read `:status` by atoi without a check of its range. A response with 000, 099, 600 or 999 beside the error header counted as a refusal, so that its request was sent to another peer though this one may have run it. nghttp2 itself rejects statuses that aren't three digits.

Change: a status is a number of three digits from 100 to 599. Any other resets the stream and ends it as broken; none of its bytes is delivered.

--- a/libs/peer/src/client_connection.cpp
+++ b/libs/peer/src/client_connection.cpp
@@ -5,15 +5,29 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <cstring>
+#include <optional>
 
 namespace medlarrack::peer::detail {
 
 namespace {
 
 constexpr int statusOk = 200;
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
+constexpr std::size_t statusDigits = 3;
 constexpr std::string_view errorHeaderName = "medlarrack-error";
 
+/// The status that a response states; nothing unless it is a number of three digits from 100 to 599.
+std::optional<int> parseStatus(std::string_view text)
+{
+    int status = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), status);
+    const bool isWhole = error == std::errc() && end == text.data() + text.size() && text.size() == statusDigits;
+    return isWhole && status >= minStatus && status <= maxStatus ? std::optional(status) : std::nullopt;
+}
+
 } // namespace
 
 std::size_t client_stream::pull(std::uint8_t *buffer, std::size_t length, bool &atEnd)
@@ -270,7 +284,12 @@
         return;
     }
     if (name == ":status") {
-        stream->status = std::atoi(std::string(value).c_str());
+        if (const auto status = parseStatus(value)) {
+            stream->status = *status;
+        } else {
+            stream->failure = "bad_status: the status is not a number from 100 to 599";
+            resetStream(id, NGHTTP2_PROTOCOL_ERROR);
+        }
     } else if (name == errorHeaderName) {
         stream->refusal = value;
     } else if (name == helloHeaderName && value != m_lastHello) {
@@ -291,7 +310,8 @@
 {
     grantWindow(0, bytes.size());
     const auto stream = find(id);
-    if (!stream || stream->ended) {
+    // Nothing of a broken response is taken.
+    if (!stream || stream->ended || !stream->failure.empty()) {
         return;
     }
     stream->responseBytes = true;
@@ -347,12 +367,12 @@
     const bool untouched = !stream->responseBytes && stream->status == 0;
     if (!stream->headLeft) {
         end(stream, stream_end::not_processed, "never sent");
+    } else if (!stream->failure.empty()) {
+        end(stream, stream_end::broken, stream->failure);
     } else if (errorCode == NGHTTP2_REFUSED_STREAM && untouched) {
         end(stream, stream_end::not_processed, "refused by the peer");
     } else if (!stream->refusal.empty() && stream->status != statusOk && !stream->responseBytes) {
         end(stream, stream_end::not_processed, stream->refusal);
-    } else if (!stream->failure.empty()) {
-        end(stream, stream_end::broken, stream->failure);
     } else if (errorCode == NGHTTP2_NO_ERROR && stream->endSeen && stream->status == statusOk
                && !stream->incoming.midMessage()) {
         end(stream, stream_end::finished, "");
--- a/libs/peer/tests/test_hostile_input.cpp
+++ b/libs/peer/tests/test_hostile_input.cpp
@@ -1,5 +1,6 @@
 #include "peer_fixture.hpp"
 #include "raw_peer.hpp"
+#include "raw_server.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -24,6 +25,8 @@
     preface + emptySettings + std::string("\0\0\x03\x01\x05\0\0\0\x01\xff\xff\xff", 12),
 };
 
+const std::vector<std::string> wrongStatuses = {"000", "099", "600", "999", "abc", "20x", "-20", "2", "2000", ""};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(garbage_closes_its_own_connection_only, boost::unit_test::data::make(garbage), bytes)
@@ -131,3 +134,37 @@
     BOOST_TEST((record.end() == stream_end::not_processed));
     BOOST_TEST(record.detail() == "message_too_long");
 }
+
+// Guards against a broken response that counts as a refusal, after which the request would be sent to another peer
+// though this one may have run it.
+BOOST_DATA_TEST_CASE(a_response_with_a_wrong_status_is_broken, boost::unit_test::data::make(wrongStatuses), status)
+{
+    raw_server server([&](std::int32_t stream) {
+        return headersFrame(stream, {{":status", status}, {"medlarrack-error", "draining"}});
+    });
+    worker_pool pool;
+    client client(pool.context(), {}, [] {
+        return helloOf("entry-1");
+    });
+    stream_record record;
+    client.start(server.at(), requestWith("x"), record.callbacks());
+    BOOST_REQUIRE(record.ended());
+    BOOST_TEST((record.end() == stream_end::broken), record.detail());
+    BOOST_TEST(record.messages().empty());
+}
+
+// Guards against a check of the status that turns refusals into broken responses.
+BOOST_AUTO_TEST_CASE(a_refusal_with_a_status_in_the_range_was_not_processed)
+{
+    raw_server server([](std::int32_t stream) {
+        return headersFrame(stream, {{":status", "503"}, {"medlarrack-error", "draining"}});
+    });
+    worker_pool pool;
+    client client(pool.context(), {}, [] {
+        return helloOf("entry-1");
+    });
+    stream_record record;
+    client.start(server.at(), requestWith("x"), record.callbacks());
+    BOOST_REQUIRE(record.ended());
+    BOOST_TEST((record.end() == stream_end::not_processed), record.detail());
+}
