Pause before the page server tries a failed accept again

Cause: page_server called accept() again at once after an error, so that a process whose descriptors were used up was busy with failed attempts.

Change: it waits for 50 ms, as the server of callers does.

--- a/libs/http1/src/page_server.cpp
+++ b/libs/http1/src/page_server.cpp
@@ -3,7 +3,10 @@
 #include <medlarrack/http1/message_parser.hpp>
 #include <medlarrack/http1/page_server.hpp>
 
+#include <asio/steady_timer.hpp>
+
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <list>
 #include <utility>
@@ -18,6 +21,8 @@
 constexpr std::size_t maxConnections = 32;
 /// Connections that stay open behind a response; the others say that they end, so that there is room for new ones.
 constexpr std::ptrdiff_t maxKeptConnections = 16;
+/// Delay after a failed accept. While the descriptors are used up, the next try would fail at once.
+constexpr std::chrono::milliseconds acceptRetryDelay{50};
 
 std::string toText(const page &answer, bool omitsBody, bool keepsConnection)
 {
@@ -117,6 +122,7 @@
     impl(asio::io_context &owner, std::function<page(std::string_view)> handler)
         : context(owner)
         , acceptor(owner)
+        , acceptRetryTimer(owner)
         , answer(std::move(handler))
     {
     }
@@ -128,19 +134,30 @@
             if (self == nullptr || error == asio::error::operation_aborted) {
                 return;
             }
-            if (!error) {
-                self->connections.remove_if([](const connection &one) {
-                    return !one.stream->isOpen();
-                });
-                if (self->connections.size() < maxConnections || self->makeRoom()) {
-                    self->connections.emplace_back(*self,
-                                                   std::make_shared<byte_stream>(self->context, std::move(socket)));
-                }
+            if (error) {
+                self->acceptLater();
+                return;
+            }
+            self->connections.remove_if([](const connection &one) {
+                return !one.stream->isOpen();
+            });
+            if (self->connections.size() < maxConnections || self->makeRoom()) {
+                self->connections.emplace_back(*self, std::make_shared<byte_stream>(self->context, std::move(socket)));
             }
             self->accept();
         });
     }
 
+    void acceptLater()
+    {
+        acceptRetryTimer.expires_after(acceptRetryDelay);
+        acceptRetryTimer.async_wait([weak = weak_from_this()](const std::error_code &error) {
+            if (const auto self = weak.lock(); self != nullptr && !error && self->acceptor.is_open()) {
+                self->accept();
+            }
+        });
+    }
+
     bool makeRoom()
     {
         const auto found = std::find_if(connections.begin(), connections.end(), [](const connection &one) {
@@ -162,6 +179,7 @@
 
     asio::io_context &context;
     asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer acceptRetryTimer;
     std::function<page(std::string_view)> answer;
     std::list<connection> connections;
 };
--- a/libs/http1/tests/test_page_server.cpp
+++ b/libs/http1/tests/test_page_server.cpp
@@ -7,9 +7,13 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <fcntl.h>
 #include <list>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
 
 using namespace medlarrack;
 using namespace medlarrack::http1;
@@ -83,6 +87,37 @@
     asio::ip::tcp::socket m_socket;
 };
 
+/// Takes all descriptors that this process may open, as long as it lives.
+class no_descriptors
+{
+public:
+    no_descriptors()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_before);
+        const int lowest = ::dup(STDIN_FILENO);
+        const rlimit low{static_cast<rlim_t>(lowest) + 8, m_before.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &low);
+        for (int taken = lowest; taken >= 0; taken = ::dup(STDIN_FILENO)) {
+            m_taken.push_back(taken);
+        }
+    }
+
+    ~no_descriptors()
+    {
+        for (const int taken : m_taken) {
+            ::close(taken);
+        }
+        ::setrlimit(RLIMIT_NOFILE, &m_before);
+    }
+
+    no_descriptors(const no_descriptors &) = delete;
+    no_descriptors &operator=(const no_descriptors &) = delete;
+
+private:
+    rlimit m_before{};
+    std::vector<int> m_taken;
+};
+
 bool statesEnd(const std::string &response)
 {
     return response.find("Connection: close\r\n") != std::string::npos;
@@ -138,4 +173,25 @@
     BOOST_TEST(caller.readTo("").size() > largeBytes);
 }
 
+// Guards against a process that is busy with failed attempts to accept while its descriptors are used up.
+BOOST_AUTO_TEST_CASE(a_connection_that_cannot_be_accepted_is_tried_again_after_a_pause)
+{
+    constexpr std::size_t manyHandlers = 1'000;
+    asio::ip::tcp::socket waiting(context);
+    waiting.open(asio::ip::tcp::v4());
+    context.poll();
+    std::size_t handlers = 0;
+    {
+        const no_descriptors taken;
+        waiting.connect({asio::ip::address_v4::loopback(), server.port()});
+        while (handlers < manyHandlers && context.poll_one() > 0) {
+            ++handlers;
+        }
+    }
+    BOOST_TEST(handlers < 10U);
+    page_caller caller(*this);
+    caller.ask("/");
+    BOOST_TEST(caller.readTo("small").ends_with("small"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
