Give large blocks of the gateway's heap back when they are freed

Cause: gateway_limits/pipelined_requests_behind_an_unread_answer used 52 to 57 MB of its 64 MB, with 16 MB in the byte account. glibc raises the size from which blocks have pages of their own up to 32 MB as soon as one is freed; bodies of 3 MiB that grow and are copied then leave gaps in the heap that stay resident.

Change: blocks from 256 KiB have pages of their own, and 1 MiB stays free at the end of the heap.

--- a/apps/medlarrack-gateway/main.cpp
+++ b/apps/medlarrack-gateway/main.cpp
@@ -1,4 +1,5 @@
 #include <medlarrack/core/system_clock.hpp>
+#include <medlarrack/daemon/heap.hpp>
 #include <medlarrack/daemon/run_program.hpp>
 #include <medlarrack/daemon/signals.hpp>
 #include <medlarrack/gateway/gateway_service.hpp>
@@ -32,6 +33,7 @@
 
 int serve(const daemon::command_line &options, const gateway::gateway_settings &settings)
 {
+    daemon::returnLargeBlocks();
     log::startBuffered("medlarrack-gateway", settings.name, log::levelFromString(settings.logLevel), maxLogBytes);
     asio::io_context context(1);
     const core::system_clock clock;
