Limit the log lines on refused requests and connections

Cause: caller_connection wrote a line for each request or connection that it refused, so that clients outside the limits filled the log.

Change: `overload::log_rate` admits 10 lines a second of each of the two kinds, at first 100, and counts those that are left out, which the next line states as `unlogged`. The lines on callers that are turned away use it too.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t maxReadAheadWithLittleRoom = 0;
 /// A longer body is counted by itself.
 constexpr std::size_t shortBodyBytes = 16'384;
+/// Log lines on refusals: enough for each request that a stop of the process refuses.
+constexpr double refusalLinesPerSecond = 10;
+constexpr double refusalLineBurst = 100;
 /// A body that grows by less stands still.
 constexpr std::size_t leastProgress = 4'096;
 constexpr std::string_view noMemoryCode = "no_memory";
@@ -43,8 +46,15 @@
 
 } // namespace
 
+refusal_log_rates::refusal_log_rates(core::monotonic_time now)
+    : requests(refusalLinesPerSecond, refusalLineBurst, now)
+    , connections(refusalLinesPerSecond, refusalLineBurst, now)
+{
+}
+
 caller_connection::caller_connection(std::weak_ptr<void> server, exchange_services &services,
-                                     std::shared_ptr<http1::byte_stream> stream, std::string peerAddress)
+                                     std::shared_ptr<http1::byte_stream> stream, std::string peerAddress,
+                                     std::shared_ptr<refusal_log_rates> logRates)
     : m_server(std::move(server))
     , m_services(services)
     , m_stream(std::move(stream))
@@ -52,6 +62,7 @@
     , m_lastActivityAt(services.clock.now())
     , m_connectedAt(m_lastActivityAt)
     , m_peerAddress(std::move(peerAddress))
+    , m_logRates(std::move(logRates))
     , m_tookAt(m_lastActivityAt)
     , m_idleAllowance(services.routes.limits().idleTimeout)
 {
@@ -353,7 +364,10 @@
 void caller_connection::refuseRequest(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter)
 {
     const request_metadata request = m_services.format.readRequest(m_parser.head());
-    log::write(log::level::info, "request refused", {{"request_id", request.id}, {"why", why}});
+    if (const auto unlogged = m_logRates->requests.tryWrite(m_services.clock.now())) {
+        log::write(log::level::info, "request refused",
+                   {{"request_id", request.id}, {"why", why}, {"unlogged", *unlogged}});
+    }
     local_response response;
     response.status = statusUnavailable;
     response.code = code;
@@ -376,7 +390,10 @@
 void caller_connection::sendErrorAndClose(int status, std::string_view code, std::string_view why,
                                           std::optional<std::chrono::milliseconds> retryAfter)
 {
-    log::write(log::level::info, "connection refused", {{"status", status}, {"code", code}, {"why", why}});
+    if (const auto unlogged = m_logRates->connections.tryWrite(m_services.clock.now())) {
+        log::write(log::level::info, "connection refused",
+                   {{"status", status}, {"code", code}, {"why", why}, {"unlogged", *unlogged}});
+    }
     local_response response;
     response.status = status;
     response.code = code;
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -9,6 +9,7 @@
 #include <medlarrack/http1/byte_stream.hpp>
 #include <medlarrack/http1/message_parser.hpp>
 #include <medlarrack/overload/byte_account.hpp>
+#include <medlarrack/overload/log_rate.hpp>
 
 #include <chrono>
 #include <memory>
@@ -21,6 +22,15 @@
 /// The request is taken at once by another process or, of a caller that ended its side, on another connection.
 inline constexpr std::chrono::milliseconds promptRetryAfter{50};
 
+/// Limits of the log lines on what connections refuse, over all of them.
+struct refusal_log_rates
+{
+    explicit refusal_log_rates(core::monotonic_time now);
+
+    overload::log_rate requests;
+    overload::log_rate connections;
+};
+
 /// A caller's connection: handles one request at a time and writes the responses in order.
 class caller_connection final : public std::enable_shared_from_this<caller_connection>,
                                 private http1::byte_stream_listener,
@@ -29,7 +39,8 @@
 public:
     /// The connection's bytes may be watched longer than its server lives, which `server` tells.
     caller_connection(std::weak_ptr<void> server, exchange_services &services,
-                      std::shared_ptr<http1::byte_stream> stream, std::string peerAddress);
+                      std::shared_ptr<http1::byte_stream> stream, std::string peerAddress,
+                      std::shared_ptr<refusal_log_rates> logRates);
     ~caller_connection() override;
 
     void start();
@@ -145,6 +156,7 @@
     core::monotonic_time m_awaitsRoomSince{};
     const core::monotonic_time m_connectedAt;
     std::string m_peerAddress;
+    std::shared_ptr<refusal_log_rates> m_logRates;
     /// Counts a long body until its request has ended.
     std::unique_ptr<overload::byte_holding> m_bodyHolding;
     /// Bytes of a short request in progress.
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -36,6 +36,7 @@
     , m_acceptor(context)
     , m_acceptRetryTimer(context)
     , m_logRate(logLinesPerSecond, logBurst, services.clock.now())
+    , m_refusalLogRates(std::make_shared<refusal_log_rates>(services.clock.now()))
 {
 }
 
@@ -90,8 +91,8 @@
     std::error_code ignored;
     std::string peerAddress = socket.remote_endpoint(ignored).address().to_string();
     auto stream = std::make_shared<http1::byte_stream>(m_context, std::move(socket));
-    auto connection =
-        std::make_shared<caller_connection>(m_self, m_services, std::move(stream), std::move(peerAddress));
+    auto connection = std::make_shared<caller_connection>(m_self, m_services, std::move(stream), std::move(peerAddress),
+                                                          m_refusalLogRates);
     if (m_draining) {
         connection->drain();
     }
@@ -222,8 +223,8 @@
     m_services.metrics.count("medlarrack_gateway_refused_peers_total",
                              "Peers that were turned away because they or others are outside the limits",
                              {.code = std::string(code)});
-    if (!m_logRate.tryAcquire(m_services.clock.now())) {
-        ++m_unloggedCallers;
+    const auto unlogged = m_logRate.tryWrite(m_services.clock.now());
+    if (!unlogged) {
         return;
     }
     log::write(log::level::warning, "caller turned away",
@@ -233,7 +234,7 @@
                 {"bytes", static_cast<std::uint64_t>(bytes)},
                 {"held_bytes", static_cast<std::uint64_t>(m_services.heldBytes.heldBytes())},
                 {"connections", static_cast<std::uint64_t>(m_connections.size())},
-                {"unlogged", std::exchange(m_unloggedCallers, 0)}});
+                {"unlogged", *unlogged}});
 }
 
 std::size_t caller_server::size() const
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -4,7 +4,7 @@
 #include "exchange_services.hpp"
 
 #include <medlarrack/core/reason.hpp>
-#include <medlarrack/overload/rate_limiter.hpp>
+#include <medlarrack/overload/log_rate.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -78,9 +78,8 @@
     bool m_closing = false;
     std::size_t m_maxConnections = std::numeric_limits<std::size_t>::max();
     bool m_awaitsRoom = false;
-    overload::rate_limiter m_logRate;
-    /// Callers that were turned away since the last line in the log.
-    std::uint64_t m_unloggedCallers = 0;
+    overload::log_rate m_logRate;
+    std::shared_ptr<refusal_log_rates> m_refusalLogRates;
     /// Expires with the server, for handlers that may run later.
     std::shared_ptr<caller_server> m_self{this, [](caller_server *) {}};
 };
