Refuse bodies that come too slowly

Cause: only the idle time-out ended a body in progress, and each byte began it anew, so that a byte now and then held its bytes and descriptor without end.

Change: a body must come at 16 KiB a second, apart from pauses of twice the idle time-out; otherwise it gets 408 and has not run. 4 MiB take 256 s at that rate, as over a link of 128 kbit/s, while deadlines are 6 s at most.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -21,6 +21,10 @@
 constexpr std::size_t maxReadAheadWithLittleRoom = 0;
 /// A longer body is counted by itself.
 constexpr std::size_t shortBodyBytes = 16'384;
+/// Bytes of a body that must come in each second, apart from pauses of twice the idle time-out. The longest deadline of
+/// callers is 6 s, in which the longest body of 4 MiB needs 700 KB/s; a link of 128 kbit/s takes 256 s for it.
+constexpr std::int64_t leastBodyBytesPerSecond = 16'384;
+constexpr int longestPauseInIdleTimes = 2;
 /// Log lines on refusals: enough for each request that a stop of the process refuses.
 constexpr double refusalLinesPerSecond = 10;
 constexpr double refusalLineBurst = 100;
@@ -239,6 +243,7 @@
             } else if (m_parser.state() == http1::parse_state::complete) {
                 startExchange();
             } else {
+                extendBodyTime(wasInBody ? std::optional(consumed) : std::nullopt);
                 if (!wasInBody || m_parser.body().size() >= m_bodyMark + leastProgress) {
                     m_bodyMark = m_parser.body().size();
                     m_bodyGrewAt = m_lastActivityAt;
@@ -286,10 +291,19 @@
     m_awaitsRoom = false;
     // The caller wasn't silent meanwhile.
     m_lastActivityAt = m_services.clock.now();
+    m_bodyEndsBy += m_lastActivityAt - m_awaitsRoomSince;
     m_bodyGrewAt = m_lastActivityAt;
     m_stream->startReading();
 }
 
+void caller_connection::extendBodyTime(std::optional<std::size_t> bytes)
+{
+    const core::monotonic_time latest = m_lastActivityAt + longestPauseInIdleTimes * m_idleAllowance.timeout();
+    const auto count = static_cast<std::int64_t>(bytes.value_or(0));
+    const auto earned = std::chrono::nanoseconds(std::chrono::seconds(1)) * count / leastBodyBytesPerSecond;
+    m_bodyEndsBy = bytes ? std::min(m_bodyEndsBy + earned, latest) : latest;
+}
+
 void caller_connection::dropRequestBytes()
 {
     m_bodyHolding.reset();
@@ -526,7 +540,8 @@
     }
     const bool headTimedOut = m_parser.started() && m_parser.state() == http1::parse_state::head
         && now - m_requestStartedAt >= limits.headTimeout;
-    const bool isOverdue = headTimedOut || now - m_lastActivityAt >= m_idleAllowance.timeout();
+    const bool bodyTimedOut = m_parser.state() == http1::parse_state::body && now >= m_bodyEndsBy;
+    const bool isOverdue = headTimedOut || bodyTimedOut || now - m_lastActivityAt >= m_idleAllowance.timeout();
     // Unread bytes have come in time, but the process was busy or frozen.
     if (!isOverdue || hasUnreadBytes()) {
         return;
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -114,6 +114,9 @@
     /// Counts the body that is being received, and stops reading it while the process has no room for more.
     void countBody();
     void onRoomForBody();
+    /// Moves the time until which the body must have ended, for bytes of it that have come; without a number, its head
+    /// has.
+    void extendBodyTime(std::optional<std::size_t> bytes);
     /// The request has ended: gives back its bytes.
     void dropRequestBytes();
     [[nodiscard]] std::size_t maxReadAhead() const;
@@ -153,6 +156,8 @@
     core::monotonic_time m_bodyGrewAt{};
     /// Size of the body at that time.
     std::size_t m_bodyMark = 0;
+    /// The body is refused at this time.
+    core::monotonic_time m_bodyEndsBy{};
     core::monotonic_time m_awaitsRoomSince{};
     const core::monotonic_time m_connectedAt;
     std::string m_peerAddress;
