Announce the end of connections while few places for them are free

Cause: makeRoom closes only connections without a whole head. Clients that send one request and stay idle held all places for the idle time-out.

Change: while fewer than a quarter of the places is free, each response has `Connection: close`. No connection that was told that it can be used again is closed for room, and callers may connect elsewhere. A bound by address would meet proxies; a shorter stated idle time would still hold each place for 2 s.

--- a/libs/gateway/include/medlarrack/gateway/own_load.hpp
+++ b/libs/gateway/include/medlarrack/gateway/own_load.hpp
@@ -41,11 +41,14 @@
     void recordTick(core::monotonic_time now, std::chrono::nanoseconds interval, const own_use &use);
     /// Records bytes sent to a caller.
     void recordSent(std::size_t bytes);
+    /// Records how many of the connections that callers may have are open.
+    void recordConnections(std::size_t open, std::size_t limit);
     /// Whether a new request is taken; 0 is the most urgent. The least urgent ones are shed first, as many as
     /// necessary.
     [[nodiscard]] bool admits(std::uint32_t urgency);
     /// Whether a response tells its caller to connect again, which may bring it to another gateway. Some do while the
-    /// process is overloaded or close to the limit of its memory or link. Called once for each response.
+    /// process is overloaded or close to the limit of its memory or link; all do while few connections more can be
+    /// made, so that those that stay open behind a response never take all places. Called once for each response.
     [[nodiscard]] bool closesConnection();
     /// Retry-After of a shed request: callers return soon, as another gateway may have capacity, and spread.
     [[nodiscard]] static std::chrono::milliseconds retryAfter(std::uint32_t random);
@@ -82,6 +85,7 @@
     double m_cpuUse = 0;
     double m_linkUse = 0;
     double m_memoryUse = 0;
+    bool m_hasFewPlaces = false;
     /// Recent new requests by urgency, decayed.
     std::array<double, urgencies> m_requests{};
     /// Fractions of requests that have yet to be shed, by urgency.
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -100,6 +100,7 @@
         connection->refuseRequestsFrom(*m_refuseFrom);
     }
     m_connections.push_back(connection);
+    recordPlaces();
     connection->start();
 }
 
@@ -131,15 +132,22 @@
     std::erase_if(m_connections, [](const auto &connection) {
         return connection->isClosed() && !connection->isOpen();
     });
+    recordPlaces();
     resumeAccepting();
 }
 
 void caller_server::setMaxConnections(std::size_t count)
 {
     m_maxConnections = count;
+    recordPlaces();
     resumeAccepting();
 }
 
+void caller_server::recordPlaces()
+{
+    m_services.ownLoad.recordConnections(m_connections.size(), m_maxConnections);
+}
+
 void caller_server::resumeAccepting()
 {
     if (m_awaitsRoom && !m_closing) {
--- a/libs/gateway/src/own_load.cpp
+++ b/libs/gateway/src/own_load.cpp
@@ -24,6 +24,9 @@
 /// Share of the link and of the memory from which callers are asked to connect elsewhere.
 constexpr double highLinkUse = 0.9;
 constexpr double highMemoryUse = 0.85;
+/// While less than this part of the places for connections is free, each response closes its connection. A kept one was
+/// told that it can be used again and isn't closed before, so the free part is for those that come meanwhile.
+constexpr std::size_t freePlacesDivisor = 4;
 /// Responses for each one that closes its connection: callers leave within seconds, but not all at once.
 constexpr std::uint32_t responsesPerClose = 8;
 /// Fraction by which the counts of recent requests decay with each request.
@@ -81,6 +84,11 @@
     m_sentBytes += static_cast<double>(bytes);
 }
 
+void own_load::recordConnections(std::size_t open, std::size_t limit)
+{
+    m_hasFewPlaces = open >= limit - limit / freePlacesDivisor;
+}
+
 void own_load::adjustShedShare(std::chrono::nanoseconds elapsed)
 {
     const double seconds = std::chrono::duration<double>(elapsed).count();
@@ -128,6 +136,9 @@
 
 bool own_load::closesConnection()
 {
+    if (m_hasFewPlaces) {
+        return true;
+    }
     if (m_shedShare == 0 && m_linkUse < highLinkUse && m_memoryUse < highMemoryUse) {
         m_keptConnections = 0;
         return false;
--- a/libs/gateway/tests/test_own_load.cpp
+++ b/libs/gateway/tests/test_own_load.cpp
@@ -177,4 +177,16 @@
     BOOST_TEST(times.size() > 300U);
 }
 
+// Guards against connections that stay open behind their responses and take all places.
+BOOST_AUTO_TEST_CASE(responses_close_their_connections_while_a_quarter_of_the_places_is_not_free)
+{
+    constexpr std::size_t places = 1'000;
+    load.recordConnections(749, places);
+    BOOST_TEST(closedOf80() == 0);
+    load.recordConnections(750, places);
+    BOOST_TEST(closedOf80() == 80);
+    load.recordConnections(749, places);
+    BOOST_TEST(closedOf80() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
