Count heads in the byte account and bound those that are being received

Cause: heads were in no account. 16 KiB in lines of five bytes take 280 KB once they are parsed, on each of some thousand connections. Idle connections also kept up to 32 KB of buffer and the fields of their longest head.

Change: heads count with the memory of their fields, while they are received and while their request is in progress. Those that are being received hold a quarter of the account; beyond, the oldest of 250 ms or more get 408, and beyond half the largest too. Buffers over 4 KiB and the fields of long heads are given back.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t maxReadAheadWithLittleRoom = 0;
 /// A longer body is counted by itself.
 constexpr std::size_t shortBodyBytes = 16'384;
+/// Buffers of more bytes are given back once they are empty.
+constexpr std::size_t keptBufferBytes = 4'096;
 /// Bytes of a body that must come in each second, apart from pauses of twice the idle time-out. The longest deadline of
 /// callers is 6 s, in which the longest body of 4 MiB needs 700 KB/s; a link of 128 kbit/s takes 256 s for it.
 constexpr std::int64_t leastBodyBytesPerSecond = 16'384;
@@ -102,6 +104,7 @@
     dropRequestBytes();
     std::exchange(m_unparsed, {});
     std::exchange(m_parser.body(), {});
+    m_parser.reset();
     switch (how) {
     case connection_end::finished:
         m_stream->finish();
@@ -227,7 +230,7 @@
         const bool wasInBody = m_parser.state() == http1::parse_state::body;
         const std::size_t consumed = m_parser.feed(m_unparsed);
         m_unparsed.erase(0, consumed);
-        if (m_unparsed.empty() && m_unparsed.capacity() > http1::byte_stream::readBytes) {
+        if (m_unparsed.empty() && m_unparsed.capacity() > keptBufferBytes) {
             // An empty string keeps its memory as long as the connection lives.
             std::exchange(m_unparsed, {});
         }
@@ -306,6 +309,7 @@
 
 void caller_connection::dropRequestBytes()
 {
+    m_requestHeadMemory = 0;
     m_bodyHolding.reset();
     m_shortRequestBytes = 0;
 }
@@ -357,6 +361,7 @@
     } else {
         m_shortRequestBytes = m_parser.body().capacity();
     }
+    m_requestHeadMemory = m_parser.headMemory();
     m_exchange =
         std::make_shared<exchange>(m_services, static_cast<caller_channel &>(*this), head, std::move(m_parser.body()));
     m_parser.reset();
@@ -612,7 +617,18 @@
 std::size_t caller_connection::smallBytes() const
 {
     const std::size_t received = m_bodyHolding == nullptr ? m_parser.body().capacity() + m_shortRequestBytes : 0;
-    return m_unparsed.capacity() + received + untakenBytes();
+    return m_unparsed.capacity() + m_parser.headMemory() + m_requestHeadMemory + received + untakenBytes();
+}
+
+std::size_t caller_connection::headMemory() const
+{
+    const bool isReceived = !m_closed && m_parser.started() && m_parser.state() == http1::parse_state::head;
+    return isReceived ? m_parser.headMemory() : 0;
+}
+
+std::optional<std::chrono::nanoseconds> caller_connection::headAge(core::monotonic_time now) const
+{
+    return headMemory() == 0 || hasUnreadBytes() ? std::nullopt : std::optional(now - m_requestStartedAt);
 }
 
 const std::string &caller_connection::peerAddress() const
@@ -655,6 +671,12 @@
     sendErrorAndClose(statusUnavailable, noMemoryCode, noMemoryWhy, memoryRetryAfter);
 }
 
+void caller_connection::refuseSlowHead()
+{
+    const auto self = shared_from_this();
+    sendErrorAndClose(statusRequestTimeout, "request_timeout", "the head was slow while memory was short");
+}
+
 void caller_connection::dropUntaken()
 {
     const auto self = shared_from_this();
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -69,6 +69,10 @@
 
     /// Bytes that are kept for the caller apart from a long body, which the account of the process counts itself.
     [[nodiscard]] std::size_t smallBytes() const;
+    /// Memory of the head that is being received; 0 if none is.
+    [[nodiscard]] std::size_t headMemory() const;
+    /// Time for which it has been received; nothing if bytes of it aren't read.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> headAge(core::monotonic_time now) const;
     /// Bytes of the body that is being received.
     [[nodiscard]] std::size_t bodyBytes() const;
     [[nodiscard]] const std::string &peerAddress() const;
@@ -83,6 +87,8 @@
     [[nodiscard]] std::optional<std::chrono::nanoseconds> timeWithoutHead(core::monotonic_time now) const;
     /// Refuses the request that is being received, for lack of memory, and closes the connection.
     void refuseForMemory();
+    /// Refuses the request whose head is being received, as it is slow, and closes the connection.
+    void refuseSlowHead();
     /// Drops the answers that the caller doesn't take, with a reset.
     void dropUntaken();
     /// Closes a connection that has sent no whole head.
@@ -164,8 +170,10 @@
     std::shared_ptr<refusal_log_rates> m_logRates;
     /// Counts a long body until its request has ended.
     std::unique_ptr<overload::byte_holding> m_bodyHolding;
-    /// Bytes of a short request in progress.
+    /// Bytes of the body of a short request in progress.
     std::size_t m_shortRequestBytes = 0;
+    /// Memory of the head of the request in progress.
+    std::size_t m_requestHeadMemory = 0;
     /// When the caller took bytes last, or there were none for it to take.
     core::monotonic_time m_tookAt{};
     std::size_t m_takenBytes = 0;
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -25,6 +25,10 @@
 constexpr std::chrono::milliseconds longestRoomWait{2'000};
 /// A caller sends its head within this time of connecting, on the longest link; others may be closed for want of room.
 constexpr std::chrono::milliseconds headGrace{250};
+/// Heads that are being received may hold this part of the account; 1,000 usual ones of 4 KB do at 64 MB of memory.
+/// Beyond, slow ones are refused, and beyond twice that the largest ones: 200 Mbit/s of short lines bring 10 MB of
+/// memory in the time between two ticks.
+constexpr std::size_t headShareDivisor = 4;
 constexpr double logLinesPerSecond = 1;
 constexpr double logBurst = 5;
 
@@ -174,8 +178,50 @@
     return true;
 }
 
+void caller_server::refuseHeads(core::monotonic_time now)
+{
+    std::size_t bytes = 0;
+    for (const auto &connection : m_connections) {
+        bytes += connection->headMemory();
+    }
+    const std::size_t share = m_services.heldBytes.limit() / headShareDivisor;
+    if (bytes <= share) {
+        return;
+    }
+    struct candidate
+    {
+        std::shared_ptr<caller_connection> connection;
+        std::chrono::nanoseconds age{0};
+        std::size_t bytes = 0;
+    };
+    std::vector<candidate> candidates;
+    for (const auto &connection : m_connections) {
+        if (const auto age = connection->headAge(now)) {
+            candidates.push_back({connection, *age, connection->headMemory()});
+        }
+    }
+    const auto refuse = [&](const candidate &one) {
+        recordTurnedAway("no_memory", "its head was slow or large while heads held too much", *one.connection,
+                         one.bytes);
+        one.connection->refuseSlowHead();
+        bytes -= one.bytes;
+    };
+    std::ranges::stable_sort(candidates, std::ranges::greater(), &candidate::age);
+    const auto firstQuick = std::ranges::find_if(candidates, [](const candidate &one) {
+        return one.age < headGrace;
+    });
+    for (auto slow = candidates.begin(); slow != firstQuick && bytes > share; ++slow) {
+        refuse(*slow);
+    }
+    std::ranges::stable_sort(firstQuick, candidates.end(), std::ranges::greater(), &candidate::bytes);
+    for (auto large = firstQuick; large != candidates.end() && bytes > 2 * share; ++large) {
+        refuse(*large);
+    }
+}
+
 void caller_server::relieveMemory(core::monotonic_time now)
 {
+    refuseHeads(now);
     std::size_t smallBytes = 0;
     for (const auto &connection : m_connections) {
         smallBytes += connection->smallBytes();
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -65,6 +65,8 @@
     [[nodiscard]] bool makeRoom();
     /// Counts what is kept for callers, and turns those away that hold the most or stand still if there is no room.
     void relieveMemory(core::monotonic_time now);
+    /// Turns away the slowest and the largest heads while those that are being received hold more than their share.
+    void refuseHeads(core::monotonic_time now);
     void recordPlaces();
     void recordTurnedAway(std::string_view code, std::string_view why, const caller_connection &connection,
                           std::size_t bytes);
--- a/libs/http1/include/medlarrack/http1/message_parser.hpp
+++ b/libs/http1/include/medlarrack/http1/message_parser.hpp
@@ -51,6 +51,8 @@
     [[nodiscard]] parse_state state() const;
     /// Valid once the state is past head.
     [[nodiscard]] const message_head &head() const;
+    /// Memory that the head takes as far as it is parsed, about. Short lines take many times their bytes.
+    [[nodiscard]] std::size_t headMemory() const;
     /// Body bytes parsed and not yet taken, without chunk framing.
     [[nodiscard]] std::string &body();
     [[nodiscard]] const std::string &body() const;
--- a/libs/http1/src/message_parser.cpp
+++ b/libs/http1/src/message_parser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <http_parser.h>
+#include <utility>
 
 namespace medlarrack::http1 {
 
@@ -9,6 +10,9 @@
 
 /// Enough for a chunk's size, its line ends and an extension such as a signature.
 constexpr std::uint64_t framingBytesPerChunk = 128;
+/// Room for fields that is kept from one message to the next, enough for usual ones: connections live long.
+constexpr std::size_t keptFields = 32;
+constexpr std::size_t keptTargetBytes = 1'024;
 constexpr std::size_t statusDigits = 3;
 constexpr int minStatus = 100;
 constexpr int maxStatus = 599;
@@ -58,8 +62,12 @@
         parser.data = this;
         state = parse_state::head;
         head.method.clear();
-        head.target.clear();
+        dropText(head.target, keptTargetBytes);
+        if (head.headers.capacity() > keptFields) {
+            std::exchange(head.headers, {});
+        }
         head.headers.clear();
+        fieldBytes = 0;
         head.status = 0;
         body.clear();
         fault = {};
@@ -79,6 +87,14 @@
         started = false;
     }
 
+    static void dropText(std::string &text, std::size_t keptBytes)
+    {
+        if (text.capacity() > keptBytes) {
+            std::exchange(text, {});
+        }
+        text.clear();
+    }
+
     std::size_t feed(std::string_view bytes)
     {
         if (bytes.empty() || state == parse_state::complete || state == parse_state::malformed
@@ -193,6 +209,7 @@
     static int onTarget(http_parser *parser, const char *bytes, std::size_t size)
     {
         of(parser).head.target.append(bytes, size);
+        of(parser).fieldBytes += size;
         return 0;
     }
 
@@ -208,6 +225,7 @@
             self.valueBegun = false;
         }
         self.head.headers.back().name.append(bytes, size);
+        self.fieldBytes += size;
         return 0;
     }
 
@@ -218,6 +236,7 @@
             return 0;
         }
         self.head.headers.back().value.append(bytes, size);
+        self.fieldBytes += size;
         self.valueBegun = true;
         return 0;
     }
@@ -325,6 +344,8 @@
     std::string body;
     std::string_view fault;
     std::size_t headBytes = 0;
+    /// Bytes of the target and of the fields' names and values.
+    std::size_t fieldBytes = 0;
     /// Bytes of the head among those that were fed last.
     std::size_t scannedBytes = 0;
     /// Bytes behind the head that belong to no body.
@@ -385,6 +406,11 @@
     return m_impl->head;
 }
 
+std::size_t message_parser::headMemory() const
+{
+    return m_impl->fieldBytes + m_impl->head.headers.capacity() * sizeof(header);
+}
+
 const std::string &message_parser::body() const
 {
     return m_impl->body;
