--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -21,6 +21,15 @@
 constexpr std::size_t maxReadAheadWithLittleRoom = 0;
 /// A longer body is counted by itself.
 constexpr std::size_t shortBodyBytes = 16'384;
+/// Buffers of more bytes are given back once they are empty.
+constexpr std::size_t keptBufferBytes = 4'096;
+/// Bytes of a body that must come in each second, apart from pauses of twice the idle time-out. The longest deadline of
+/// callers is 6 s, in which the longest body of 4 MiB needs 700 KB/s; a link of 128 kbit/s takes 256 s for it.
+constexpr std::int64_t leastBodyBytesPerSecond = 16'384;
+constexpr int longestPauseInIdleTimes = 2;
+/// Log lines on refusals: enough for each request that a stop of the process refuses.
+constexpr double refusalLinesPerSecond = 10;
+constexpr double refusalLineBurst = 100;
 /// A body that grows by less stands still.
 constexpr std::size_t leastProgress = 4'096;
 constexpr std::string_view noMemoryCode = "no_memory";
@@ -43,8 +52,15 @@
 
 } // namespace
 
+refusal_log_rates::refusal_log_rates(core::monotonic_time now)
+    : requests(refusalLinesPerSecond, refusalLineBurst, now)
+    , connections(refusalLinesPerSecond, refusalLineBurst, now)
+{
+}
+
 caller_connection::caller_connection(std::weak_ptr<void> server, exchange_services &services,
-                                     std::shared_ptr<http1::byte_stream> stream, std::string peerAddress)
+                                     std::shared_ptr<http1::byte_stream> stream, std::string peerAddress,
+                                     std::shared_ptr<refusal_log_rates> logRates)
     : m_server(std::move(server))
     , m_services(services)
     , m_stream(std::move(stream))
@@ -52,6 +68,7 @@
     , m_lastActivityAt(services.clock.now())
     , m_connectedAt(m_lastActivityAt)
     , m_peerAddress(std::move(peerAddress))
+    , m_logRates(std::move(logRates))
     , m_tookAt(m_lastActivityAt)
     , m_idleAllowance(services.routes.limits().idleTimeout)
 {
@@ -87,6 +104,7 @@
     dropRequestBytes();
     std::exchange(m_unparsed, {});
     std::exchange(m_parser.body(), {});
+    m_parser.reset();
     switch (how) {
     case connection_end::finished:
         m_stream->finish();
@@ -212,7 +230,7 @@
         const bool wasInBody = m_parser.state() == http1::parse_state::body;
         const std::size_t consumed = m_parser.feed(m_unparsed);
         m_unparsed.erase(0, consumed);
-        if (m_unparsed.empty() && m_unparsed.capacity() > http1::byte_stream::readBytes) {
+        if (m_unparsed.empty() && m_unparsed.capacity() > keptBufferBytes) {
             // An empty string keeps its memory as long as the connection lives.
             std::exchange(m_unparsed, {});
         }
@@ -228,6 +246,7 @@
             } else if (m_parser.state() == http1::parse_state::complete) {
                 startExchange();
             } else {
+                extendBodyTime(wasInBody ? std::optional(consumed) : std::nullopt);
                 if (!wasInBody || m_parser.body().size() >= m_bodyMark + leastProgress) {
                     m_bodyMark = m_parser.body().size();
                     m_bodyGrewAt = m_lastActivityAt;
@@ -275,12 +294,22 @@
     m_awaitsRoom = false;
     // The caller wasn't silent meanwhile.
     m_lastActivityAt = m_services.clock.now();
+    m_bodyEndsBy += m_lastActivityAt - m_awaitsRoomSince;
     m_bodyGrewAt = m_lastActivityAt;
     m_stream->startReading();
 }
 
+void caller_connection::extendBodyTime(std::optional<std::size_t> bytes)
+{
+    const core::monotonic_time latest = m_lastActivityAt + longestPauseInIdleTimes * m_idleAllowance.timeout();
+    const auto count = static_cast<std::int64_t>(bytes.value_or(0));
+    const auto earned = std::chrono::nanoseconds(std::chrono::seconds(1)) * count / leastBodyBytesPerSecond;
+    m_bodyEndsBy = bytes ? std::min(m_bodyEndsBy + earned, latest) : latest;
+}
+
 void caller_connection::dropRequestBytes()
 {
+    m_requestHeadMemory = 0;
     m_bodyHolding.reset();
     m_shortRequestBytes = 0;
 }
@@ -332,6 +361,7 @@
     } else {
         m_shortRequestBytes = m_parser.body().capacity();
     }
+    m_requestHeadMemory = m_parser.headMemory();
     m_exchange =
         std::make_shared<exchange>(m_services, static_cast<caller_channel &>(*this), head, std::move(m_parser.body()));
     m_parser.reset();
@@ -353,7 +383,10 @@
 void caller_connection::refuseRequest(std::string_view code, std::string_view why, std::chrono::milliseconds retryAfter)
 {
     const request_metadata request = m_services.format.readRequest(m_parser.head());
-    log::write(log::level::info, "request refused", {{"request_id", request.id}, {"why", why}});
+    if (const auto unlogged = m_logRates->requests.tryWrite(m_services.clock.now())) {
+        log::write(log::level::info, "request refused",
+                   {{"request_id", request.id}, {"why", why}, {"unlogged", *unlogged}});
+    }
     local_response response;
     response.status = statusUnavailable;
     response.code = code;
@@ -376,7 +409,10 @@
 void caller_connection::sendErrorAndClose(int status, std::string_view code, std::string_view why,
                                           std::optional<std::chrono::milliseconds> retryAfter)
 {
-    log::write(log::level::info, "connection refused", {{"status", status}, {"code", code}, {"why", why}});
+    if (const auto unlogged = m_logRates->connections.tryWrite(m_services.clock.now())) {
+        log::write(log::level::info, "connection refused",
+                   {{"status", status}, {"code", code}, {"why", why}, {"unlogged", *unlogged}});
+    }
     local_response response;
     response.status = status;
     response.code = code;
@@ -509,7 +545,8 @@
     }
     const bool headTimedOut = m_parser.started() && m_parser.state() == http1::parse_state::head
         && now - m_requestStartedAt >= limits.headTimeout;
-    const bool isOverdue = headTimedOut || now - m_lastActivityAt >= m_idleAllowance.timeout();
+    const bool bodyTimedOut = m_parser.state() == http1::parse_state::body && now >= m_bodyEndsBy;
+    const bool isOverdue = headTimedOut || bodyTimedOut || now - m_lastActivityAt >= m_idleAllowance.timeout();
     // Unread bytes have come in time, but the process was busy or frozen.
     if (!isOverdue || hasUnreadBytes()) {
         return;
@@ -580,7 +617,18 @@
 std::size_t caller_connection::smallBytes() const
 {
     const std::size_t received = m_bodyHolding == nullptr ? m_parser.body().capacity() + m_shortRequestBytes : 0;
-    return m_unparsed.capacity() + received + untakenBytes();
+    return m_unparsed.capacity() + m_parser.headMemory() + m_requestHeadMemory + received + untakenBytes();
+}
+
+std::size_t caller_connection::headMemory() const
+{
+    const bool isReceived = !m_closed && m_parser.started() && m_parser.state() == http1::parse_state::head;
+    return isReceived ? m_parser.headMemory() : 0;
+}
+
+std::optional<std::chrono::nanoseconds> caller_connection::headAge(core::monotonic_time now) const
+{
+    return headMemory() == 0 || hasUnreadBytes() ? std::nullopt : std::optional(now - m_requestStartedAt);
 }
 
 const std::string &caller_connection::peerAddress() const
@@ -623,6 +671,12 @@
     sendErrorAndClose(statusUnavailable, noMemoryCode, noMemoryWhy, memoryRetryAfter);
 }
 
+void caller_connection::refuseSlowHead()
+{
+    const auto self = shared_from_this();
+    sendErrorAndClose(statusRequestTimeout, "request_timeout", "the head was slow while memory was short");
+}
+
 void caller_connection::dropUntaken()
 {
     const auto self = shared_from_this();
