--- a/libs/quota/include/medlarrack/quota/tenant_limiter.hpp
+++ b/libs/quota/include/medlarrack/quota/tenant_limiter.hpp
@@ -20,6 +20,8 @@
     core::bucket_limits limits;
     double admittedUnits = 0;
     std::uint64_t refusedRequests = 0;
+    /// Units per second that this gateway is asked for at present, whether it admits them or not.
+    double askedPerSecond = 0;
     /// Of the fleet's rate that this gateway may admit while the tenant exceeds its quota, 0 to 1.
     double share = 0;
     /// Estimate of the fleet's bucket; nothing while no agent has told of it.
@@ -42,6 +44,11 @@
     /// Whether a request may run. Counts what it costs if it may. Limits of 0 units per second admit all.
     [[nodiscard]] bool admit(std::string_view tenant, const core::bucket_limits &limits, double cost,
                              core::monotonic_time now);
+    /// What admit() would decide, without counting the request: the time until it may be admitted if it would be
+    /// refused now, else nothing.
+    [[nodiscard]] std::optional<std::chrono::milliseconds> predictRefusal(std::string_view tenant,
+                                                                          const core::bucket_limits &limits,
+                                                                          double cost, core::monotonic_time now) const;
     /// Takes the cost of an admitted request back that no replica has run.
     void giveBack(std::string_view tenant, double cost);
     /// Time until a request of a tenant that was refused now may be admitted.
--- a/libs/quota/src/tenant_limiter.cpp
+++ b/libs/quota/src/tenant_limiter.cpp
@@ -91,19 +91,49 @@
 class tenant_limiter::impl
 {
 public:
-    tenant_state &stateOf(std::string_view tenant, const core::bucket_limits &limits, core::monotonic_time now)
+    /// The state of a tenant that has been idle here for as long as it is known.
+    static tenant_state newState(core::monotonic_time now)
     {
-        auto found = tenants.find(tenant);
-        if (found == tenants.end()) {
-            found = tenants.emplace(std::string(tenant), tenant_state{}).first;
-            found->second.shareFilledAt = now;
-            found->second.activeSince = now;
-        } else if (now - found->second.lastAskedAt > totalLifetime) {
-            found->second.activeSince = now;
+        tenant_state state;
+        state.shareFilledAt = now;
+        state.activeSince = now;
+        state.lastAskedAt = now;
+        return state;
+    }
+
+    /// Decides on a request and counts it, unless it is refused, in the state that is given.
+    static bool decide(tenant_state &state, const core::bucket_limits &limits, double cost, core::monotonic_time now)
+    {
+        if (now - state.lastAskedAt > totalLifetime) {
+            state.activeSince = now;
+        }
+        state.lastAskedAt = now;
+        state.limits = limits;
+        state.asked.record(cost, now);
+        updateShare(state, now);
+        const std::optional<double> level = estimate(state, now);
+        refillShare(state, level && *level <= 0, now);
+        const bool awaitsFirstTotal = !level && now - state.activeSince < firstTotalTime;
+        const bool reliesOnShare = !awaitsFirstTotal && (!level || *level <= 0);
+        if (reliesOnShare && state.shareLevel <= 0) {
+            ++state.refused;
+            return false;
         }
-        found->second.lastAskedAt = now;
-        found->second.limits = limits;
-        return found->second;
+        // Also charged while all is admitted: otherwise each gateway would have one more request to its credit once the
+        // bucket is empty. The debt of that time is bounded.
+        const double lowest = -std::max(cost, limits.perSecond * state.share * shareBurstSeconds);
+        state.shareLevel = reliesOnShare ? state.shareLevel - cost : std::max(state.shareLevel - cost, lowest);
+        state.admitted += cost;
+        return true;
+    }
+
+    [[nodiscard]] static milliseconds timeToAdmission(const tenant_state &state, core::monotonic_time now)
+    {
+        const double rate = state.limits.perSecond * std::max(state.share, minReportShare);
+        const double passed = inSeconds(now - state.shareFilledAt);
+        const std::chrono::duration<double> wait(rate > 0 ? std::max(0.0, -state.shareLevel / rate - passed) : 0.0);
+        return std::clamp(std::chrono::ceil<milliseconds>(std::min(wait, std::chrono::duration<double>(maxRetryAfter))),
+                          minRetryAfter, maxRetryAfter);
     }
 
     /// Estimate of the bucket by the agent that knows of most use; nothing without fresh totals.
@@ -183,24 +213,25 @@
     if (given.perSecond <= 0) {
         return true;
     }
-    const core::bucket_limits limits = effective(given);
-    tenant_state &state = m_impl->stateOf(tenant, limits, now);
-    state.asked.record(cost, now);
-    impl::updateShare(state, now);
-    const std::optional<double> level = impl::estimate(state, now);
-    impl::refillShare(state, level && *level <= 0, now);
-    const bool awaitsFirstTotal = !level && now - state.activeSince < firstTotalTime;
-    const bool reliesOnShare = !awaitsFirstTotal && (!level || *level <= 0);
-    if (reliesOnShare && state.shareLevel <= 0) {
-        ++state.refused;
-        return false;
+    auto found = m_impl->tenants.find(tenant);
+    if (found == m_impl->tenants.end()) {
+        found = m_impl->tenants.emplace(std::string(tenant), impl::newState(now)).first;
     }
-    // Also charged while all is admitted: otherwise each gateway would have one more request to its credit once the
-    // bucket is empty. The debt of that time is bounded.
-    const double lowest = -std::max(cost, limits.perSecond * state.share * shareBurstSeconds);
-    state.shareLevel = reliesOnShare ? state.shareLevel - cost : std::max(state.shareLevel - cost, lowest);
-    state.admitted += cost;
-    return true;
+    return impl::decide(found->second, effective(given), cost, now);
+}
+
+std::optional<milliseconds> tenant_limiter::predictRefusal(std::string_view tenant, const core::bucket_limits &limits,
+                                                           double cost, core::monotonic_time now) const
+{
+    if (limits.perSecond <= 0) {
+        return std::nullopt;
+    }
+    const auto found = m_impl->tenants.find(tenant);
+    tenant_state state = found == m_impl->tenants.end() ? impl::newState(now) : found->second;
+    if (impl::decide(state, effective(limits), cost, now)) {
+        return std::nullopt;
+    }
+    return impl::timeToAdmission(state, now);
 }
 
 void tenant_limiter::giveBack(std::string_view tenant, double cost)
@@ -213,15 +244,7 @@
 milliseconds tenant_limiter::timeToAdmission(std::string_view tenant, core::monotonic_time now) const
 {
     const auto found = m_impl->tenants.find(tenant);
-    if (found == m_impl->tenants.end()) {
-        return minRetryAfter;
-    }
-    const tenant_state &state = found->second;
-    const double rate = state.limits.perSecond * std::max(state.share, minReportShare);
-    const double passed = inSeconds(now - state.shareFilledAt);
-    const std::chrono::duration<double> wait(rate > 0 ? std::max(0.0, -state.shareLevel / rate - passed) : 0.0);
-    return std::clamp(std::chrono::ceil<milliseconds>(std::min(wait, std::chrono::duration<double>(maxRetryAfter))),
-                      minRetryAfter, maxRetryAfter);
+    return found == m_impl->tenants.end() ? minRetryAfter : impl::timeToAdmission(found->second, now);
 }
 
 std::vector<core::tenant_report>
@@ -284,7 +307,8 @@
     std::vector<tenant_usage> all;
     all.reserve(m_impl->tenants.size());
     for (const auto &[tenant, state] : m_impl->tenants) {
-        all.push_back({tenant, state.limits, state.admitted, state.refused, state.share, impl::estimate(state, now)});
+        all.push_back({tenant, state.limits, state.admitted, state.refused, state.asked.perSecond(now), state.share,
+                       impl::estimate(state, now)});
     }
     return all;
 }
--- a/libs/quota/tests/test_tenant_limiter.cpp
+++ b/libs/quota/tests/test_tenant_limiter.cpp
@@ -42,6 +42,33 @@
     BOOST_TEST((limiter.timeToAdmission("t", start + milliseconds(10'000)) >= milliseconds(200)));
 }
 
+// Load: one gateway without news of the bucket is asked for ten times its assumed share. Guards against a prediction
+// that differs from the decision on the request, and against one that counts as a request.
+BOOST_AUTO_TEST_CASE(a_refusal_is_predicted_as_it_is_decided_and_not_counted)
+{
+    tenant_limiter limiter;
+    tenant_limiter unasked;
+    BOOST_TEST(!limiter.predictRefusal("t", limits, 10, start).has_value());
+    BOOST_TEST(limiter.usage(start).empty());
+    int refused = 0;
+    for (int step = 0; step < 200; ++step) {
+        const auto now = start + milliseconds(10 * step);
+        for (int question = 0; question < 3; ++question) {
+            static_cast<void>(limiter.predictRefusal("t", limits, 40, now));
+        }
+        const auto predicted = limiter.predictRefusal("t", limits, 10, now);
+        const bool isAdmitted = limiter.admit("t", limits, 10, now);
+        BOOST_TEST(isAdmitted == unasked.admit("t", limits, 10, now));
+        BOOST_TEST(predicted.has_value() == !isAdmitted);
+        if (predicted) {
+            ++refused;
+            BOOST_TEST((*predicted == limiter.timeToAdmission("t", now)));
+        }
+    }
+    BOOST_TEST(refused > 100);
+    BOOST_TEST(limiter.usage(start).front().refusedRequests == static_cast<std::uint64_t>(refused));
+}
+
 // Guards against quota that is lost to requests that no replica has run.
 BOOST_AUTO_TEST_CASE(what_is_given_back_is_reported_as_unused)
 {
