Show a gateway's state on a page and by medlarrackctl state

An operator could see tenants, queues, learned figures and memory only as separate metrics, and not which address holds what is kept. The gateway's admin address has the page /state: requests of each tenant by outcome and code, quotas, the queue by rank, learned figures of replicas and engines, own load, memory and its holders. The fixture of the tests of medlarrackctl route moves to a header of its own.

--- a/apps/medlarrackctl/src/arguments.cpp
+++ b/apps/medlarrackctl/src/arguments.cpp
@@ -20,7 +20,7 @@
 Commands:
   check-settings PROGRAM FILE         check a settings file of agent, entry, gateway or sidecar
   check-ticket FILE...                check change tickets before they are published
-  state URL                           show a daemon's state
+  state URL [--json]                  show a daemon's state; URL is the admin address of a gateway
   explain REQUEST-ID --url URL...     join what daemons know of a request into one time line
   explain REQUEST-ID --log FILE...    the same from log files, with what its processes learnt of its replicas meanwhile
   route URL TARGET [--header "NAME: VALUE"]... [--tenant NAME] [--json]
@@ -88,7 +88,8 @@
           "file with the head of the request of route; \"-\" for standard input", "FILE"},
          {"tenant", 't', POPT_ARG_STRING, static_cast<void *>(&raw.tenant), 0,
           "tenant of the request of route, in place of its key", "NAME"},
-         {"json", 'j', POPT_ARG_NONE, &raw.json, 0, "print what route finds as JSON", nullptr},
+         {"json", 'j', POPT_ARG_NONE, &raw.json, 0, "print what route finds, or the state of a gateway, as JSON",
+          nullptr},
          {"version", 'V', POPT_ARG_NONE, &raw.version, 0, "print the version and exit", nullptr},
          POPT_AUTOHELP POPT_TABLEEND}};
     const std::unique_ptr<poptContext_s, context_deleter> context(
--- a/apps/medlarrackctl/src/commands.cpp
+++ b/apps/medlarrackctl/src/commands.cpp
@@ -53,7 +53,7 @@
         return hasOperands(wanted, 1, anyNumber, err) ? checkTickets(operands, out, err) : daemon::exitUsage;
     }
     if (wanted.command == "state") {
-        return hasOperands(wanted, 1, 1, err) ? showState(operands[0], out, err) : daemon::exitUsage;
+        return hasOperands(wanted, 1, 1, err) ? showState(operands[0], out, err, wanted.json) : daemon::exitUsage;
     }
     if (wanted.command == "explain") {
         return hasOperands(wanted, 1, 1, err) ? runExplain(wanted, in, out, err) : daemon::exitUsage;
--- a/apps/medlarrackctl/src/commands.hpp
+++ b/apps/medlarrackctl/src/commands.hpp
@@ -17,8 +17,8 @@
                                 std::ostream &err);
 /// Checks ticket files, each whole, and that no two have the same number.
 [[nodiscard]] int checkTickets(const std::vector<std::string> &paths, std::ostream &out, std::ostream &err);
-/// Prints a daemon's state.
-[[nodiscard]] int showState(const std::string &url, std::ostream &out, std::ostream &err);
+/// Prints a daemon's state: of a gateway as text unless JSON is wanted, of others always as JSON.
+[[nodiscard]] int showState(const std::string &url, std::ostream &out, std::ostream &err, bool asJson = false);
 /// Prints the joined time line of a request.
 [[nodiscard]] int explain(const std::string &requestId, const std::vector<std::string> &urls, std::ostream &out,
                           std::ostream &err);
--- a/apps/medlarrackctl/src/show_route.cpp
+++ b/apps/medlarrackctl/src/show_route.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 #include "page_reader.hpp"
+#include "page_text.hpp"
 
 #include <medlarrack/daemon/command_line.hpp>
 #include <medlarrack/http1/message_parser.hpp>
@@ -21,8 +22,6 @@
 
 namespace {
 
-using nlohmann::json;
-
 constexpr int statusOk = 200;
 constexpr int indent = 2;
 constexpr std::size_t maxHeadBytes = 65'536;
@@ -92,32 +91,6 @@
     return tenant.empty() ? target : target + "&tenant=" + percentEncoded(tenant);
 }
 
-std::string asText(const json &value)
-{
-    if (!value.is_object()) {
-        return value.is_string() ? value.get<std::string>() : value.dump();
-    }
-    std::string text;
-    for (const auto &[name, part] : value.items()) {
-        text += (text.empty() ? "" : ", ") + name + " " + asText(part);
-    }
-    return text;
-}
-
-void printText(const json &explanation, std::ostream &out)
-{
-    for (const auto &[name, value] : explanation.items()) {
-        if (!value.is_array()) {
-            out << name << ": " << asText(value) << "\n";
-            continue;
-        }
-        out << name << ": " << value.size() << "\n";
-        for (const json &one : value) {
-            out << "  " << asText(one) << "\n";
-        }
-    }
-}
-
 } // namespace
 
 int showRoute(const arguments &wanted, std::istream &in, std::ostream &out, std::ostream &err)
@@ -147,7 +120,7 @@
     if (wanted.json) {
         out << explanation->dump(indent) << "\n";
     } else {
-        printText(*explanation, out);
+        printAsText(*explanation, out);
     }
     return daemon::exitOk;
 }
--- a/apps/medlarrackctl/src/show_state.cpp
+++ b/apps/medlarrackctl/src/show_state.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 #include "page_reader.hpp"
+#include "page_text.hpp"
 
 #include <medlarrack/daemon/command_line.hpp>
 
@@ -12,14 +13,20 @@
 namespace {
 
 constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
 constexpr int indent = 2;
 
 } // namespace
 
-int showState(const std::string &url, std::ostream &out, std::ostream &err)
+int showState(const std::string &url, std::ostream &out, std::ostream &err, bool asJson)
 {
     core::reason why;
-    const auto page = readPage(url, "/debug/state", why);
+    auto page = readPage(url, "/debug/state", why);
+    // A gateway has a page of its own, which is long: it is printed as text.
+    const bool isGateway = page && page->status == statusNotFound;
+    if (isGateway) {
+        page = readPage(url, "/state", why);
+    }
     if (!page) {
         err << url << ": " << why.code << ": " << why.message << "\n";
         return daemon::exitFailure;
@@ -29,7 +36,11 @@
         err << url << ": status " << page->status << ", " << page->body.size() << " bytes that are no state\n";
         return daemon::exitFailure;
     }
-    out << state->dump(indent) << "\n";
+    if (isGateway && !asJson && state->is_object()) {
+        printAsText(*state, out);
+    } else {
+        out << state->dump(indent) << "\n";
+    }
     return daemon::exitOk;
 }
 
--- a/apps/medlarrackctl/tests/test_show_route.cpp
+++ b/apps/medlarrackctl/tests/test_show_route.cpp
@@ -1,62 +1,22 @@
-#include "arguments.hpp"
-#include "commands.hpp"
-
-#include <medlarrack/daemon/command_line.hpp>
-#include <medlarrack/http1/page_server.hpp>
-
-#include <asio/io_context.hpp>
-#include <boost/test/unit_test.hpp>
-
-#include <sstream>
-#include <thread>
+#include "admin_fixture.hpp"
 
 using namespace medlarrack;
 using namespace medlarrack::ctl;
 
 namespace {
 
-/// An admin address that gives one page and records what is asked for.
-struct admin_fixture
+struct route_fixture : ctl::testing::admin_fixture
 {
-    admin_fixture()
+    route_fixture()
     {
-        core::reason why;
-        BOOST_REQUIRE(server.listen({asio::ip::address_v4::loopback(), 0}, why));
         wanted.command = "route";
-        wanted.operands = {"http://127.0.0.1:" + std::to_string(server.port())};
-        runner = std::thread([this] {
-            context.run();
-        });
-    }
-
-    ~admin_fixture()
-    {
-        context.stop();
-        runner.join();
+        page = {200, "application/json", R"({"service":"s","candidates":[{"replica":"i-0","load":2}]})"};
     }
-
-    int run(const std::string &input = "")
-    {
-        std::istringstream in(input);
-        return runCommand(wanted, in, out, err);
-    }
-
-    http1::page page{200, "application/json", R"({"service":"s","candidates":[{"replica":"i-0","load":2}]})"};
-    std::string target;
-    asio::io_context context;
-    http1::page_server server{context, [this](std::string_view asked) {
-                                  target = asked;
-                                  return page;
-                              }};
-    std::thread runner;
-    arguments wanted;
-    std::ostringstream out;
-    std::ostringstream err;
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(show_route, admin_fixture)
+BOOST_FIXTURE_TEST_SUITE(show_route, route_fixture)
 
 // Guards against fields that are lost or that end the query early.
 BOOST_AUTO_TEST_CASE(a_request_of_headers_is_put_into_the_query)
--- a/libs/gateway/include/medlarrack/gateway/admission.hpp
+++ b/libs/gateway/include/medlarrack/gateway/admission.hpp
@@ -49,6 +49,16 @@
     std::chrono::milliseconds retryAfter{0};
 };
 
+/// Requests of one urgency that wait.
+struct queued_level
+{
+    std::uint32_t urgency = 0;
+    std::size_t requests = 0;
+    std::size_t bytes = 0;
+    /// Time since the oldest of them was queued.
+    std::chrono::nanoseconds oldestWait{0};
+};
+
 /// Queue of the requests of one service that no engine has capacity for. More urgent requests are sent first; within an
 /// urgency those of returning callers, then tenants share by weight. A full queue makes room for a more urgent request,
 /// or for a tenant that has fewer waiting. A request is refused as soon as its deadline is not expected to be met, by
@@ -74,6 +84,8 @@
     /// Time until the request is expected to be sent if it is queued now; at most a bound above which it says nothing.
     [[nodiscard]] std::chrono::milliseconds expectedWait(const waiting_request &request,
                                                          core::monotonic_time now) const;
+    /// All urgencies, the most urgent first.
+    [[nodiscard]] std::vector<queued_level> levels(core::monotonic_time now) const;
     [[nodiscard]] std::size_t size() const;
     [[nodiscard]] std::size_t bytes() const;
 
--- a/libs/gateway/src/admission.cpp
+++ b/libs/gateway/src/admission.cpp
@@ -153,6 +153,19 @@
     return waitBehind(ahead, now);
 }
 
+std::vector<queued_level> admission::levels(core::monotonic_time now) const
+{
+    std::vector<queued_level> all;
+    for (const overload::run_queue &queue : m_levels) {
+        queued_level level{static_cast<std::uint32_t>(all.size()), queue.size(), queue.bytes()};
+        for (const overload::queue_item *item : queue.inServiceOrder()) {
+            level.oldestWait = std::max<std::chrono::nanoseconds>(level.oldestWait, now - item->enqueued);
+        }
+        all.push_back(level);
+    }
+    return all;
+}
+
 std::size_t admission::size() const
 {
     std::size_t sum = 0;
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -286,6 +286,15 @@
         }));
 }
 
+std::map<std::string, std::size_t, std::less<>> caller_server::smallBytesByAddress() const
+{
+    std::map<std::string, std::size_t, std::less<>> byAddress;
+    for (const auto &connection : m_connections) {
+        byAddress[connection->peerAddress()] += connection->smallBytes();
+    }
+    return byAddress;
+}
+
 std::size_t caller_server::untakenBytes() const
 {
     std::size_t sum = 0;
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -11,9 +11,12 @@
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -45,6 +48,8 @@
     [[nodiscard]] std::size_t size() const;
     /// Connections with a request in progress.
     [[nodiscard]] std::size_t busy() const;
+    /// Bytes that are kept for callers apart from long bodies, which the account of the process counts, by address.
+    [[nodiscard]] std::map<std::string, std::size_t, std::less<>> smallBytesByAddress() const;
     /// Bytes of answers that callers have yet to take.
     [[nodiscard]] std::size_t untakenBytes() const;
     /// Connections whose next pipelined request isn't begun until the caller takes its answers.
--- a/libs/gateway/src/capacity_waiters.cpp
+++ b/libs/gateway/src/capacity_waiters.cpp
@@ -72,6 +72,22 @@
     }
 }
 
+std::chrono::milliseconds capacity_waiters::expectedWait(std::string_view service, const waiting_request &request,
+                                                         core::monotonic_time now) const
+{
+    const auto found = m_queues.find(service);
+    return found == m_queues.end() ? std::chrono::milliseconds(0) : found->second.expectedWait(request, now);
+}
+
+std::vector<service_queue> capacity_waiters::queues(core::monotonic_time now) const
+{
+    std::vector<service_queue> all;
+    for (const auto &[service, queue] : m_queues) {
+        all.push_back({service, queue.levels(now)});
+    }
+    return all;
+}
+
 void capacity_waiters::refuse(const std::vector<admission_refusal> &refused)
 {
     for (const admission_refusal &each : refused) {
--- a/libs/gateway/src/capacity_waiters.hpp
+++ b/libs/gateway/src/capacity_waiters.hpp
@@ -2,15 +2,24 @@
 
 #include <medlarrack/gateway/admission.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace medlarrack::gateway {
 
+/// The queue of one service.
+struct service_queue
+{
+    std::string_view service;
+    std::vector<queued_level> levels;
+};
+
 /// Receives the outcome of waiting for capacity of a service.
 class capacity_waiter
 {
@@ -47,6 +56,12 @@
     /// The same for all services, and refuses requests whose deadline can no longer be met.
     void tick(core::monotonic_time now);
 
+    /// Time until a request of a service would be expected to be sent if it were queued now.
+    [[nodiscard]] std::chrono::milliseconds expectedWait(std::string_view service, const waiting_request &request,
+                                                         core::monotonic_time now) const;
+    /// The queues of all services that have had one.
+    [[nodiscard]] std::vector<service_queue> queues(core::monotonic_time now) const;
+
 private:
     void refuse(const std::vector<admission_refusal> &refused);
     std::shared_ptr<capacity_waiter> take(std::uint64_t id);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -288,6 +288,7 @@
     m_services.metrics.observeSeconds("medlarrack_gateway_request_seconds", "Time from request to end of answer",
                                       {.code = std::string(outcome)},
                                       std::chrono::duration<double>(now - m_startedAt).count());
+    recordTenantOutcome(outcome);
     releaseReplica();
     if (m_quotaCost > 0 && m_history.runs == 0) {
         m_services.tenantLimiter.giveBack(m_quotaTenant, m_quotaCost);
@@ -297,6 +298,21 @@
     }
 }
 
+void exchange::recordTenantOutcome(std::string_view outcome)
+{
+    if (m_tenant == nullptr) {
+        return;
+    }
+    const std::string_view code = m_localCode.empty() ? outcome : std::string_view(m_localCode);
+    if (outcome == "ran") {
+        m_services.tenantCounts.recordServed(m_tenant->name);
+    } else if (outcome == "not_run") {
+        m_services.tenantCounts.recordRefused(m_tenant->name, code);
+    } else {
+        m_services.tenantCounts.recordFailed(m_tenant->name, code);
+    }
+}
+
 std::string_view exchange::requestId() const
 {
     return m_requestMetadata.id;
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -207,6 +207,7 @@
     void clearPendingPrefillTokens();
     void releaseReplica();
     void finish(std::string_view outcome, int status, std::string_view why);
+    void recordTenantOutcome(std::string_view outcome);
     [[nodiscard]] std::chrono::milliseconds timeLeft(core::monotonic_time now) const;
     [[nodiscard]] request_progress progress() const;
     /// Records what the end of the current run by the caller says about its replica.
@@ -324,6 +325,8 @@
     bool m_originRecorded = false;
     bool m_readPaused = false;
     bool m_waitingForAdapter = false;
+    /// Code of the response of this process itself; empty if there is none.
+    std::string m_localCode;
     /// Id in the queue of requests that wait for capacity; 0 if this one doesn't.
     std::uint64_t m_queueId = 0;
     /// Set until the request leaves that queue.
--- a/libs/gateway/src/exchange_responses.cpp
+++ b/libs/gateway/src/exchange_responses.cpp
@@ -169,6 +169,7 @@
     std::string out;
     m_services.format.appendLocalResponse(out, response, m_requestMetadata.id);
     m_caller->write(out);
+    m_localCode = response.code;
     finish(outcome, response.status, response.message);
 }
 
--- a/libs/gateway/src/exchange_services.hpp
+++ b/libs/gateway/src/exchange_services.hpp
@@ -16,6 +16,7 @@
 #include <medlarrack/gateway/prompt_sizes.hpp>
 #include <medlarrack/gateway/replica_table.hpp>
 #include <medlarrack/gateway/response_bounds.hpp>
+#include <medlarrack/gateway/tenant_counts.hpp>
 #include <medlarrack/metrics/registry.hpp>
 #include <medlarrack/overload/byte_account.hpp>
 #include <medlarrack/overload/retry_budget.hpp>
@@ -65,6 +66,7 @@
     /// Sizes of the prompts by service.
     std::map<std::string, prompt_sizes, std::less<>> &promptSizes;
     capacity_waiters &capacityWaiters;
+    tenant_counts &tenantCounts;
 };
 
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -3,6 +3,7 @@
 #include "milliseconds.hpp"
 #include "process_use.hpp"
 #include "route_page.hpp"
+#include "state_page.hpp"
 #include "store_reader.hpp"
 
 #include <medlarrack/core/hash.hpp>
@@ -103,7 +104,8 @@
                    tenantLimiter,
                    ownLoad,
                    promptSizes,
-                   capacityWaiters}
+                   capacityWaiters,
+                   tenantCounts}
         , store(owner, http1::parseEndpoint(given.store).value_or(asio::ip::tcp::endpoint()), storeFormat, time,
                 given.changeBound * pollIntervalPercent / 100, kilobytes(given.maxStoreAnswerKb),
                 [this](const store_update &update) {
@@ -432,9 +434,20 @@
         if (target.substr(0, target.find('?')) == routePagePath) {
             return explainRoute(services, target);
         }
+        if (target.substr(0, target.find('?')) == statePagePath) {
+            return describeState(stateSources());
+        }
         return {statusNotFound, "text/plain", "no such page\n"};
     }
 
+    [[nodiscard]] state_sources stateSources() const
+    {
+        caller_use callers{callerServer.size(), maxCallerConnections(settings), callerServer.busy(),
+                           callerServer.untakenBytes(), callerServer.smallBytesByAddress()};
+        return {clock.now(),     routes,  replicas,  tenantLimiter,      tenantCounts,
+                capacityWaiters, ownLoad, heldBytes, std::move(callers), readDescriptorUse()};
+    }
+
     asio::io_context &context;
     gateway_settings settings;
     const caller_format &format;
@@ -450,6 +463,7 @@
     quota::tenant_limiter tenantLimiter;
     std::map<std::string, prompt_sizes, std::less<>> promptSizes;
     capacity_waiters capacityWaiters;
+    tenant_counts tenantCounts;
     connection_pool connections;
     agent_links agents;
     std::map<std::string, overload::retry_budget, std::less<>> retryBudgets;
--- a/libs/gateway/src/process_use.cpp
+++ b/libs/gateway/src/process_use.cpp
@@ -1,7 +1,11 @@
 #include "process_use.hpp"
 
+#include <algorithm>
 #include <ctime>
+#include <filesystem>
 #include <fstream>
+#include <sys/resource.h>
+#include <system_error>
 #include <unistd.h>
 
 namespace medlarrack::gateway {
@@ -21,4 +25,21 @@
     return use;
 }
 
+descriptor_use readDescriptorUse()
+{
+    descriptor_use use;
+    std::error_code error;
+    for (std::filesystem::directory_iterator it("/proc/self/fd", error), end; !error && it != end;
+         it.increment(error)) {
+        ++use.open;
+    }
+    // The one by which they are listed.
+    use.open -= std::min<std::size_t>(use.open, 1);
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
+        use.limit = limit.rlim_cur;
+    }
+    return use;
+}
+
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/route_page.cpp
+++ b/libs/gateway/src/route_page.cpp
@@ -1,5 +1,6 @@
 #include "route_page.hpp"
 
+#include "json_page.hpp"
 #include "milliseconds.hpp"
 #include "request_terms.hpp"
 
@@ -323,12 +324,6 @@
     json m_page;
 };
 
-http1::page toPage(int status, const json &content)
-{
-    // Names in requests may hold any bytes.
-    return {status, "application/json", content.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"};
-}
-
 } // namespace
 
 http1::page explainRoute(const exchange_services &services, std::string_view pageTarget)
@@ -336,13 +331,14 @@
     const std::size_t mark = std::min(pageTarget.find('?'), pageTarget.size());
     const auto request = readQuery(pageTarget.substr(std::min(mark + 1, pageTarget.size())));
     if (!request) {
-        return toPage(statusBadRequest, {{"error", "the query needs a target, and headers as NAME: VALUE"}});
+        return jsonPage(statusBadRequest, {{"error", "the query needs a target, and headers as NAME: VALUE"}});
     }
     explanation made(services, *request);
     if (made.hasKey()) {
-        return toPage(statusBadRequest, {{"error", "a request is explained by the name of its tenant, without a key"}});
+        return jsonPage(statusBadRequest,
+                        {{"error", "a request is explained by the name of its tenant, without a key"}});
     }
-    return toPage(statusOk, made.make());
+    return jsonPage(statusOk, made.make());
 }
 
 } // namespace medlarrack::gateway
--- a/libs/overload/include/medlarrack/overload/byte_account.hpp
+++ b/libs/overload/include/medlarrack/overload/byte_account.hpp
@@ -4,11 +4,21 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 namespace medlarrack::overload {
 
 class byte_holding;
 
+/// What is kept for one holder.
+struct holder_use
+{
+    /// Valid until the account changes.
+    std::string_view holder;
+    std::size_t bytes = 0;
+    std::size_t holdings = 0;
+};
+
 /// Counts the bytes that a process keeps for others and says who may send on. Each holder, such as a replica, may hold
 /// half as much as is left free, so that one that floods waits first and others find room. The oldest holding always
 /// may grow to its greatest size: the room for it is kept free, so that holdings never wait for each other in a circle.
@@ -37,6 +47,8 @@
     [[nodiscard]] bool isOverfull() const;
     /// Holdings that wait for room.
     [[nodiscard]] std::size_t waiting() const;
+    /// All holders by name, without the bytes that have none.
+    [[nodiscard]] std::vector<holder_use> holders() const;
 
 private:
     friend class byte_holding;
--- a/libs/overload/src/byte_account.cpp
+++ b/libs/overload/src/byte_account.cpp
@@ -166,6 +166,16 @@
     return m_impl->waiting.size();
 }
 
+std::vector<holder_use> byte_account::holders() const
+{
+    std::vector<holder_use> all;
+    all.reserve(m_impl->holders.size());
+    for (const auto &[name, use] : m_impl->holders) {
+        all.push_back({name, use.bytes, use.holdings});
+    }
+    return all;
+}
+
 byte_holding::byte_holding(std::unique_ptr<impl> made)
     : m_impl(std::move(made))
 {
