Count queued requests and all callers that are turned away

The queue of requests that wait for capacity had no metrics, and callers turned away for a long head or body, a request that wasn't sent in time or one that can't be read were only logged. Adds the queue's length and oldest wait by service and rank, the waits of sent requests, those expired and refused, and these codes in _refused_peers_total.

--- a/libs/gateway/include/medlarrack/gateway/admission.hpp
+++ b/libs/gateway/include/medlarrack/gateway/admission.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace medlarrack::gateway {
@@ -40,6 +41,9 @@
     core::monotonic_time latestStart{};
 };
 
+/// Code of a refusal because no capacity is expected before the deadline.
+inline constexpr std::string_view deadlineUnreachable = "deadline_unreachable";
+
 /// A request that is refused, and when capacity is expected for it.
 struct admission_refusal
 {
--- a/libs/gateway/src/admission.cpp
+++ b/libs/gateway/src/admission.cpp
@@ -61,7 +61,7 @@
     const milliseconds wait = expectedWait(request, now);
     if (now + wait >= request.latestStart) {
         return {{request.id,
-                 {"deadline_unreachable", "no capacity is expected before the deadline"},
+                 {std::string(deadlineUnreachable), "no capacity is expected before the deadline"},
                  std::max(wait, freeSlotTime)}};
     }
     if (request.bytes > m_limits.maxBytes) {
@@ -121,7 +121,7 @@
             const milliseconds wait = waitBehind(ahead, now);
             if (now + wait >= item->deadline) {
                 late.push_back({item->id,
-                                {"deadline_unreachable", "no capacity is expected before the deadline"},
+                                {std::string(deadlineUnreachable), "no capacity is expected before the deadline"},
                                 std::max(wait, freeSlotTime)});
             } else {
                 ++ahead;
--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -224,7 +224,7 @@
             m_hadHead = true;
             if (m_parser.body().size() > m_maxBodyBytes
                 || m_parser.announcedBytes() > m_maxBodyBytes - m_parser.body().size()) {
-                sendErrorAndClose(statusContentTooLarge, "body_too_large", "the body is longer than allowed");
+                turnAway(statusContentTooLarge, "body_too_large", "the body is longer than allowed");
             } else if (m_parser.state() == http1::parse_state::complete) {
                 startExchange();
             } else {
@@ -237,10 +237,10 @@
             }
             break;
         case http1::parse_state::malformed:
-            sendErrorAndClose(statusBadRequest, "malformed_request", m_parser.fault());
+            turnAway(statusBadRequest, "malformed_request", m_parser.fault());
             break;
         case http1::parse_state::head_too_long:
-            sendErrorAndClose(statusHeadersTooLarge, "head_too_large", "the head is longer than allowed");
+            turnAway(statusHeadersTooLarge, "head_too_large", "the head is longer than allowed");
             break;
         }
     }
@@ -305,7 +305,7 @@
     // The end of the connection is the only end of a body that is neither chunked nor of a known length.
     m_keepAlive = m_parser.keepsAlive() && m_acceptsChunkedBody;
     if (head.target.empty() || head.target.front() != '/' || !head.has("Host") || head.method == "CONNECT") {
-        sendErrorAndClose(statusBadRequest, "malformed_request", "no host, or a target that is no path");
+        turnAway(statusBadRequest, "malformed_request", "no host, or a target that is no path");
         return;
     }
     if (refusesRequests()) {
@@ -319,9 +319,7 @@
         return;
     }
     if (m_services.heldBytes.isOverfull()) {
-        m_services.metrics.count("medlarrack_gateway_refused_peers_total",
-                                 "Peers that were turned away because they or others are outside the limits",
-                                 {.code = std::string(noMemoryCode)});
+        countTurnedAway(noMemoryCode);
         refuseRequest(noMemoryCode, noMemoryWhy, memoryRetryAfter);
         return;
     }
@@ -373,6 +371,19 @@
     m_continueSent = false;
 }
 
+void caller_connection::turnAway(int status, std::string_view code, std::string_view why)
+{
+    countTurnedAway(code);
+    sendErrorAndClose(status, code, why);
+}
+
+void caller_connection::countTurnedAway(std::string_view code)
+{
+    m_services.metrics.count("medlarrack_gateway_refused_peers_total",
+                             "Peers that were turned away because they or others are outside the limits",
+                             {.code = std::string(code)});
+}
+
 void caller_connection::sendErrorAndClose(int status, std::string_view code, std::string_view why,
                                           std::optional<std::chrono::milliseconds> retryAfter)
 {
@@ -517,7 +528,7 @@
     if (isIdle()) {
         closeIdle(now);
     } else {
-        sendErrorAndClose(statusRequestTimeout, "request_timeout", "the request was not sent in time");
+        turnAway(statusRequestTimeout, "request_timeout", "the request was not sent in time");
     }
 }
 
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -98,6 +98,9 @@
     void sendContinueIfExpected();
     void refuseRequest(std::string_view code, std::string_view why,
                        std::chrono::milliseconds retryAfter = promptRetryAfter);
+    /// Refuses a request that is outside the limits, or can't be read, and closes the connection.
+    void turnAway(int status, std::string_view code, std::string_view why);
+    void countTurnedAway(std::string_view code);
     void sendErrorAndClose(int status, std::string_view code, std::string_view why,
                            std::optional<std::chrono::milliseconds> retryAfter = {});
     /// Counts the body that is being received, and stops reading it while the process has no room for more.
--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -331,6 +331,7 @@
     std::uint64_t m_queueId = 0;
     /// Set until the request leaves that queue.
     bool m_isQueued = false;
+    core::monotonic_time m_queuedAt{};
     bool m_finished = false;
     std::chrono::nanoseconds m_timeToFirstByte{0};
 };
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -160,6 +160,7 @@
     request.bytes = m_requestBody.size();
     request.latestStart = m_holdDeadline;
     m_isQueued = true;
+    m_queuedAt = now;
     const std::uint64_t id = m_services.capacityWaiters.add(m_serviceName, std::move(request), weak_from_this(), now);
     if (!m_isQueued) {
         return;
@@ -188,6 +189,9 @@
 void exchange::leftQueue()
 {
     const auto self = shared_from_this();
+    m_services.metrics.observeSeconds("medlarrack_gateway_queue_wait_seconds", "Time that sent requests had waited",
+                                      {.requestClass = std::to_string(urgency())},
+                                      std::chrono::duration<double>(m_services.clock.now() - m_queuedAt).count());
     leaveCapacityQueue();
     dispatch();
 }
@@ -195,6 +199,13 @@
 void exchange::refusedByQueue(const admission_refusal &refusal)
 {
     const auto self = shared_from_this();
+    // Without an id it was never in the queue.
+    const bool isExpired = m_queueId != 0 && refusal.why.code == deadlineUnreachable;
+    m_services.metrics.count(isExpired ? "medlarrack_gateway_queue_expired_total"
+                                       : "medlarrack_gateway_queue_refused_total",
+                             isExpired ? "Requests that waited until their deadline could no longer be met"
+                                       : "Requests that the queue had no room for, or no hope at once",
+                             {.requestClass = std::to_string(urgency()), .code = refusal.why.code});
     leaveCapacityQueue();
     if (allAreQuiet(m_services.replicas, m_serviceName, m_services.clock.now())) {
         refuse(refusal_cause::quiet, refusal.why.code, refusal.why.message);
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -360,6 +360,20 @@
         metrics.gauge("medlarrack_gateway_memory_use", "Share of the memory limit in use", {}, ownLoad.memoryUse());
     }
 
+    void showQueues()
+    {
+        for (const service_queue &queue : capacityWaiters.queues(clock.now())) {
+            for (const queued_level &level : queue.levels) {
+                const metrics::labels where{.requestClass = std::to_string(level.urgency),
+                                            .service = std::string(queue.service)};
+                metrics.gauge("medlarrack_gateway_queued_requests", "Requests that wait for capacity", where,
+                              static_cast<double>(level.requests));
+                metrics.gauge("medlarrack_gateway_queue_oldest_wait_seconds", "Time since the oldest was queued", where,
+                              std::chrono::duration<double>(level.oldestWait).count());
+            }
+        }
+    }
+
     void showWorkTimes()
     {
         const core::monotonic_time now = clock.now();
@@ -412,6 +426,7 @@
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callerServer.busy()));
             showTenants();
+            showQueues();
             showWorkTimes();
             showOwnLoad();
             metrics.gauge("medlarrack_gateway_connections", "Connections of callers, with those that are being closed",
