Predict a 429 and show expected times in medlarrackctl route

The command said "sent" for a request over its tenant's quota, "refused" for one that would be queued, and not which times the choice compares. It now asks the quota without counting, asks the queue for its expected wait, and shows for each candidate the expected time that the choice uses; plainTimes() and engineTimes() share its code. shareFreeInMs leaves the page, as retryAfterMs of the predicted refusal takes its place.

--- a/apps/medlarrackctl/tests/test_show_route.cpp
+++ b/apps/medlarrackctl/tests/test_show_route.cpp
@@ -40,6 +40,15 @@
     BOOST_TEST(out.str().starts_with("{\n"));
 }
 
+// Guards against a predicted refusal that is taken for a failure of the command, or that hides when to return.
+BOOST_AUTO_TEST_CASE(a_predicted_refusal_is_printed_with_its_retry_after)
+{
+    wanted.operands.emplace_back("/a/x");
+    page.body = R"({"decision":{"outcome":"refused","status":429,"code":"quota_exceeded","retryAfterMs":250}})";
+    BOOST_TEST(run() == daemon::exitOk);
+    BOOST_TEST(out.str() == "decision: code quota_exceeded, outcome refused, retryAfterMs 250, status 429\n");
+}
+
 // Guards against keys in logs of what lies between, and in the memory of the gateway's admin page.
 BOOST_AUTO_TEST_CASE(a_request_with_a_key_is_not_sent)
 {
--- a/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_choice.hpp
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace medlarrack::gateway {
 
@@ -74,6 +75,17 @@
 [[nodiscard]] replica_choice choosePlain(const replica_table &table, const choice_query &query,
                                          core::monotonic_time now, std::minstd_rand &random);
 
+/// What a choice compares a replica by.
+struct expected_time
+{
+    replica_ptr at;
+    std::chrono::nanoseconds time{0};
+};
+
+/// Expected times to an answer of the replicas that choosePlain() would choose from now.
+[[nodiscard]] std::vector<expected_time> plainTimes(const replica_table &table, const choice_query &query,
+                                                    core::monotonic_time now);
+
 /// Time until half of the shortest queue at the usable replicas of a plain service has been served, when requests like
 /// those refused now are expected to have room. Zero if nothing is known to wait.
 [[nodiscard]] std::chrono::nanoseconds timeToRoom(const replica_table &table, std::string_view service,
@@ -96,6 +108,11 @@
 [[nodiscard]] replica_choice chooseEngine(const replica_table &table, const choice_query &query,
                                           core::monotonic_time now);
 
+/// Expected times to the first event of the engines that chooseEngine() would choose from now, with its penalties. A
+/// load of the adapter isn't part of them.
+[[nodiscard]] std::vector<expected_time> engineTimes(const replica_table &table, const choice_query &query,
+                                                     core::monotonic_time now);
+
 /// Average time until an adapter load that is requested now would be complete, by what the engine's agent has learned.
 [[nodiscard]] std::chrono::milliseconds expectedLoadTime(const replica &at, std::string_view adapter);
 
--- a/libs/gateway/src/plain_choice.cpp
+++ b/libs/gateway/src/plain_choice.cpp
@@ -202,13 +202,19 @@
     return {.target = one.at, .why = why, .expectedTime = std::chrono::nanoseconds(std::llround(time))};
 }
 
-} // namespace
-
-replica_choice choosePlain(const replica_table &table, const choice_query &query, core::monotonic_time now,
-                           std::minstd_rand &random)
+/// The replicas that a request may go to, and what each would get of the requests expected now.
+struct known_candidates
 {
     std::vector<candidate_state> candidates;
+    std::chrono::nanoseconds typicalWorkTime{0};
+    /// One that isn't usable now may be so in time.
     bool hindered = false;
+};
+
+known_candidates assessAll(const replica_table &table, const choice_query &query, core::monotonic_time now)
+{
+    known_candidates known;
+    std::vector<candidate_state> &candidates = known.candidates;
     for (const replica_ptr &one : table.findByService(query.service)) {
         if (isExcluded(query, *one)) {
             continue;
@@ -216,13 +222,13 @@
         if (isUsable(*one, now)) {
             candidates.push_back({.at = one});
         } else {
-            hindered = hindered || isUsableLater(query, *one, now);
+            known.hindered = known.hindered || isUsableLater(query, *one, now);
         }
     }
     if (candidates.empty()) {
-        return {.hindered = hindered, .why = "no usable replica"};
+        return known;
     }
-    const std::chrono::nanoseconds typical = typicalWorkTime(table, query.service);
+    known.typicalWorkTime = typicalWorkTime(table, query.service);
     // As many requests as have left are assumed to have come since, each to the data centre of the one that left.
     const auto firstRemote = std::partition(candidates.begin(), candidates.end(), [](const candidate_state &one) {
         return one.at->local;
@@ -230,7 +236,7 @@
     double arrivalsHere = 0;
     double arrivalsElsewhere = 0;
     for (auto it = candidates.begin(); it != candidates.end(); ++it) {
-        (it < firstRemote ? arrivalsHere : arrivalsElsewhere) += assess(*it, typical, now);
+        (it < firstRemote ? arrivalsHere : arrivalsElsewhere) += assess(*it, known.typicalWorkTime, now);
     }
     if (firstRemote == candidates.begin()) {
         std::swap(arrivalsHere, arrivalsElsewhere);
@@ -242,15 +248,34 @@
         }
     }
     distribute(candidates, arrivalsHere + 1);
+    return known;
+}
+
+/// Expected time to the answer of a request that is sent there now, behind those expected before it.
+double expectedTimeOfNext(const candidate_state &one)
+{
+    return expectedTime(one, one.load + std::max(0.0, one.share - 1));
+}
+
+} // namespace
+
+replica_choice choosePlain(const replica_table &table, const choice_query &query, core::monotonic_time now,
+                           std::minstd_rand &random)
+{
+    const known_candidates known = assessAll(table, query, now);
+    const std::vector<candidate_state> &candidates = known.candidates;
+    if (candidates.empty()) {
+        return {.hindered = known.hindered, .why = "no usable replica"};
+    }
     const bool isFirstAttempt = query.timeLeft && !query.isCallerRetry;
     if (isFirstAttempt && random() % requestsPerProbe == 0) {
-        if (const candidate_state *slow = dueProbe(candidates, query, inNanoseconds(typical), now)) {
+        if (const candidate_state *slow = dueProbe(candidates, query, inNanoseconds(known.typicalWorkTime), now)) {
             return choose(*slow, expectedTime(*slow, slow->load), "slow replica tried again");
         }
     }
     double shortest = 0;
     for (const candidate_state &one : candidates) {
-        const double time = expectedTime(one, one.load + std::max(0.0, one.share - 1));
+        const double time = expectedTimeOfNext(one);
         shortest = shortest == 0 ? time : std::min(shortest, time);
     }
     if (query.timeLeft && !isMostlyIdle(candidates)
@@ -260,7 +285,17 @@
                 .expectedTime = std::chrono::nanoseconds(std::llround(shortest))};
     }
     const candidate_state &drawn = draw(candidates, random);
-    return choose(drawn, expectedTime(drawn, drawn.load + std::max(0.0, drawn.share - 1)), "shortest expected time");
+    return choose(drawn, expectedTimeOfNext(drawn), "shortest expected time");
+}
+
+std::vector<expected_time> plainTimes(const replica_table &table, const choice_query &query, core::monotonic_time now)
+{
+    const known_candidates known = assessAll(table, query, now);
+    std::vector<expected_time> times;
+    for (const candidate_state &one : known.candidates) {
+        times.push_back({one.at, std::chrono::nanoseconds(std::llround(expectedTimeOfNext(one)))});
+    }
+    return times;
 }
 
 std::chrono::nanoseconds timeToRoom(const replica_table &table, std::string_view service, core::monotonic_time now)
--- a/libs/gateway/src/replica_choice.cpp
+++ b/libs/gateway/src/replica_choice.cpp
@@ -159,6 +159,16 @@
     }
 }
 
+void excludeUnfit(std::vector<replica_ptr> &engines, const choice_query &query)
+{
+    if (!query.mayRunAgain) {
+        // Requests that may run again still use failing engines: while other engines are full, the capacity gained is
+        // worth more than the second runs that it costs.
+        excludeFailing(engines);
+    }
+    excludeSlow(engines);
+}
+
 /// Expected time until the first event of a request that is sent to the engine now, with a penalty for other data
 /// centres.
 std::chrono::nanoseconds expectedFirstEvent(const replica &engine, core::monotonic_time now)
@@ -422,12 +432,7 @@
     if (engines.empty()) {
         return {.engineStarting = !known.usableSoon.empty(), .hindered = known.hindered, .why = "no usable replica"};
     }
-    if (!query.mayRunAgain) {
-        // Requests that may run again still use failing engines: while other engines are full, the capacity gained is
-        // worth more than the second runs that it costs.
-        excludeFailing(engines);
-    }
-    excludeSlow(engines);
+    excludeUnfit(engines, query);
     const size_preference preference(table, query, now);
     if (query.adapter.empty()) {
         return {.target = leastLoaded(engines, preference, now), .why = "least loaded"};
@@ -472,4 +477,16 @@
     return {.saturated = true, .why = "all engines are crowded or have too many adapters to load"};
 }
 
+std::vector<expected_time> engineTimes(const replica_table &table, const choice_query &query, core::monotonic_time now)
+{
+    std::vector<replica_ptr> engines = enginesFor(table, query, now).usable;
+    excludeUnfit(engines, query);
+    const size_preference preference(table, query, now);
+    std::vector<expected_time> times;
+    for (const replica_ptr &one : engines) {
+        times.push_back({one, expectedFirstEvent(*one, now) + preference.addition(*one)});
+    }
+    return times;
+}
+
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/route_page.cpp
+++ b/libs/gateway/src/route_page.cpp
@@ -18,6 +18,7 @@
 #include <optional>
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace medlarrack::gateway {
 
@@ -195,7 +196,7 @@
                        m_request.tenant.empty() ? "the route requires a tenant" : "the state has no such tenant");
     }
 
-    /// The refusal, if the request exceeds the quota. An estimate: only a request that is admitted is counted.
+    /// The refusal, if the request exceeds the quota. It isn't counted.
     std::optional<json> decideQuota()
     {
         if (m_tenant == nullptr || m_tenant->quota.perSecond <= 0) {
@@ -207,26 +208,31 @@
                  {"burst", quota.burst},
                  {"unit", quota.countsTokens ? "tokens" : "requests"},
                  {"cost", requestCost(quota, m_metadata)}};
+        describeUsage(shown);
+        const auto wait = m_services.tenantLimiter.predictRefusal(m_tenant->name, {quota.perSecond, quota.burst},
+                                                                  requestCost(quota, m_metadata), m_now);
+        if (!wait) {
+            return std::nullopt;
+        }
+        return refusal(statusTooManyRequests, "quota_exceeded", "the quota of the tenant is used up", *wait);
+    }
+
+    /// What is left of the tenant's quota.
+    void describeUsage(json &shown) const
+    {
         const auto usage = m_services.tenantLimiter.usage(m_now);
         const auto used = std::find_if(usage.begin(), usage.end(), [this](const quota::tenant_usage &one) {
             return one.tenant == m_tenant->name;
         });
         if (used == usage.end()) {
-            return std::nullopt;
+            return;
         }
         shown["share"] = used->share;
-        if (!used->level) {
-            return std::nullopt;
-        }
-        shown["left"] = *used->level;
-        if (*used->level > 0) {
-            return std::nullopt;
+        if (used->level) {
+            shown["left"] = *used->level;
+            // Without anything left, the share of this gateway decides.
+            shown["limitedToShare"] = *used->level <= 0;
         }
-        // Without anything left, the share of this gateway decides.
-        shown["limitedToShare"] = true;
-        const milliseconds wait = m_services.tenantLimiter.timeToAdmission(m_tenant->name, m_now);
-        shown["shareFreeInMs"] = wait.count();
-        return std::nullopt;
     }
 
     json decideReplica()
@@ -252,15 +258,22 @@
             adapter_demand demand = m_services.adapterDemand;
             query.demand = demand.recordRequest(m_metadata.adapter, m_now);
         }
-        describeCandidates(hasEngine);
+        const std::vector<expected_time> times =
+            hasEngine ? engineTimes(m_services.replicas, query, m_now) : plainTimes(m_services.replicas, query, m_now);
+        describeCandidates(hasEngine, times);
         // A copy: the choices of requests don't depend on who looks at this page.
         std::minstd_rand random = m_services.random;
         const replica_choice choice = hasEngine ? chooseEngine(m_services.replicas, query, m_now)
                                                 : choosePlain(m_services.replicas, query, m_now, random);
         if (choice.target != nullptr) {
-            return {{"outcome", choice.needsLoad ? "waits_for_adapter" : "sent"},
-                    {"replica", choice.target->record.id},
-                    {"why", choice.why}};
+            json sent{{"outcome", choice.needsLoad ? "waits_for_adapter" : "sent"},
+                      {"replica", choice.target->record.id},
+                      {"why", choice.why}};
+            addExpectedTime(sent, choice.target, times);
+            return sent;
+        }
+        if (m_services.capacityWaiters.isEnabled() && choice.saturated && query.maxLoadWait.count() > 0) {
+            return decideQueue(query.maxLoadWait, choice.why);
         }
         if (awaitsReplica({}, choice, false)) {
             return {{"outcome", "waits_for_replica"}, {"maxWaitMs", query.maxLoadWait.count()}, {"why", choice.why}};
@@ -276,7 +289,39 @@
                       choice.why);
     }
 
-    void describeCandidates(bool hasEngine)
+    /// Whether the request would wait for capacity, or be refused by the queue.
+    [[nodiscard]] json decideQueue(milliseconds maxWait, std::string_view why) const
+    {
+        waiting_request request;
+        if (m_tenant != nullptr) {
+            request.tenant = m_tenant->name;
+        }
+        request.urgency = requestUrgency(*m_route, m_tenant.get());
+        const milliseconds wait = m_services.capacityWaiters.expectedWait(m_service, request, m_now);
+        if (wait < maxWait) {
+            return {{"outcome", "waits_for_capacity"},
+                    {"expectedWaitMs", wait.count()},
+                    {"maxWaitMs", maxWait.count()},
+                    {"why", why}};
+        }
+        const milliseconds backlog =
+            retryAfter(refusal_cause::adapter_backlog, m_services.replicas, m_service, m_now, 0);
+        return refusal(statusUnavailable, deadlineUnreachable, "no capacity is expected before the deadline",
+                       std::max(backlog, wait));
+    }
+
+    /// Adds the time that the choice compares the replica by; none if it isn't considered.
+    static void addExpectedTime(json &shown, const replica_ptr &at, const std::vector<expected_time> &times)
+    {
+        const auto found = std::find_if(times.begin(), times.end(), [&at](const expected_time &one) {
+            return one.at == at;
+        });
+        if (found != times.end()) {
+            shown["expectedMs"] = inMilliseconds(found->time);
+        }
+    }
+
+    void describeCandidates(bool hasEngine, const std::vector<expected_time> &times)
     {
         json &candidates = m_page["candidates"];
         candidates = json::array();
@@ -304,6 +349,7 @@
                     }
                 }
             }
+            addExpectedTime(shown, one, times);
             candidates.push_back(std::move(shown));
         }
     }
--- a/libs/gateway/tests/test_replica_choice.cpp
+++ b/libs/gateway/tests/test_replica_choice.cpp
@@ -179,6 +179,34 @@
     BOOST_TEST(!isRefused(1));
 }
 
+// Guards against expected times shown to operators that aren't those by which replicas are compared.
+BOOST_AUTO_TEST_CASE(the_shown_times_are_those_of_the_choice)
+{
+    const replica_ptr busy = add("busy", "dc1", "plain", 6);
+    const replica_ptr idle = add("idle", "dc1", "plain", 6);
+    busy->outstanding = 12;
+    const choice_query plain{.service = "plain"};
+    const auto times = plainTimes(table, plain, clock.now());
+    BOOST_TEST_REQUIRE(times.size() == 2U);
+    const replica_choice chosen = choosePlainOne();
+    BOOST_TEST(chosen.target == idle);
+    for (const expected_time &one : times) {
+        BOOST_TEST((one.at != idle || one.time == chosen.expectedTime));
+        BOOST_TEST((one.at != busy || one.time > chosen.expectedTime));
+    }
+    addEngines(3);
+    table.find("e0")->addPendingPrefillTokens(38'000, clock.now());
+    table.find("e1")->agent->engineUp = false;
+    const choice_query engine{.service = "llm", .model = "m", .batchSize = 32};
+    const auto engines = engineTimes(table, engine, clock.now());
+    BOOST_TEST_REQUIRE(engines.size() == 2U);
+    const auto shortest = std::min_element(engines.begin(), engines.end(), [](const auto &left, const auto &right) {
+        return left.time < right.time;
+    });
+    BOOST_TEST(shortest->at == choose("").target);
+    BOOST_TEST((std::max(engines[0].time, engines[1].time) >= milliseconds(1'000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(engine_choice, fixture)
