--- a/apps/medlarrackctl/tests/test_show_route.cpp
+++ b/apps/medlarrackctl/tests/test_show_route.cpp
@@ -1,62 +1,22 @@
-#include "arguments.hpp"
-#include "commands.hpp"
-
-#include <medlarrack/daemon/command_line.hpp>
-#include <medlarrack/http1/page_server.hpp>
-
-#include <asio/io_context.hpp>
-#include <boost/test/unit_test.hpp>
-
-#include <sstream>
-#include <thread>
+#include "admin_fixture.hpp"
 
 using namespace medlarrack;
 using namespace medlarrack::ctl;
 
 namespace {
 
-/// An admin address that gives one page and records what is asked for.
-struct admin_fixture
+struct route_fixture : ctl::testing::admin_fixture
 {
-    admin_fixture()
+    route_fixture()
     {
-        core::reason why;
-        BOOST_REQUIRE(server.listen({asio::ip::address_v4::loopback(), 0}, why));
         wanted.command = "route";
-        wanted.operands = {"http://127.0.0.1:" + std::to_string(server.port())};
-        runner = std::thread([this] {
-            context.run();
-        });
-    }
-
-    ~admin_fixture()
-    {
-        context.stop();
-        runner.join();
+        page = {200, "application/json", R"({"service":"s","candidates":[{"replica":"i-0","load":2}]})"};
     }
-
-    int run(const std::string &input = "")
-    {
-        std::istringstream in(input);
-        return runCommand(wanted, in, out, err);
-    }
-
-    http1::page page{200, "application/json", R"({"service":"s","candidates":[{"replica":"i-0","load":2}]})"};
-    std::string target;
-    asio::io_context context;
-    http1::page_server server{context, [this](std::string_view asked) {
-                                  target = asked;
-                                  return page;
-                              }};
-    std::thread runner;
-    arguments wanted;
-    std::ostringstream out;
-    std::ostringstream err;
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(show_route, admin_fixture)
+BOOST_FIXTURE_TEST_SUITE(show_route, route_fixture)
 
 // Guards against fields that are lost or that end the query early.
 BOOST_AUTO_TEST_CASE(a_request_of_headers_is_put_into_the_query)
@@ -80,6 +40,15 @@
     BOOST_TEST(out.str().starts_with("{\n"));
 }
 
+// Guards against a predicted refusal that is taken for a failure of the command, or that hides when to return.
+BOOST_AUTO_TEST_CASE(a_predicted_refusal_is_printed_with_its_retry_after)
+{
+    wanted.operands.emplace_back("/a/x");
+    page.body = R"({"decision":{"outcome":"refused","status":429,"code":"quota_exceeded","retryAfterMs":250}})";
+    BOOST_TEST(run() == daemon::exitOk);
+    BOOST_TEST(out.str() == "decision: code quota_exceeded, outcome refused, retryAfterMs 250, status 429\n");
+}
+
 // Guards against keys in logs of what lies between, and in the memory of the gateway's admin page.
 BOOST_AUTO_TEST_CASE(a_request_with_a_key_is_not_sent)
 {
