--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -96,11 +96,11 @@
 class server::impl
 {
 public:
-    impl(asio::io_context &context, const server_limits &limits, request_handler handler)
+    impl(asio::io_context &context, server_limits limits, request_handler handler)
         : m_context(context)
-        , m_limits(limits)
+        , m_limits(std::move(limits))
         , m_handler(std::make_shared<request_handler>(std::move(handler)))
-        , m_table(std::make_shared<detail::connection_table>(limits.maxConnections, limits.budget))
+        , m_table(std::make_shared<detail::connection_table>(m_limits.maxConnections, m_limits.budget))
     {
     }
 
@@ -201,7 +201,7 @@
 };
 
 server::server(asio::io_context &context, server_limits limits, request_handler handler)
-    : m_impl(std::make_unique<impl>(context, limits, std::move(handler)))
+    : m_impl(std::make_unique<impl>(context, std::move(limits), std::move(handler)))
 {
 }
 
--- a/libs/peer/src/server.cpp
+++ b/libs/peer/src/server.cpp
@@ -34,7 +34,7 @@
 public:
     impl(asio::io_context &context, server_limits limits, std::function<hello()> self, stream_handler handler)
         : m_context(context)
-        , m_limits(limits)
+        , m_limits(std::move(limits))
         , m_self(std::move(self))
         , m_handler(std::move(handler))
         , m_acceptor(asio::make_strand(context))
@@ -303,7 +303,7 @@
 };
 
 server::server(asio::io_context &context, server_limits limits, std::function<hello()> self, stream_handler handler)
-    : m_impl(std::make_shared<impl>(context, limits, std::move(self), std::move(handler)))
+    : m_impl(std::make_shared<impl>(context, std::move(limits), std::move(self), std::move(handler)))
 {
 }
 
--- a/libs/peer/tests/peer_fixture.hpp
+++ b/libs/peer/tests/peer_fixture.hpp
@@ -163,7 +163,7 @@
     test_server(worker_pool &pool, stream_handler handler, server_limits limits = {},
                 const hello &self = helloOf("sidecar-1"))
         : m_server(
-            pool.context(), limits,
+            pool.context(), std::move(limits),
             [self] {
                 return self;
             },
