--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -9,6 +9,7 @@
 #include <medlarrack/http1/byte_stream.hpp>
 #include <medlarrack/http1/message_parser.hpp>
 #include <medlarrack/overload/byte_account.hpp>
+#include <medlarrack/overload/log_rate.hpp>
 
 #include <chrono>
 #include <memory>
@@ -21,6 +22,15 @@
 /// The request is taken at once by another process or, of a caller that ended its side, on another connection.
 inline constexpr std::chrono::milliseconds promptRetryAfter{50};
 
+/// Limits of the log lines on what connections refuse, over all of them.
+struct refusal_log_rates
+{
+    explicit refusal_log_rates(core::monotonic_time now);
+
+    overload::log_rate requests;
+    overload::log_rate connections;
+};
+
 /// A caller's connection: handles one request at a time and writes the responses in order.
 class caller_connection final : public std::enable_shared_from_this<caller_connection>,
                                 private http1::byte_stream_listener,
@@ -29,7 +39,8 @@
 public:
     /// The connection's bytes may be watched longer than its server lives, which `server` tells.
     caller_connection(std::weak_ptr<void> server, exchange_services &services,
-                      std::shared_ptr<http1::byte_stream> stream, std::string peerAddress);
+                      std::shared_ptr<http1::byte_stream> stream, std::string peerAddress,
+                      std::shared_ptr<refusal_log_rates> logRates);
     ~caller_connection() override;
 
     void start();
@@ -58,6 +69,10 @@
 
     /// Bytes that are kept for the caller apart from a long body, which the account of the process counts itself.
     [[nodiscard]] std::size_t smallBytes() const;
+    /// Memory of the head that is being received; 0 if none is.
+    [[nodiscard]] std::size_t headMemory() const;
+    /// Time for which it has been received; nothing if bytes of it aren't read.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds> headAge(core::monotonic_time now) const;
     /// Bytes of the body that is being received.
     [[nodiscard]] std::size_t bodyBytes() const;
     [[nodiscard]] const std::string &peerAddress() const;
@@ -72,6 +87,8 @@
     [[nodiscard]] std::optional<std::chrono::nanoseconds> timeWithoutHead(core::monotonic_time now) const;
     /// Refuses the request that is being received, for lack of memory, and closes the connection.
     void refuseForMemory();
+    /// Refuses the request whose head is being received, as it is slow, and closes the connection.
+    void refuseSlowHead();
     /// Drops the answers that the caller doesn't take, with a reset.
     void dropUntaken();
     /// Closes a connection that has sent no whole head.
@@ -98,11 +115,17 @@
     void sendContinueIfExpected();
     void refuseRequest(std::string_view code, std::string_view why,
                        std::chrono::milliseconds retryAfter = promptRetryAfter);
+    /// Refuses a request that is outside the limits, or can't be read, and closes the connection.
+    void turnAway(int status, std::string_view code, std::string_view why);
+    void countTurnedAway(std::string_view code);
     void sendErrorAndClose(int status, std::string_view code, std::string_view why,
                            std::optional<std::chrono::milliseconds> retryAfter = {});
     /// Counts the body that is being received, and stops reading it while the process has no room for more.
     void countBody();
     void onRoomForBody();
+    /// Moves the time until which the body must have ended, for bytes of it that have come; without a number, its head
+    /// has.
+    void extendBodyTime(std::optional<std::size_t> bytes);
     /// The request has ended: gives back its bytes.
     void dropRequestBytes();
     [[nodiscard]] std::size_t maxReadAhead() const;
@@ -142,13 +165,18 @@
     core::monotonic_time m_bodyGrewAt{};
     /// Size of the body at that time.
     std::size_t m_bodyMark = 0;
+    /// The body is refused at this time.
+    core::monotonic_time m_bodyEndsBy{};
     core::monotonic_time m_awaitsRoomSince{};
     const core::monotonic_time m_connectedAt;
     std::string m_peerAddress;
+    std::shared_ptr<refusal_log_rates> m_logRates;
     /// Counts a long body until its request has ended.
     std::unique_ptr<overload::byte_holding> m_bodyHolding;
-    /// Bytes of a short request in progress.
+    /// Bytes of the body of a short request in progress.
     std::size_t m_shortRequestBytes = 0;
+    /// Memory of the head of the request in progress.
+    std::size_t m_requestHeadMemory = 0;
     /// When the caller took bytes last, or there were none for it to take.
     core::monotonic_time m_tookAt{};
     std::size_t m_takenBytes = 0;
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -25,6 +25,10 @@
 constexpr std::chrono::milliseconds longestRoomWait{2'000};
 /// A caller sends its head within this time of connecting, on the longest link; others may be closed for want of room.
 constexpr std::chrono::milliseconds headGrace{250};
+/// Heads that are being received may hold this part of the account; 1,000 usual ones of 4 KB do at 64 MB of memory.
+/// Beyond, slow ones are refused, and beyond twice that the largest ones: 200 Mbit/s of short lines bring 10 MB of
+/// memory in the time between two ticks.
+constexpr std::size_t headShareDivisor = 4;
 constexpr double logLinesPerSecond = 1;
 constexpr double logBurst = 5;
 
@@ -36,6 +40,7 @@
     , m_acceptor(context)
     , m_acceptRetryTimer(context)
     , m_logRate(logLinesPerSecond, logBurst, services.clock.now())
+    , m_refusalLogRates(std::make_shared<refusal_log_rates>(services.clock.now()))
 {
 }
 
@@ -90,8 +95,8 @@
     std::error_code ignored;
     std::string peerAddress = socket.remote_endpoint(ignored).address().to_string();
     auto stream = std::make_shared<http1::byte_stream>(m_context, std::move(socket));
-    auto connection =
-        std::make_shared<caller_connection>(m_self, m_services, std::move(stream), std::move(peerAddress));
+    auto connection = std::make_shared<caller_connection>(m_self, m_services, std::move(stream), std::move(peerAddress),
+                                                          m_refusalLogRates);
     if (m_draining) {
         connection->drain();
     }
@@ -99,6 +104,7 @@
         connection->refuseRequestsFrom(*m_refuseFrom);
     }
     m_connections.push_back(connection);
+    recordPlaces();
     connection->start();
 }
 
@@ -130,15 +136,22 @@
     std::erase_if(m_connections, [](const auto &connection) {
         return connection->isClosed() && !connection->isOpen();
     });
+    recordPlaces();
     resumeAccepting();
 }
 
 void caller_server::setMaxConnections(std::size_t count)
 {
     m_maxConnections = count;
+    recordPlaces();
     resumeAccepting();
 }
 
+void caller_server::recordPlaces()
+{
+    m_services.ownLoad.recordConnections(m_connections.size(), m_maxConnections);
+}
+
 void caller_server::resumeAccepting()
 {
     if (m_awaitsRoom && !m_closing) {
@@ -165,8 +178,50 @@
     return true;
 }
 
+void caller_server::refuseHeads(core::monotonic_time now)
+{
+    std::size_t bytes = 0;
+    for (const auto &connection : m_connections) {
+        bytes += connection->headMemory();
+    }
+    const std::size_t share = m_services.heldBytes.limit() / headShareDivisor;
+    if (bytes <= share) {
+        return;
+    }
+    struct candidate
+    {
+        std::shared_ptr<caller_connection> connection;
+        std::chrono::nanoseconds age{0};
+        std::size_t bytes = 0;
+    };
+    std::vector<candidate> candidates;
+    for (const auto &connection : m_connections) {
+        if (const auto age = connection->headAge(now)) {
+            candidates.push_back({connection, *age, connection->headMemory()});
+        }
+    }
+    const auto refuse = [&](const candidate &one) {
+        recordTurnedAway("no_memory", "its head was slow or large while heads held too much", *one.connection,
+                         one.bytes);
+        one.connection->refuseSlowHead();
+        bytes -= one.bytes;
+    };
+    std::ranges::stable_sort(candidates, std::ranges::greater(), &candidate::age);
+    const auto firstQuick = std::ranges::find_if(candidates, [](const candidate &one) {
+        return one.age < headGrace;
+    });
+    for (auto slow = candidates.begin(); slow != firstQuick && bytes > share; ++slow) {
+        refuse(*slow);
+    }
+    std::ranges::stable_sort(firstQuick, candidates.end(), std::ranges::greater(), &candidate::bytes);
+    for (auto large = firstQuick; large != candidates.end() && bytes > 2 * share; ++large) {
+        refuse(*large);
+    }
+}
+
 void caller_server::relieveMemory(core::monotonic_time now)
 {
+    refuseHeads(now);
     std::size_t smallBytes = 0;
     for (const auto &connection : m_connections) {
         smallBytes += connection->smallBytes();
@@ -222,8 +277,8 @@
     m_services.metrics.count("medlarrack_gateway_refused_peers_total",
                              "Peers that were turned away because they or others are outside the limits",
                              {.code = std::string(code)});
-    if (!m_logRate.tryAcquire(m_services.clock.now())) {
-        ++m_unloggedCallers;
+    const auto unlogged = m_logRate.tryWrite(m_services.clock.now());
+    if (!unlogged) {
         return;
     }
     log::write(log::level::warning, "caller turned away",
@@ -233,7 +288,7 @@
                 {"bytes", static_cast<std::uint64_t>(bytes)},
                 {"held_bytes", static_cast<std::uint64_t>(m_services.heldBytes.heldBytes())},
                 {"connections", static_cast<std::uint64_t>(m_connections.size())},
-                {"unlogged", std::exchange(m_unloggedCallers, 0)}});
+                {"unlogged", *unlogged}});
 }
 
 std::size_t caller_server::size() const
@@ -286,6 +341,15 @@
         }));
 }
 
+std::map<std::string, std::size_t, std::less<>> caller_server::smallBytesByAddress() const
+{
+    std::map<std::string, std::size_t, std::less<>> byAddress;
+    for (const auto &connection : m_connections) {
+        byAddress[connection->peerAddress()] += connection->smallBytes();
+    }
+    return byAddress;
+}
+
 std::size_t caller_server::untakenBytes() const
 {
     std::size_t sum = 0;
--- a/libs/gateway/src/caller_server.hpp
+++ b/libs/gateway/src/caller_server.hpp
@@ -4,16 +4,19 @@
 #include "exchange_services.hpp"
 
 #include <medlarrack/core/reason.hpp>
-#include <medlarrack/overload/rate_limiter.hpp>
+#include <medlarrack/overload/log_rate.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -45,6 +48,8 @@
     [[nodiscard]] std::size_t size() const;
     /// Connections with a request in progress.
     [[nodiscard]] std::size_t busy() const;
+    /// Bytes that are kept for callers apart from long bodies, which the account of the process counts, by address.
+    [[nodiscard]] std::map<std::string, std::size_t, std::less<>> smallBytesByAddress() const;
     /// Bytes of answers that callers have yet to take.
     [[nodiscard]] std::size_t untakenBytes() const;
     /// Connections whose next pipelined request isn't begun until the caller takes its answers.
@@ -65,6 +70,9 @@
     [[nodiscard]] bool makeRoom();
     /// Counts what is kept for callers, and turns those away that hold the most or stand still if there is no room.
     void relieveMemory(core::monotonic_time now);
+    /// Turns away the slowest and the largest heads while those that are being received hold more than their share.
+    void refuseHeads(core::monotonic_time now);
+    void recordPlaces();
     void recordTurnedAway(std::string_view code, std::string_view why, const caller_connection &connection,
                           std::size_t bytes);
 
@@ -78,9 +86,8 @@
     bool m_closing = false;
     std::size_t m_maxConnections = std::numeric_limits<std::size_t>::max();
     bool m_awaitsRoom = false;
-    overload::rate_limiter m_logRate;
-    /// Callers that were turned away since the last line in the log.
-    std::uint64_t m_unloggedCallers = 0;
+    overload::log_rate m_logRate;
+    std::shared_ptr<refusal_log_rates> m_refusalLogRates;
     /// Expires with the server, for handlers that may run later.
     std::shared_ptr<caller_server> m_self{this, [](caller_server *) {}};
 };
