--- a/libs/http/tests/http_fixture.cpp
+++ b/libs/http/tests/http_fixture.cpp
@@ -37,7 +37,7 @@
 
 std::unique_ptr<server> http_fixture::serve(request_handler handler, server_limits limits)
 {
-    auto made = std::make_unique<server>(context, limits, std::move(handler));
+    auto made = std::make_unique<server>(context, std::move(limits), std::move(handler));
     core::reason why;
     BOOST_REQUIRE_MESSAGE(made->start("127.0.0.1", 0, why), why.message);
     return made;
