Agent and shared account: limit log lines by log_rate

Change: agent_service and shared_byte_account use overload::log_rate, as caller_server and caller_connection do.

--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -10,7 +10,7 @@
 #include <medlarrack/http1/peer_connections.hpp>
 #include <medlarrack/log/log.hpp>
 #include <medlarrack/metrics/registry.hpp>
-#include <medlarrack/overload/rate_limiter.hpp>
+#include <medlarrack/overload/log_rate.hpp>
 #include <medlarrack/quota/usage_ledger.hpp>
 #include <medlarrack/resumption/origin_table.hpp>
 #include <medlarrack/suspects/suspect_table.hpp>
@@ -262,13 +262,11 @@
             return false;
         }
         metrics.count("medlarrack_agent_refused_peers_total", "Connections closed for want of a greeting", {});
-        if (refusalLines.tryAcquire(now)) {
+        if (const auto unlogged = refusalLines.tryWrite(now)) {
             log::write(log::level::warning, "link closed",
                        {{"why", "no greeting was sent, and all links are in use"},
                         {"links", static_cast<std::uint64_t>(links.size())},
-                        {"unlogged", std::exchange(unloggedRefusals, 0)}});
-        } else {
-            ++unloggedRefusals;
+                        {"unlogged", *unlogged}});
         }
         links.erase(found);
         return true;
@@ -646,8 +644,7 @@
     asio::steady_timer timer;
     asio::steady_timer acceptTimer;
     const std::size_t maxLinkCount = http1::maxPeerConnections();
-    overload::rate_limiter refusalLines{refusalLinesPerSecond, refusalLineBurst, clock.now()};
-    std::uint64_t unloggedRefusals = 0;
+    overload::log_rate refusalLines{refusalLinesPerSecond, refusalLineBurst, clock.now()};
     /// Reports prove themselves: they run forward, and a late one frees no slot that an order could take.
     std::unique_ptr<http1::call_client> reportClient;
     /// Orders have a connection of their own, on which no report can be taken for the answer to an order.
--- a/libs/overload/src/shared_byte_account.cpp
+++ b/libs/overload/src/shared_byte_account.cpp
@@ -1,10 +1,11 @@
 #include <medlarrack/overload/byte_account.hpp>
-#include <medlarrack/overload/rate_limiter.hpp>
+#include <medlarrack/overload/log_rate.hpp>
 #include <medlarrack/overload/shared_byte_account.hpp>
 
 #include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 namespace medlarrack::overload {
@@ -50,9 +51,8 @@
     /// Whether claims wait for room that bytes outside of claims may give back.
     std::atomic<bool> hasWaiting{false};
     const core::clock &clock;
-    rate_limiter reportRate;
+    log_rate reportRate;
     const report_handler onReport;
-    std::uint64_t unreported = 0;
     std::atomic<std::uint64_t> turnedAway{0};
 };
 
@@ -133,17 +133,13 @@
 void shared_byte_account::recordTurnedAway(const core::turned_away_peer &peer)
 {
     ++m_impl->turnedAway;
-    std::uint64_t unreported = 0;
+    std::optional<std::uint64_t> unreported;
     {
         const std::lock_guard lock(m_impl->mutex);
-        if (!m_impl->reportRate.tryAcquire(m_impl->clock.now())) {
-            ++m_impl->unreported;
-            return;
-        }
-        unreported = std::exchange(m_impl->unreported, 0);
+        unreported = m_impl->reportRate.tryWrite(m_impl->clock.now());
     }
-    if (m_impl->onReport) {
-        m_impl->onReport(peer, heldBytes(), unreported);
+    if (unreported && m_impl->onReport) {
+        m_impl->onReport(peer, heldBytes(), *unreported);
     }
 }
 
