Test of quotas: a request that costs more than the burst

Cause: the case of a refused quota had also shown that a request beyond the burst runs; since its burst is 400 it no longer did. Change: a case of its own shows it, and that the next request is refused.

--- a/libs/quota/tests/test_tenant_limiter.cpp
+++ b/libs/quota/tests/test_tenant_limiter.cpp
@@ -62,6 +62,16 @@
     BOOST_TEST(admittedAt(start + milliseconds(1'600)) <= limits.burst + cost);
 }
 
+// Guards against requests that are never admitted as they cost more than the burst.
+BOOST_AUTO_TEST_CASE(a_request_beyond_the_burst_is_admitted_and_the_next_one_refused)
+{
+    tenant_limiter limiter;
+    constexpr core::bucket_limits low{10, 10};
+    BOOST_TEST(limiter.admit("t", low, 320, start));
+    BOOST_TEST(!limiter.admit("t", low, 200, start));
+    BOOST_TEST(!limiter.admit("t", low, 200, start + milliseconds(250)));
+}
+
 // Guards against refusals below the quota by a process whose first report is answered late.
 BOOST_AUTO_TEST_CASE(requests_are_admitted_until_the_first_total_is_due)
 {
