Keep a silent run whose key was revoked

Whether the key still permits another run is now asked before a run is given up, and before a request goes back to the replica that it was taken from. A request whose key was revoked on the way keeps its tenant in logs and counts.

--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -76,10 +76,28 @@
     /// False if the request was held or answered instead.
     bool findRoute();
     void initFromRoute();
-    /// Finds the tenant of the request's key in the state in force. False if the request was answered instead.
+    enum class key_result : std::uint8_t {
+        accepted,
+        unknown,
+        /// Unknown by a state that may be outdated.
+        not_yet_known,
+        /// The state is so old that the key may have been revoked.
+        unconfirmed,
+    };
+    struct key_check
+    {
+        key_result result = key_result::accepted;
+        /// Null if the route needs no key and the request has none that is known.
+        std::shared_ptr<const catalog::tenant> tenant;
+    };
+    /// Looks up the request's key in the state in force.
+    [[nodiscard]] key_check checkKey() const;
+    /// Finds the tenant of the request's key. False if the request was answered instead.
     bool authorize();
     /// The same if another state has come into force since; the key of a request that has waited may be revoked.
     bool isStillAuthorized();
+    /// Whether the key would be accepted for another run. The run in progress goes on without that.
+    [[nodiscard]] bool maySendAgain() const;
     /// False if the request was refused because this process is overloaded.
     bool admitByOwnLoad();
     /// Counts the request toward its tenant's quota. False if it was refused instead.
--- a/libs/gateway/src/exchange_authorization.cpp
+++ b/libs/gateway/src/exchange_authorization.cpp
@@ -11,34 +11,51 @@
 
 } // namespace
 
-bool exchange::authorize()
+exchange::key_check exchange::checkKey() const
 {
     const catalog::tenant_directory &tenants = m_services.routes.tenants();
-    m_authorizedVersion = m_services.routes.version();
-    m_hasTenants = tenants.isEnabled();
-    m_tenant = nullptr;
-    if (!m_hasTenants) {
-        return true;
+    if (!tenants.isEnabled()) {
+        return {};
     }
+    key_check check;
     const auto &key = m_requestMetadata.keyDigest;
     if (key && !m_requestMetadata.hasSeveralKeys) {
-        m_tenant = tenants.find(*key);
+        check.tenant = tenants.find(*key);
     }
     if (m_route->isPublic) {
-        return true;
+        return check;
     }
     const key_policy &policy = m_services.keyPolicy;
     if (policy.failClosed && m_services.storeAge() >= policy.revokeBound) {
-        refuse(refusal_cause::starting, "state_outdated", "the store hasn't answered, keys may have been revoked");
-        return false;
+        check.result = key_result::unconfirmed;
+    } else if (check.tenant == nullptr) {
+        check.result =
+            m_services.storeAge() >= policy.outdatedAfter ? key_result::not_yet_known : key_result::unknown;
     }
-    if (m_tenant != nullptr) {
-        return true;
+    return check;
+}
+
+bool exchange::authorize()
+{
+    m_authorizedVersion = m_services.routes.version();
+    m_hasTenants = m_services.routes.tenants().isEnabled();
+    key_check check = checkKey();
+    // A request whose key was revoked on the way still counts for its tenant.
+    if (check.result == key_result::accepted || check.tenant != nullptr) {
+        m_tenant = std::move(check.tenant);
     }
-    if (m_services.storeAge() >= policy.outdatedAfter) {
+    switch (check.result) {
+    case key_result::accepted:
+        return true;
+    case key_result::unconfirmed:
+        refuse(refusal_cause::starting, "state_outdated", "the store hasn't answered, keys may have been revoked");
+        return false;
+    case key_result::not_yet_known:
         refuse(refusal_cause::starting, "state_outdated",
                "the key is unknown, and the published state may be outdated");
         return false;
+    case key_result::unknown:
+        break;
     }
     m_services.metrics.count("medlarrack_gateway_unknown_keys_total", "Requests refused for want of a known key", {});
     if (m_history.runs > 0) {
@@ -46,7 +63,7 @@
         respondWithError(statusBadGateway, "key_revoked", "the key was revoked after the request had been sent");
     } else {
         respondWithError(statusUnauthorized, "unknown_key",
-                         key ? "no tenant has this key" : "the route requires a tenant's key");
+                         m_requestMetadata.keyDigest ? "no tenant has this key" : "the route requires a tenant's key");
     }
     return false;
 }
@@ -56,6 +73,11 @@
     return m_authorizedVersion == m_services.routes.version() || authorize();
 }
 
+bool exchange::maySendAgain() const
+{
+    return checkKey().result == key_result::accepted;
+}
+
 bool exchange::admitByQuota()
 {
     if (m_tenant == nullptr || m_tenant->quota.perSecond <= 0) {
--- a/libs/gateway/src/exchange_dispatch.cpp
+++ b/libs/gateway/src/exchange_dispatch.cpp
@@ -331,7 +331,7 @@
 
 bool exchange::canGoOnElsewhere(core::monotonic_time now)
 {
-    if (isContentRefused(now) || arePartsRefused(now)
+    if (!maySendAgain() || isContentRefused(now) || arePartsRefused(now)
         || m_services.crashDetector.mustWait(m_requestMetadata.sharedParts, now)) {
         return false;
     }
@@ -348,7 +348,7 @@
     const replica_ptr silent = m_services.replicas.find(std::exchange(m_silentReplica, {}));
     auto wayBack = std::move(m_wayBack);
     // The route limits the replicas, and this one has had the request.
-    if (silent == nullptr || now >= m_deadline || m_history.runs > m_route->maxAttempts
+    if (silent == nullptr || now >= m_deadline || !maySendAgain() || m_history.runs > m_route->maxAttempts
         || !acceptsRequests(*silent, now) || !silent->requestLimit.admits(now) || isContentRefused(now)
         || arePartsRefused(now) || m_services.crashDetector.mustWait(m_requestMetadata.sharedParts, now)
         || (m_origin != resumption::unknownOrigin && !mayResume(*silent, m_origin))) {
