--- a/libs/gateway/src/exchange_evidence.cpp
+++ b/libs/gateway/src/exchange_evidence.cpp
@@ -149,15 +149,11 @@
     if (!m_isUnanswered || m_runsAsProbe) {
         return false;
     }
-    // A run that was only lost speaks against sending the request, but not against one that may still be answered.
-    const bool contentRefused =
-        m_services.crashDetector.confirmedStatusOf(m_fingerprint, now, m_requestMetadata.sharedParts)
-        == suspects::suspect_status::refused;
-    if (!contentRefused && !arePartsRefused(now)) {
+    if (!m_services.crashDetector.mustCancel(m_fingerprint, m_requestMetadata.sharedParts, now)) {
         return false;
     }
     countCrashingRequest();
-    const std::string_view why = contentRefused ? contentCrashes : partCrashes;
+    const std::string_view why = arePartsRefused(now) ? partCrashes : contentCrashes;
     recordLostRun(why, false);
     closeConnection();
     releaseReplica();
--- a/libs/suspects/include/medlarrack/suspects/crash_detector.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_detector.hpp
@@ -84,6 +84,10 @@
     /// the request doesn't contain, explain its crashes better: they were there too, and were never answered while the
     /// part was, or have as many crashes.
     [[nodiscard]] suspect_status statusOfParts(std::span<const std::uint64_t> parts, core::monotonic_time now) const;
+    /// Whether a run that may still be answered has to end, because the request or a part of its prompt is refused by
+    /// confirmed crashes. What was answered shortly before its crashes may only have run beside their cause.
+    [[nodiscard]] bool mustCancel(std::uint64_t fingerprint, std::span<const std::uint64_t> parts,
+                                  core::monotonic_time now) const;
     /// Whether a run of a request has to wait: a part of its prompt may crash targets, and this process already runs a
     /// request with that part whose answer has not begun. One run is enough to find out.
     [[nodiscard]] bool mustWait(std::span<const std::uint64_t> parts, core::monotonic_time now) const;
--- a/libs/suspects/src/crash_detector.cpp
+++ b/libs/suspects/src/crash_detector.cpp
@@ -149,6 +149,17 @@
         && explanationFor(part, parts, now) != part_explanation::excused;
 }
 
+bool crash_detector::mustCancel(std::uint64_t fingerprint, std::span<const std::uint64_t> parts,
+                                core::monotonic_time now) const
+{
+    if (!lastAnswer(fingerprint) && confirmedStatusOf(fingerprint, now, parts) == suspect_status::refused) {
+        return true;
+    }
+    return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
+        return !lastAnswer(part) && isPartRefused(part, parts, now);
+    });
+}
+
 bool crash_detector::mustWait(std::span<const std::uint64_t> parts, core::monotonic_time now) const
 {
     return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
--- a/libs/suspects/tests/test_crash_detector.cpp
+++ b/libs/suspects/tests/test_crash_detector.cpp
@@ -238,6 +238,35 @@
     BOOST_TEST((detector.confirmedStatusOf(poison, start + 300ms) == suspect_status::refused));
 }
 
+// Guards against cancelling runs of sound requests because many targets ended within moments, whatever ended them.
+BOOST_AUTO_TEST_CASE(a_run_is_not_cancelled_for_what_was_answered_shortly_before)
+{
+    const std::vector<std::uint64_t> parts{31};
+    const auto crash = [](crash_detector &detector, const suspects::lost_run &run) {
+        detector.recordLostRun(run, run.startedAt + 20ms);
+        detector.recordTargetEnd(run.target.id, run.startedAt + 20ms);
+    };
+    const auto now = start + 2s;
+    for (const bool wasAnswered : {true, false}) {
+        crash_detector ofContent;
+        crash_detector ofParts;
+        if (wasAnswered) {
+            ofContent.recordAnswer(poison, start);
+            ofParts.recordAnswer(parts.front(), start);
+        }
+        for (std::uint64_t round = 0; round < 5; ++round) {
+            const auto at = start + 1s + round * 100ms;
+            const core::instance_ref target{"e-" + std::to_string(round), 1};
+            crash(ofContent, {poison, target, at, true, {}});
+            crash(ofParts, {100 + round, target, at, true, parts});
+        }
+        BOOST_TEST((ofContent.confirmedStatusOf(poison, now) == suspect_status::refused));
+        BOOST_TEST(ofContent.mustCancel(poison, {}, now) == !wasAnswered);
+        BOOST_TEST((ofParts.statusOfParts(parts, now) == suspect_status::refused));
+        BOOST_TEST(ofParts.mustCancel(200, parts, now) == !wasAnswered);
+    }
+}
+
 // Guards against refusing a request for ten minutes because of crashes that another request caused.
 BOOST_AUTO_TEST_CASE(a_refused_request_is_probed_once_when_all_is_calm_and_comes_back_by_its_answer)
 {
