Fail closed for requests that wait, too

A waiting request was checked again only if another state had come into force. Without news from the store nothing comes into force, so it was sent with a key that could no longer be confirmed after the bound. The age of the state is now asked before each send. The new test fails without the change (a second replica gets the request).

--- a/libs/gateway/src/exchange.hpp
+++ b/libs/gateway/src/exchange.hpp
@@ -92,9 +92,12 @@
     };
     /// Looks up the request's key in the state in force.
     [[nodiscard]] key_check checkKey() const;
+    /// Whether the state is older than the settings allow a key to be trusted.
+    [[nodiscard]] bool mayMissRevocation() const;
     /// Finds the tenant of the request's key. False if the request was answered instead.
     bool authorize();
-    /// The same if another state has come into force since; the key of a request that has waited may be revoked.
+    /// The same if another state has come into force since, or the state has become too old; the key of a request that
+    /// has waited may be revoked.
     bool isStillAuthorized();
     /// Whether the key would be accepted for another run. The run in progress goes on without that.
     [[nodiscard]] bool maySendAgain() const;
--- a/libs/gateway/src/exchange_authorization.cpp
+++ b/libs/gateway/src/exchange_authorization.cpp
@@ -25,16 +25,21 @@
     if (m_route->isPublic) {
         return check;
     }
-    const key_policy &policy = m_services.keyPolicy;
-    if (policy.failClosed && m_services.storeAge() >= policy.revokeBound) {
+    if (mayMissRevocation()) {
         check.result = key_result::unconfirmed;
     } else if (check.tenant == nullptr) {
-        check.result =
-            m_services.storeAge() >= policy.outdatedAfter ? key_result::not_yet_known : key_result::unknown;
+        check.result = m_services.storeAge() >= m_services.keyPolicy.outdatedAfter ? key_result::not_yet_known
+                                                                                   : key_result::unknown;
     }
     return check;
 }
 
+bool exchange::mayMissRevocation() const
+{
+    const key_policy &policy = m_services.keyPolicy;
+    return policy.failClosed && m_services.storeAge() >= policy.revokeBound;
+}
+
 bool exchange::authorize()
 {
     m_authorizedVersion = m_services.routes.version();
@@ -70,7 +75,7 @@
 
 bool exchange::isStillAuthorized()
 {
-    return m_authorizedVersion == m_services.routes.version() || authorize();
+    return (m_authorizedVersion == m_services.routes.version() && !mayMissRevocation()) || authorize();
 }
 
 bool exchange::maySendAgain() const
