Test of long prompts: compare two gateways over twenty seeds

On x86-64 the test failed for two gateways: 0.483% of the short prompts late, 0.429% before, where 10% more are allowed; on arm64 it passed. Each play of 60 s has some 130 late prompts, so chance alone moves the share by a tenth, and the two kinds of machine round differently.

--- a/libs/gateway/tests/test_long_prompts.cpp
+++ b/libs/gateway/tests/test_long_prompts.cpp
@@ -18,12 +18,19 @@
 constexpr double tokensPerMs = 30.6;
 constexpr std::size_t engineCount = 40;
 constexpr std::uint32_t batchSize = 64;
+constexpr std::uint32_t firstSeed = 20261207;
 
 /// First-event times in ms of one kind of request.
 struct first_events
 {
     std::vector<double> ms;
 
+    first_events &operator+=(const first_events &other)
+    {
+        ms.insert(ms.end(), other.ms.begin(), other.ms.end());
+        return *this;
+    }
+
     [[nodiscard]] double within(double limit) const
     {
         return static_cast<double>(std::count_if(ms.begin(), ms.end(),
@@ -50,6 +57,34 @@
     }
 };
 
+struct prompt_results
+{
+    first_events shortOnes;
+    first_events longOnes;
+    /// The largest tenth of the long prompts, and the fifth below it.
+    first_events largest;
+    first_events large;
+    std::size_t adapterLoads = 0;
+
+    friend std::ostream &operator<<(std::ostream &out, const prompt_results &of)
+    {
+        return out << "short: mean " << of.shortOnes.mean() << " ms, 99% " << of.shortOnes.quantile(0.99)
+                   << " ms, over 500 ms " << 1 - of.shortOnes.within(500) << "; long: mean " << of.longOnes.mean()
+                   << " ms, within 2 s " << of.longOnes.within(2'000) << ", largest " << of.largest.within(2'000)
+                   << ", large " << of.large.within(2'000);
+    }
+
+    prompt_results &operator+=(const prompt_results &other)
+    {
+        shortOnes += other.shortOnes;
+        longOnes += other.longOnes;
+        largest += other.largest;
+        large += other.large;
+        adapterLoads += other.adapterLoads;
+        return *this;
+    }
+};
+
 /// How engines are compared: 650 pending tokens count as one request, or as in chooseEngine().
 enum class cost {
     former,
@@ -61,10 +96,11 @@
 class prompt_simulation
 {
 public:
-    prompt_simulation(int gateways, double longPerSecond, cost by)
+    prompt_simulation(int gateways, double longPerSecond, cost by, std::uint32_t seed)
         : m_longPerSecond(longPerSecond)
         , m_cost(by)
         , m_engines(engineCount)
+        , m_random(seed)
     {
         for (int index = 0; index < gateways; ++index) {
             auto &added = m_gateways.emplace_back();
@@ -103,20 +139,7 @@
         }
     }
 
-    first_events shortOnes;
-    first_events longOnes;
-    /// The largest tenth of the long prompts, and the fifth below it.
-    first_events largest;
-    first_events large;
-    std::size_t adapterLoads = 0;
-
-    friend std::ostream &operator<<(std::ostream &out, const prompt_simulation &of)
-    {
-        return out << "short: mean " << of.shortOnes.mean() << " ms, 99% " << of.shortOnes.quantile(0.99)
-                   << " ms, over 500 ms " << 1 - of.shortOnes.within(500) << "; long: mean " << of.longOnes.mean()
-                   << " ms, within 2 s " << of.longOnes.within(2'000) << ", largest " << of.largest.within(2'000)
-                   << ", large " << of.large.within(2'000);
-    }
+    prompt_results results;
 
 private:
     static constexpr milliseconds tick{5};
@@ -190,7 +213,7 @@
         query.salt = m_salts();
         query.sizes = &at.sizes;
         const replica_choice chosen = chooseEngine(at.fleet.table, query, m_clock.now());
-        adapterLoads += chosen.needsLoad || chosen.alsoLoadAt != nullptr ? 1 : 0;
+        results.adapterLoads += chosen.needsLoad || chosen.alsoLoadAt != nullptr ? 1 : 0;
         return chosen.target;
     }
 
@@ -244,16 +267,16 @@
         m_engines[index].generating.emplace_back(m_clock.now() + generationTime, done.gateway);
         const double ms = std::chrono::duration<double, std::milli>(time).count();
         if (!done.isLong) {
-            shortOnes.ms.push_back(ms);
+            results.shortOnes.ms.push_back(ms);
             return;
         }
-        longOnes.ms.push_back(ms);
+        results.longOnes.ms.push_back(ms);
         constexpr std::uint32_t largestTokens = 20'900;
         constexpr std::uint32_t largeTokens = 10'600;
         if (done.tokens >= largestTokens) {
-            largest.ms.push_back(ms);
+            results.largest.ms.push_back(ms);
         } else if (done.tokens >= largeTokens) {
-            large.ms.push_back(ms);
+            results.large.ms.push_back(ms);
         }
     }
 
@@ -292,7 +315,7 @@
     std::vector<double> m_gatewayWeights;
     std::vector<engine_model> m_engines;
     std::size_t m_tickCount = 0;
-    std::mt19937 m_random{20261207};
+    std::mt19937 m_random;
     /// Apart from the other random numbers, so that each choice meets the same load.
     std::mt19937_64 m_salts{1};
 };
@@ -307,10 +330,19 @@
 BOOST_DATA_TEST_CASE(fewer_short_prompts_are_late_behind_long_ones_than_by_counting_tokens_as_requests,
                      boost::unit_test::data::make({2, 24, 68}), gateways)
 {
-    prompt_simulation former(gateways, 12.5, cost::former);
-    former.run(milliseconds(60'000));
-    prompt_simulation now(gateways, 12.5, cost::by_size);
-    now.run(milliseconds(60'000));
+    prompt_results former;
+    prompt_results now;
+    // Two gateways have few late prompts: chance alone moves their share by a tenth in one run.
+    const std::uint32_t runs = gateways > 2 ? 1 : 20;
+    for (std::uint32_t run = 0; run < runs; ++run) {
+        constexpr milliseconds time{60'000};
+        prompt_simulation before(gateways, 12.5, cost::former, firstSeed + run);
+        before.run(time);
+        former += before.results;
+        prompt_simulation after(gateways, 12.5, cost::by_size, firstSeed + run);
+        after.run(time);
+        now += after.results;
+    }
     BOOST_TEST_MESSAGE(gateways << " gateways, before: " << former << "; now: " << now);
     // Two gateways know nearly all that the engines have to prefill; there is nothing to gain.
     const double lateBefore = 1 - former.shortOnes.within(500);
@@ -327,8 +359,9 @@
 // engines' prefill rate together with the short ones.
 BOOST_AUTO_TEST_CASE(the_largest_prompts_are_served_at_least_half_as_often_as_all_when_long_ones_are_many)
 {
-    prompt_simulation now(24, 38, cost::by_size);
-    now.run(milliseconds(30'000));
+    prompt_simulation simulation(24, 38, cost::by_size, firstSeed);
+    simulation.run(milliseconds(30'000));
+    const prompt_results &now = simulation.results;
     BOOST_TEST_MESSAGE(now);
     BOOST_TEST(now.largest.within(2'000) > now.longOnes.within(2'000) / 2);
     BOOST_TEST(now.large.within(2'000) > now.longOnes.within(2'000) / 2);
