--- a/apps/medlarrack-faults/src/fault_matrix.cpp
+++ b/apps/medlarrack-faults/src/fault_matrix.cpp
@@ -225,6 +225,8 @@
               "a_run_whose_part_is_refused_meanwhile_is_cancelled"},
              {"a part or request that was answered shortly before is refused for crashes of others while it runs",
               "libs/suspects", "a_run_is_not_cancelled_for_what_was_answered_shortly_before"},
+             {"the same at a gateway, whose caller waits for the answer", "platform",
+              "a_run_whose_part_was_answered_shortly_before_is_not_cancelled"},
          },
          "requests that crash each replica, sent to several gateways at once and again; requests that are all "
          "different and crash replicas by one or two parts of their prompts",
