Count the bytes of control messages, and log what a lost link and a failed call had carried

Neither logs nor metrics told how many bytes were sent to agents by which messages, how many waited when a link was lost, and how much of an answer had come when a call failed.

Change: agent_protocol::message_traffic counts sent bytes by type of message, shown as medlarrack_gateway_sent_bytes and medlarrack_agent_sent_bytes; medlarrack_gateway_store_received_bytes counts the store's answers. 'agent link lost' has unsent_bytes, 'store lost' has received_bytes and call_ms. No decision is changed.

--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -238,6 +238,11 @@
                       static_cast<double>(streamOrigins.size()));
         metrics.gauge("medlarrack_agent_requests", "Requests running and queued at the engine", {},
                       report.running + report.queued);
+        for (std::size_t type = 0; type < agent_protocol::message_traffic::typeCount; ++type) {
+            metrics.gauge("medlarrack_agent_sent_bytes", "Bytes of messages sent to gateways since the start, by type",
+                          {.code = std::string(agent_protocol::message_traffic::typeName(type))},
+                          static_cast<double>(sentTraffic.bytes(type)));
+        }
         for (const core::tenant_total &one : tenantUsage.totals(clock.now())) {
             const metrics::labels where{.operatorName = one.tenant};
             metrics.gauge("medlarrack_agent_tenant_level", "Units left in the tenant's bucket", where, one.level);
@@ -308,7 +313,7 @@
         const auto added = links.emplace(links.end());
         added->madeAt = clock.now();
         added->connection = std::make_unique<agent_protocol::message_connection>(
-            std::make_shared<http1::byte_stream>(context, std::move(socket)),
+            std::make_shared<http1::byte_stream>(context, std::move(socket)), sentTraffic,
             [this, added](const agent_protocol::message &message) {
                 std::visit(
                     [&](const auto &body) {
@@ -460,7 +465,7 @@
         const std::string text = agent_protocol::encode(message);
         for (gateway_link &link : links) {
             if (!link.lost && &link != from) {
-                link.connection->sendEncoded(text);
+                link.connection->sendEncoded(message.index(), text);
             }
         }
     }
@@ -658,6 +663,7 @@
     resumption::origin_table streamOrigins;
     quota::usage_ledger tenantUsage;
     fencing_token_source tokenSource;
+    agent_protocol::message_traffic sentTraffic;
     std::list<gateway_link> links;
     agent_protocol::engine_status publishedStatus;
     core::monotonic_time publishedAt{};
--- a/libs/agent_protocol/include/medlarrack/agent_protocol/message_connection.hpp
+++ b/libs/agent_protocol/include/medlarrack/agent_protocol/message_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <medlarrack/agent_protocol/message_codec.hpp>
+#include <medlarrack/agent_protocol/message_traffic.hpp>
 #include <medlarrack/http1/byte_stream.hpp>
 
 #include <functional>
@@ -13,7 +14,9 @@
 class message_connection : private http1::byte_stream_listener
 {
 public:
-    message_connection(std::shared_ptr<http1::byte_stream> stream, std::function<void(const message &)> onMessage,
+    /// Counts what it sends in `sent`, which must outlive it.
+    message_connection(std::shared_ptr<http1::byte_stream> stream, message_traffic &sent,
+                       std::function<void(const message &)> onMessage,
                        std::function<void(std::string_view why)> onLost);
     ~message_connection() override;
 
@@ -22,8 +25,10 @@
     /// Sends a message. Closes the connection if the peer doesn't read, so that unsent messages don't pile up in
     /// memory.
     void send(const message &value);
-    /// Sends an encoded message; avoids encoding one again for each of several connections.
-    void sendEncoded(std::string_view bytes);
+    /// Sends an encoded message of a type; avoids encoding one again for each of several connections.
+    void sendEncoded(std::size_t type, std::string_view bytes);
+    /// Bytes of messages that the system hasn't taken yet.
+    [[nodiscard]] std::size_t unsentBytes() const;
 
 private:
     void onBytes(std::string_view bytes) override;
@@ -31,6 +36,7 @@
     void onLost(std::string_view why) override;
 
     std::shared_ptr<http1::byte_stream> m_stream;
+    message_traffic &m_sent;
     message_decoder m_decoder;
     std::function<void(const message &)> m_onMessage;
     std::function<void(std::string_view)> m_onLost;
--- a/libs/agent_protocol/src/message_connection.cpp
+++ b/libs/agent_protocol/src/message_connection.cpp
@@ -11,10 +11,11 @@
 
 } // namespace
 
-message_connection::message_connection(std::shared_ptr<http1::byte_stream> stream,
+message_connection::message_connection(std::shared_ptr<http1::byte_stream> stream, message_traffic &sent,
                                        std::function<void(const message &)> onMessage,
                                        std::function<void(std::string_view)> onLost)
     : m_stream(std::move(stream))
+    , m_sent(sent)
     , m_onMessage(std::move(onMessage))
     , m_onLost(std::move(onLost))
 {
@@ -39,12 +40,13 @@
 
 void message_connection::send(const message &value)
 {
-    sendEncoded(encode(value));
+    sendEncoded(value.index(), encode(value));
 }
 
-void message_connection::sendEncoded(std::string_view bytes)
+void message_connection::sendEncoded(std::size_t type, std::string_view bytes)
 {
     if (m_stream->queued() <= maxQueuedBytes) {
+        m_sent.add(type, bytes.size());
         m_stream->write(bytes);
         return;
     }
@@ -53,6 +55,11 @@
     lost("the send buffer is full: the peer is not reading");
 }
 
+std::size_t message_connection::unsentBytes() const
+{
+    return m_stream->queued();
+}
+
 void message_connection::onBytes(std::string_view bytes)
 {
     m_decoder.feed(bytes);
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -120,9 +120,10 @@
     const std::size_t recipients = std::min(crashReportFanout, connectedAgents.size());
     std::partial_sort(connectedAgents.begin(), connectedAgents.begin() + static_cast<std::ptrdiff_t>(recipients),
                       connectedAgents.end());
-    const std::string encoded = agent_protocol::encode(agent_protocol::crash_report{update});
+    const agent_protocol::message report = agent_protocol::crash_report{update};
+    const std::string encoded = agent_protocol::encode(report);
     for (std::size_t index = 0; index < recipients; ++index) {
-        connectedAgents[index].second->sendEncoded(encoded);
+        connectedAgents[index].second->sendEncoded(report.index(), encoded);
     }
     log::write(log::level::info, "crash news told",
                {{"crashes", static_cast<std::uint64_t>(update.crashes.size())},
@@ -249,7 +250,7 @@
     link = {};
     link.lastMessageAt = m_clock.now();
     link.connection = std::make_unique<agent_protocol::message_connection>(
-        std::make_shared<http1::byte_stream>(m_context),
+        std::make_shared<http1::byte_stream>(m_context), m_sent,
         [this, id](const agent_protocol::message &message) {
             onMessage(id, message);
         },
@@ -345,6 +346,11 @@
     m_onStatus(knownReplica);
 }
 
+const agent_protocol::message_traffic &agent_links::sent() const
+{
+    return m_sent;
+}
+
 void agent_links::closeLink(const std::string &id, std::string_view why)
 {
     const auto found = m_links.find(id);
@@ -352,7 +358,10 @@
         return;
     }
     if (found->second.connected) {
-        log::write(log::level::warning, "agent link lost", {{"replica", id}, {"why", why}});
+        log::write(log::level::warning, "agent link lost",
+                   {{"replica", id},
+                    {"why", why},
+                    {"unsent_bytes", static_cast<std::uint64_t>(found->second.connection->unsentBytes())}});
     }
     // The connection may be the caller: it is destroyed after its callback has returned.
     asio::post(m_context,
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -36,6 +36,8 @@
     void reportCrashes(const core::crash_news &update);
     /// Opens and closes links and sends updates over them; called periodically.
     void tick();
+    /// What was sent to agents since the start.
+    [[nodiscard]] const agent_protocol::message_traffic &sent() const;
 
 private:
     struct agent_link
@@ -74,6 +76,7 @@
     quota::tenant_limiter &m_tenantLimiter;
     core::monotonic_time m_nextUsageReportAt{};
     std::function<void(const replica_ptr &)> m_onStatus;
+    agent_protocol::message_traffic m_sent;
     std::map<std::string, agent_link, std::less<>> m_links;
 };
 
--- a/libs/gateway/src/gateway_service.cpp
+++ b/libs/gateway/src/gateway_service.cpp
@@ -397,6 +397,18 @@
         }
     }
 
+    /// What this process exchanges with agents and reads from the store.
+    void showControlTraffic()
+    {
+        for (std::size_t type = 0; type < agent_protocol::message_traffic::typeCount; ++type) {
+            metrics.gauge("medlarrack_gateway_sent_bytes", "Bytes of messages sent to agents since the start, by type",
+                          {.code = std::string(agent_protocol::message_traffic::typeName(type))},
+                          static_cast<double>(agents.sent().bytes(type)));
+        }
+        metrics.gauge("medlarrack_gateway_store_received_bytes", "Bytes of the store's answers since the start", {},
+                      static_cast<double>(store.receivedBytes()));
+    }
+
     [[nodiscard]] bool isReady() const
     {
         return !drainSchedule && !routes.isEmpty() && !replicas.all().empty();
@@ -425,6 +437,7 @@
                           {}, static_cast<double>(crashDetector.size()));
             metrics.gauge("medlarrack_gateway_busy_connections", "Connections with a request in progress", {},
                           static_cast<double>(callerServer.busy()));
+            showControlTraffic();
             showTenants();
             showQueues();
             showWorkTimes();
--- a/libs/gateway/src/store_reader.cpp
+++ b/libs/gateway/src/store_reader.cpp
@@ -216,7 +216,11 @@
         if (reachable != false) {
             reachable = false;
             log::write(log::level::warning, "store lost",
-                       {{"code", why.code}, {"why", why.message}, {"revision", revision}});
+                       {{"code", why.code},
+                        {"why", why.message},
+                        {"revision", revision},
+                        {"received_bytes", static_cast<std::uint64_t>(client.receivedBytes())},
+                        {"call_ms", std::chrono::round<std::chrono::milliseconds>(clock.now() - lastCallAt).count()}});
         }
         schedule(retryDelay);
     }
@@ -319,4 +323,9 @@
     return m_impl->revision;
 }
 
+std::uint64_t store_reader::receivedBytes() const
+{
+    return m_impl->client.totalReceivedBytes();
+}
+
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/store_reader.hpp
+++ b/libs/gateway/src/store_reader.hpp
@@ -48,6 +48,8 @@
     /// Time since the last successful call.
     [[nodiscard]] std::chrono::nanoseconds age() const;
     [[nodiscard]] std::uint64_t revision() const;
+    /// Bytes of the bodies of all answers, also of those that didn't come whole.
+    [[nodiscard]] std::uint64_t receivedBytes() const;
     /// The store's era; 0 before the first answer that has one.
     [[nodiscard]] std::uint64_t era() const;
 
--- a/libs/http1/include/medlarrack/http1/call_client.hpp
+++ b/libs/http1/include/medlarrack/http1/call_client.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -57,6 +58,10 @@
     [[nodiscard]] bool isAnswerProvable() const;
     /// Gives the kept connection up, as after an answer that doesn't fit its call. Must not be busy.
     void disconnect();
+    /// Bytes of the last answer's body so far, also if it wasn't taken.
+    [[nodiscard]] std::size_t receivedBytes() const;
+    /// The same of all answers.
+    [[nodiscard]] std::uint64_t totalReceivedBytes() const;
     /// Starts a call; must not be busy. No handler is called after destruction.
     void call(std::string_view method, std::string_view target, std::string_view body,
               std::chrono::milliseconds timeout, done_handler done);
--- a/libs/http1/src/call_client.cpp
+++ b/libs/http1/src/call_client.cpp
@@ -76,6 +76,7 @@
     {
         done = std::move(handler);
         answer = {};
+        receivedBytes = 0;
         std::string request;
         request += method;
         request += ' ';
@@ -129,6 +130,8 @@
 
     void onBody(std::string &body) override
     {
+        receivedBytes += body.size();
+        totalReceivedBytes += body.size();
         if (answer.body.size() + body.size() > maxBodyBytes) {
             drop();
             finish(std::nullopt, {"answer_too_long", "the answer exceeds " + std::to_string(maxBodyBytes) + " bytes"});
@@ -178,6 +181,8 @@
     std::shared_ptr<client_connection> connection;
     done_handler done;
     call_answer answer;
+    std::size_t receivedBytes = 0;
+    std::uint64_t totalReceivedBytes = 0;
 };
 
 call_client::call_client(asio::io_context &context, const asio::ip::tcp::endpoint &server, std::size_t maxBodyBytes,
@@ -208,6 +213,16 @@
     m_impl->drop();
 }
 
+std::size_t call_client::receivedBytes() const
+{
+    return m_impl->receivedBytes;
+}
+
+std::uint64_t call_client::totalReceivedBytes() const
+{
+    return m_impl->totalReceivedBytes;
+}
+
 void call_client::call(std::string_view method, std::string_view target, std::string_view body,
                        std::chrono::milliseconds timeout, done_handler done)
 {
