Report the loss of an agent link once its sender has returned

Cause: message_connection::send() told its owner of a full buffer before it returned. agent_links gave the connection up and went on to send on it, through a null pointer. Some sends had a check behind them, sendUpdates() and mergeCrashReport() had none.

Change: byte_stream::fail() gives a connection up and reports it by the event loop, as failed writes did already. Until then nothing is sent, read or decoded, so no sender or handler can lose its connection under its hands, at the agent as at the gateway. The checks behind sends are gone.

Result: a_link_that_fills_up_within_a_round_of_updates_is_lost_after_it and two cases of test_message_connection fail before (memory access violation; the loss is reported within send()) and pass now.

--- a/libs/agent_protocol/include/medlarrack/agent_protocol/message_connection.hpp
+++ b/libs/agent_protocol/include/medlarrack/agent_protocol/message_connection.hpp
@@ -6,11 +6,13 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace medlarrack::agent_protocol {
 
-/// One end of a connection between a gateway and an agent. After onLost has been called, the owner destroys it.
+/// One end of a connection between a gateway and an agent. After onLost has been called, the owner destroys it. onLost
+/// is never called from within send().
 class message_connection : private http1::byte_stream_listener
 {
 public:
@@ -22,8 +24,8 @@
 
     void connect(const asio::ip::tcp::endpoint &to, std::chrono::milliseconds limit);
     void start();
-    /// Sends a message. Closes the connection if the peer doesn't read, so that unsent messages don't pile up in
-    /// memory.
+    /// Sends a message. Gives the connection up if the peer doesn't read, so that unsent messages don't pile up in
+    /// memory; what is sent until onLost is called is dropped.
     void send(const message &value);
     /// Sends an encoded message of a type; avoids encoding one again for each of several connections.
     void sendEncoded(std::size_t type, std::string_view bytes);
@@ -31,6 +33,7 @@
     [[nodiscard]] std::size_t unsentBytes() const;
 
 private:
+    void fail(std::string why);
     void onBytes(std::string_view bytes) override;
     void onPeerEnd() override;
     void onLost(std::string_view why) override;
@@ -38,6 +41,8 @@
     std::shared_ptr<http1::byte_stream> m_stream;
     message_traffic &m_sent;
     message_decoder m_decoder;
+    /// onLost is about to be called.
+    bool m_failed = false;
     std::function<void(const message &)> m_onMessage;
     std::function<void(std::string_view)> m_onLost;
 };
--- a/libs/agent_protocol/src/message_connection.cpp
+++ b/libs/agent_protocol/src/message_connection.cpp
@@ -45,14 +45,21 @@
 
 void message_connection::sendEncoded(std::size_t type, std::string_view bytes)
 {
-    if (m_stream->queued() <= maxQueuedBytes) {
-        m_sent.add(type, bytes.size());
-        m_stream->write(bytes);
+    if (m_failed) {
         return;
     }
-    m_stream->close();
-    const auto lost = m_onLost;
-    lost("the send buffer is full: the peer is not reading");
+    if (m_stream->queued() > maxQueuedBytes) {
+        fail("the send buffer is full: the peer is not reading");
+        return;
+    }
+    m_sent.add(type, bytes.size());
+    m_stream->write(bytes);
+}
+
+void message_connection::fail(std::string why)
+{
+    m_failed = true;
+    m_stream->fail(std::move(why));
 }
 
 std::size_t message_connection::unsentBytes() const
@@ -64,13 +71,16 @@
 {
     m_decoder.feed(bytes);
     core::reason why;
-    while (const auto read = m_decoder.next(why)) {
+    // A handler may send, and the connection fail thereby.
+    while (!m_failed) {
+        const auto read = m_decoder.next(why);
+        if (!read) {
+            break;
+        }
         m_onMessage(*read);
     }
-    if (m_decoder.failed()) {
-        m_stream->close();
-        const auto lost = m_onLost;
-        lost(why.message);
+    if (!m_failed && m_decoder.failed()) {
+        fail(why.message);
     }
 }
 
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -201,9 +201,8 @@
             return homes.isKeptBy(tenant, id);
         };
         auto reports = m_tenantLimiter.takeReports(id, isKeptThere, now);
-        // Sending may close a link.
-        if (const auto &connection = m_links.at(id).connection; connection != nullptr && !reports.empty()) {
-            connection->send(agent_protocol::tenant_usage{m_routes.version(), std::move(reports)});
+        if (!reports.empty()) {
+            m_links.at(id).connection->send(agent_protocol::tenant_usage{m_routes.version(), std::move(reports)});
         }
     }
 }
@@ -218,17 +217,11 @@
     for (const auto &[id, link] : m_links) {
         agents.push_back({id, core::hash64(m_replicas.find(id)->record.address), link.connected});
     }
-    // Sending may close a link.
-    const auto sendTo = [this](const std::string &id, const agent_protocol::message &message) {
-        if (const auto &connection = m_links.at(id).connection; connection != nullptr) {
-            connection->send(message);
-        }
-    };
     for (auto &[id, streams] : m_streams.takeNews(agents)) {
-        sendTo(id, agent_protocol::stream_origins{std::move(streams)});
+        m_links.at(id).connection->send(agent_protocol::stream_origins{std::move(streams)});
     }
     for (auto &[id, streams] : m_streams.takeQueries(agents, now)) {
-        sendTo(id, agent_protocol::origin_query{std::move(streams)});
+        m_links.at(id).connection->send(agent_protocol::origin_query{std::move(streams)});
     }
 }
 
--- a/libs/http1/include/medlarrack/http1/byte_stream.hpp
+++ b/libs/http1/include/medlarrack/http1/byte_stream.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace medlarrack::http1 {
@@ -72,6 +73,9 @@
     void startReading();
     void stopReading();
     void write(std::string_view bytes);
+    /// Gives the connection up: nothing more is written or read, what isn't sent yet is dropped. onLost follows after
+    /// the caller has returned.
+    void fail(std::string why);
     /// When a write fails, the listener still gets the bytes that the peer sent before; onLost follows them, and waits
     /// until they have been read. Without this, onLost follows at once.
     void readPastFailedWrites();
--- a/libs/http1/src/byte_stream.cpp
+++ b/libs/http1/src/byte_stream.cpp
@@ -258,7 +258,7 @@
 
     void flush()
     {
-        if (!connected || !socket.is_open()) {
+        if (!connected || !socket.is_open() || lossPosted) {
             return;
         }
         if (!pending.empty()) {
@@ -302,6 +302,16 @@
         postLoss(writeFailure);
     }
 
+    void fail(std::string why)
+    {
+        if (!socket.is_open() || lingering || lossPosted) {
+            return;
+        }
+        std::exchange(pending, {});
+        writeFailure = why;
+        postLoss(std::move(why));
+    }
+
     /// Reports the loss after the caller has returned: write() is called from within listeners.
     void postLoss(std::string why)
     {
@@ -572,6 +582,11 @@
     m_impl->write(bytes);
 }
 
+void byte_stream::fail(std::string why)
+{
+    m_impl->fail(std::move(why));
+}
+
 void byte_stream::readPastFailedWrites()
 {
     m_impl->readsPastFailedWrites = true;
