Tell agents only of adapter versions that replace those their engines hold

Cause: each published version of one adapter sent the whole map of versions to each agent, 205 KB with 10,000 adapters. At one version a second and 18 agents this is more than a link of 10 Mbit/s carries, so each link's queue reaches its bound whatever that is.

Change: a link remembers which versions it has sent; it sends the newest versions of those adapters that the engine holds in older ones. The comparison is made when the engine's adapters or the known versions have changed. A load without a version gets the newest (PROTOCOL), so the agent needs no other.

--- a/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
+++ b/libs/agent_protocol/include/medlarrack/agent_protocol/messages.hpp
@@ -59,7 +59,7 @@
     std::uint32_t adapterSlots = 0;
 };
 
-/// Newest versions of adapters, by "model/adapter".
+/// Newest versions of adapters that the engine holds in older ones, by "model/adapter".
 struct adapter_releases
 {
     std::map<std::string, std::uint64_t, std::less<>> versions;
--- a/libs/gateway/include/medlarrack/gateway/replica_table.hpp
+++ b/libs/gateway/include/medlarrack/gateway/replica_table.hpp
@@ -50,8 +50,7 @@
     bool updateVersion(std::string_view adapter, std::uint64_t version);
     /// 0 if no version was published.
     [[nodiscard]] std::uint64_t newestVersion(std::string_view adapter) const;
-    [[nodiscard]] const catalog::adapter_versions &releases() const;
-    /// Number of versions recorded; changes whenever releases() changes.
+    /// Number of versions recorded; changes whenever a newestVersion() changes.
     [[nodiscard]] std::uint64_t releaseCount() const;
 
 private:
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -8,6 +8,7 @@
 #include <asio/ip/address_v4.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -288,6 +289,7 @@
         updated.startObservedAt = startKnownAt;
         updateLoad(updated, status->load);
         knownReplica->agent = std::move(updated);
+        found->second.holdingsChanged = true;
         knownReplica->newestStartMs = std::max(knownReplica->newestStartMs, status->startedAtMs);
         if (!sameIncarnation && knownReplica->awaitsRelisting(now)) {
             log::write(log::level::info, "replica started anew and isn't listed yet",
@@ -312,6 +314,8 @@
             knownReplica->agent->adapters.erase(adapter);
             knownReplica->agent->recentAdapters.add(adapter);
         }
+        found->second.holdingsChanged =
+            found->second.holdingsChanged || !change->loaded.empty() || !change->unloaded.empty();
         updateLoad(*knownReplica->agent, change->load);
         updateFailurePercent(*knownReplica, change->load.failurePercent);
         // The agent's count includes the tokens that this process has reported.
@@ -387,9 +391,8 @@
         facts.adapterSlots = service->engine->adapterSlots;
         link.connection->send(facts);
     }
-    if (link.sentReleaseCount != m_replicas.releaseCount()) {
-        link.sentReleaseCount = m_replicas.releaseCount();
-        link.connection->send(agent_protocol::adapter_releases{m_replicas.releases()});
+    if (of.agent && (link.holdingsChanged || link.checkedReleaseCount != m_replicas.releaseCount())) {
+        sendReleases(of.agent->adapters, link);
     }
     const std::uint64_t pendingPrefillTokensChange = std::max(of.pendingPrefillTokens, link.sentPendingPrefillTokens)
         - std::min(of.pendingPrefillTokens, link.sentPendingPrefillTokens);
@@ -403,4 +406,22 @@
     }
 }
 
+void agent_links::sendReleases(const catalog::adapter_versions &held, agent_link &link)
+{
+    link.holdingsChanged = false;
+    link.checkedReleaseCount = m_replicas.releaseCount();
+    catalog::adapter_versions outdated;
+    for (const auto &[adapter, version] : held) {
+        if (const std::uint64_t newest = m_replicas.newestVersion(adapter); newest > version) {
+            outdated.emplace(adapter, newest);
+        }
+    }
+    agent_protocol::adapter_releases unsent;
+    std::ranges::set_difference(outdated, link.sentReleases, std::inserter(unsent.versions, unsent.versions.end()));
+    link.sentReleases = std::move(outdated);
+    if (!unsent.versions.empty()) {
+        link.connection->send(unsent);
+    }
+}
+
 } // namespace medlarrack::gateway
--- a/libs/gateway/src/agent_links.hpp
+++ b/libs/gateway/src/agent_links.hpp
@@ -48,7 +48,12 @@
         core::monotonic_time nextConnectAt{};
         std::uint64_t sentStateVersion = 0;
         std::map<std::string, std::uint32_t, std::less<>> sentRequestCounts;
-        std::uint64_t sentReleaseCount = 0;
+        /// What the engine holds has changed since its versions were last compared with the newest ones.
+        bool holdingsChanged = true;
+        /// Count of known releases at that time.
+        std::uint64_t checkedReleaseCount = 0;
+        /// The newest versions of the adapters that the engine holds in older ones, as sent.
+        catalog::adapter_versions sentReleases;
         std::uint64_t sentPendingPrefillTokens = 0;
     };
 
@@ -58,6 +63,9 @@
     void mergeCrashReport(const std::string &from, agent_link &to, const core::crash_news &received);
     void closeLink(const std::string &id, std::string_view why);
     void sendUpdates(replica &of, agent_link &link);
+    /// Sends the newest versions of the adapters that the engine holds in older ones. A load without a version gets the
+    /// newest, so the agent needs no others.
+    void sendReleases(const catalog::adapter_versions &held, agent_link &link);
     /// Tells agents of streams that have begun, and asks them for those that callers resume.
     void exchangeStreams(core::monotonic_time now);
     /// Reports the usage of tenants to the agents that keep their buckets.
--- a/libs/gateway/src/replica_table.cpp
+++ b/libs/gateway/src/replica_table.cpp
@@ -186,11 +186,6 @@
     return found == m_releases.end() ? 0 : found->second;
 }
 
-const catalog::adapter_versions &replica_table::releases() const
-{
-    return m_releases;
-}
-
 std::uint64_t replica_table::releaseCount() const
 {
     return m_releaseCount;
--- a/libs/gateway/tests/test_agent_links.cpp
+++ b/libs/gateway/tests/test_agent_links.cpp
@@ -26,4 +26,45 @@
     BOOST_TEST(!engine->agent.has_value());
 }
 
+// Guards against traffic that grows with all adapters whenever the version of one is published (review/6).
+BOOST_AUTO_TEST_CASE(an_agent_is_told_only_of_versions_that_are_newer_than_those_its_engine_holds)
+{
+    for (int number = 0; number < 10'000; ++number) {
+        replicas.updateVersion("m/a" + std::to_string(number), 1);
+    }
+    connect({{"m/a0", 1}, {"m/a1", 1}});
+    links.tick();
+    replicas.updateVersion("m/a1", 2);
+    replicas.updateVersion("m/a2", 2);
+    links.tick();
+    BOOST_REQUIRE(readUntil([this] {
+        return !agent->receivedOf<agent_protocol::adapter_releases>().empty();
+    }));
+    BOOST_TEST((agent->receivedOf<agent_protocol::adapter_releases>().front().versions
+                == catalog::adapter_versions{{"m/a1", 2}}));
+    BOOST_TEST(agent->receivedBytes < 1'000U);
+}
+
+BOOST_AUTO_TEST_CASE(an_agent_is_told_once_of_a_version_that_was_published_before_its_engine_loaded_an_older_one)
+{
+    connect();
+    replicas.updateVersion("m/a1", 2);
+    links.tick();
+    agent->send(agent_protocol::engine_change{.loaded = {{"m/a1", 1}}, .unloaded = {}, .load = {}});
+    BOOST_REQUIRE(waitFor([this] {
+        return engine->agent->adapters.contains("m/a1");
+    }));
+    links.tick();
+    replicas.updateVersion("m/a2", 2);
+    links.tick();
+    publishState();
+    links.tick();
+    BOOST_REQUIRE(readUntil([this] {
+        return agent->receivedOf<agent_protocol::service_config>().size() == 2;
+    }));
+    const auto releases = agent->receivedOf<agent_protocol::adapter_releases>();
+    BOOST_REQUIRE(releases.size() == 1U);
+    BOOST_TEST((releases.front().versions == catalog::adapter_versions{{"m/a1", 2}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
