Send known crashes over a new link in batches that wait for each other

At the tables' limits, 4,096 fingerprints of 32 crashes, it has 131,072 entries and 3.9 MB, over the decoder's limit of 100,000 and the queue's of 1 MiB: the link would be lost each time that it is made.

Change: suspects::crash_batches reads a table in batches of 1,024, each as of the time when it is read, so that what was cleared meanwhile is left out. message_connection::sendPaced() sends the next message once the system has taken all before it.

Result: all_known_crashes_reach_an_agent_that_has_just_connected fails before (none of 131,072 arrive) and passes now.

--- a/libs/agent/src/agent_service.cpp
+++ b/libs/agent/src/agent_service.cpp
@@ -13,6 +13,7 @@
 #include <medlarrack/overload/log_rate.hpp>
 #include <medlarrack/quota/usage_ledger.hpp>
 #include <medlarrack/resumption/origin_table.hpp>
+#include <medlarrack/suspects/crash_batches.hpp>
 #include <medlarrack/suspects/suspect_table.hpp>
 
 #include <asio/ip/address_v4.hpp>
@@ -329,9 +330,13 @@
         agent_protocol::engine_status full = publishedStatus;
         full.recentAdapters = planner.recentAdapters().inMemory();
         added->connection->send(full);
-        if (const core::crash_news known = {suspects.records(clock.now()), {}}; !known.empty()) {
-            added->connection->send(agent_protocol::crash_report{known});
-        }
+        added->connection->sendPaced(
+            [this, batches = suspects::crash_batches(suspects)]() mutable -> std::optional<agent_protocol::message> {
+                if (auto known = batches.next(clock.now())) {
+                    return agent_protocol::crash_report{*std::move(known)};
+                }
+                return std::nullopt;
+            });
     }
 
     void onLinkLost(gateway_link &link, std::string_view why)
--- a/libs/agent_protocol/include/medlarrack/agent_protocol/message_connection.hpp
+++ b/libs/agent_protocol/include/medlarrack/agent_protocol/message_connection.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,18 +30,24 @@
     void send(const message &value);
     /// Sends an encoded message of a type; avoids encoding one again for each of several connections.
     void sendEncoded(std::size_t type, std::string_view bytes);
+    /// Sends messages one after another until `next` returns none, each once what was sent before has been handed to
+    /// the system. Replaces the messages of an earlier call.
+    void sendPaced(std::function<std::optional<message>()> next);
     /// Bytes of messages that the system hasn't taken yet.
     [[nodiscard]] std::size_t unsentBytes() const;
 
 private:
+    void sendNext();
     void fail(std::string why);
     void onBytes(std::string_view bytes) override;
+    void onWritten() override;
     void onPeerEnd() override;
     void onLost(std::string_view why) override;
 
     std::shared_ptr<http1::byte_stream> m_stream;
     message_traffic &m_sent;
     message_decoder m_decoder;
+    std::function<std::optional<message>()> m_next;
     /// onLost is about to be called.
     bool m_failed = false;
     std::function<void(const message &)> m_onMessage;
--- a/libs/agent_protocol/src/message_connection.cpp
+++ b/libs/agent_protocol/src/message_connection.cpp
@@ -62,6 +62,23 @@
     m_stream->fail(std::move(why));
 }
 
+void message_connection::sendPaced(std::function<std::optional<message>()> next)
+{
+    m_next = std::move(next);
+    sendNext();
+}
+
+void message_connection::sendNext()
+{
+    while (m_next && !m_failed && m_stream->queued() == 0) {
+        if (const auto read = m_next()) {
+            send(*read);
+        } else {
+            m_next = nullptr;
+        }
+    }
+}
+
 std::size_t message_connection::unsentBytes() const
 {
     return m_stream->queued();
@@ -84,6 +101,11 @@
     }
 }
 
+void message_connection::onWritten()
+{
+    sendNext();
+}
+
 void message_connection::onPeerEnd()
 {
     m_stream->close();
--- a/libs/agent_protocol/tests/test_message_connection.cpp
+++ b/libs/agent_protocol/tests/test_message_connection.cpp
@@ -85,4 +85,30 @@
     BOOST_TEST(!lost.has_value());
 }
 
+// Guards against a state of many messages that fills a link and so loses it each time that it is made (review/6).
+BOOST_AUTO_TEST_CASE(paced_messages_never_fill_the_buffer)
+{
+    constexpr int count = 200;
+    int taken = 0;
+    connection->sendPaced([&taken]() -> std::optional<message> {
+        if (taken == count) {
+            return std::nullopt;
+        }
+        ++taken;
+        return load_request{std::vector<std::string>(100, std::string(1'000, 'a'))};
+    });
+    BOOST_TEST(taken < count);
+    BOOST_TEST(connection->unsentBytes() < 200'000U);
+    std::vector<char> buffer(1'048'576);
+    std::uint64_t receivedBytes = 0;
+    const std::size_t type = message(load_request()).index();
+    peer.non_blocking(true);
+    BOOST_TEST(runUntil(context, [&] {
+        std::error_code error;
+        receivedBytes += peer.read_some(asio::buffer(buffer), error);
+        return taken == count && receivedBytes == sent.bytes(type);
+    }));
+    BOOST_TEST(!lost.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/src/agent_links.cpp
+++ b/libs/gateway/src/agent_links.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -299,9 +300,13 @@
             found->second.connected = true;
             log::write(log::level::info, "agent link made", {{"replica", id}});
             // The agent may have restarted and lost what it knew.
-            if (const core::crash_news all = m_crashDetector.snapshot(now); !all.empty()) {
-                found->second.connection->send(agent_protocol::crash_report{all});
-            }
+            found->second.connection->sendPaced(
+                [this, batches = m_crashDetector.batches()]() mutable -> std::optional<agent_protocol::message> {
+                    if (auto known = batches.next(m_clock.now())) {
+                        return agent_protocol::crash_report{*std::move(known)};
+                    }
+                    return std::nullopt;
+                });
             sendUpdates(*knownReplica, found->second);
         }
     } else if (const auto *change = std::get_if<agent_protocol::engine_change>(&message);
--- a/libs/gateway/tests/test_agent_links.cpp
+++ b/libs/gateway/tests/test_agent_links.cpp
@@ -67,4 +67,30 @@
     BOOST_TEST((releases.front().versions == catalog::adapter_versions{{"m/a1", 2}}));
 }
 
+// Guards against a link that is lost each time that it is made, as all crashes that are known fill it (review/6).
+BOOST_AUTO_TEST_CASE(all_known_crashes_reach_an_agent_that_has_just_connected)
+{
+    constexpr std::uint64_t fingerprints = 4'096;
+    constexpr std::uint64_t crashes = 32;
+    core::crash_news known;
+    for (std::uint64_t fingerprint = 1; fingerprint <= fingerprints; ++fingerprint) {
+        for (std::uint64_t target = 1; target <= crashes; ++target) {
+            known.crashes.push_back({fingerprint, target, std::chrono::seconds(10 * target), {}, false});
+        }
+    }
+    crashDetector.merge(known, clock.now());
+    connect();
+    links.tick();
+    std::size_t received = 0;
+    BOOST_TEST(readUntil([&] {
+        received = 0;
+        for (const auto &report : agent->receivedOf<agent_protocol::crash_report>()) {
+            received += report.news.crashes.size();
+        }
+        return received == fingerprints * crashes || agent->hasEnded;
+    }));
+    BOOST_TEST(received == fingerprints * crashes);
+    BOOST_TEST(engine->agent.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/suspects/include/medlarrack/suspects/crash_detector.hpp
+++ b/libs/suspects/include/medlarrack/suspects/crash_detector.hpp
@@ -3,6 +3,7 @@
 #include <medlarrack/core/clock.hpp>
 #include <medlarrack/core/crash_record.hpp>
 #include <medlarrack/core/instance_ref.hpp>
+#include <medlarrack/suspects/crash_batches.hpp>
 #include <medlarrack/suspects/suspect_table.hpp>
 
 #include <chrono>
@@ -129,6 +130,8 @@
     [[nodiscard]] core::crash_news takeNews(core::monotonic_time now);
     /// All known crashes, for a process that has just connected.
     [[nodiscard]] core::crash_news snapshot(core::monotonic_time now) const;
+    /// The same in batches. The detector must outlive them.
+    [[nodiscard]] crash_batches batches() const;
     /// Merges news received from another process.
     merge_result merge(const core::crash_news &received, core::monotonic_time now);
 
--- a/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
+++ b/libs/suspects/include/medlarrack/suspects/suspect_table.hpp
@@ -103,7 +103,11 @@
     /// any.
     bool acquit(std::uint64_t fingerprint, core::monotonic_time answeredAt, core::monotonic_time now);
 
-    /// All crashes that haven't expired, in the form for other processes.
+    /// Fingerprints in the order in which they were added.
+    [[nodiscard]] std::vector<std::uint64_t> fingerprints() const;
+    /// Crashes of one fingerprint that haven't expired, in the form for other processes.
+    [[nodiscard]] std::vector<core::crash_record> recordsOf(std::uint64_t fingerprint, core::monotonic_time now) const;
+    /// The same of all fingerprints.
     [[nodiscard]] std::vector<core::crash_record> records(core::monotonic_time now) const;
     /// Merges news from another process and returns the part that was new. Crashes that are already known count once.
     core::crash_news merge(const core::crash_news &received, core::monotonic_time now);
--- a/libs/suspects/src/crash_detector.cpp
+++ b/libs/suspects/src/crash_detector.cpp
@@ -382,6 +382,11 @@
     return {m_table.records(now), {}};
 }
 
+crash_batches crash_detector::batches() const
+{
+    return crash_batches(m_table);
+}
+
 merge_result crash_detector::merge(const core::crash_news &received, core::monotonic_time now)
 {
     merge_result merged;
--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -120,19 +120,34 @@
     return dropped > 0;
 }
 
-std::vector<core::crash_record> suspect_table::records(core::monotonic_time now) const
+std::vector<std::uint64_t> suspect_table::fingerprints() const
+{
+    std::vector<std::uint64_t> result;
+    std::ranges::copy_if(m_order, std::back_inserter(result), [this](std::uint64_t fingerprint) {
+        return m_entries.contains(fingerprint);
+    });
+    return result;
+}
+
+std::vector<core::crash_record> suspect_table::recordsOf(std::uint64_t fingerprint, core::monotonic_time now) const
 {
     const auto toMilliseconds = [](std::chrono::nanoseconds time) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(time);
     };
+    std::vector<core::crash_record> result;
+    for (const crash &known : crashesOf(fingerprint, now)) {
+        result.push_back(
+            {fingerprint, known.target, toMilliseconds(now - known.at), toMilliseconds(known.runTime), known.probe});
+    }
+    return result;
+}
+
+std::vector<core::crash_record> suspect_table::records(core::monotonic_time now) const
+{
     std::vector<core::crash_record> result;
     for (const std::uint64_t fingerprint : m_order) {
-        if (const entry *found = find(fingerprint, now)) {
-            for (const crash &known : found->crashes) {
-                result.push_back({fingerprint, known.target, toMilliseconds(now - known.at),
-                                  toMilliseconds(known.runTime), known.probe});
-            }
-        }
+        const auto records = recordsOf(fingerprint, now);
+        result.insert(result.end(), records.begin(), records.end());
     }
     return result;
 }
--- a/libs/suspects/tests/test_suspects.cpp
+++ b/libs/suspects/tests/test_suspects.cpp
@@ -1,3 +1,4 @@
+#include <medlarrack/suspects/crash_batches.hpp>
 #include <medlarrack/suspects/suspect_table.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -92,6 +93,26 @@
     BOOST_TEST((table.statusOf(poison, start + 1s + 10min) == suspect_status::clear));
 }
 
+BOOST_AUTO_TEST_CASE(batches_are_bounded_and_leave_out_what_was_cleared_after_they_began)
+{
+    suspects::suspect_table table;
+    constexpr std::uint64_t count = 3'000;
+    for (std::uint64_t fingerprint = 1; fingerprint <= count; ++fingerprint) {
+        table.recordCrash(fingerprint, first, start);
+    }
+    suspects::crash_batches batches(table);
+    const auto firstBatch = batches.next(start);
+    BOOST_REQUIRE(firstBatch.has_value());
+    table.recordAnswer(count, start + 1s);
+    std::size_t read = firstBatch->crashes.size();
+    while (const auto batch = batches.next(start + 2s)) {
+        BOOST_TEST(batch->crashes.size() <= suspects::crash_batches::batchSize);
+        BOOST_TEST((batch->crashes.front().age == 2s));
+        read += batch->crashes.size();
+    }
+    BOOST_TEST(read == count - 1);
+}
+
 BOOST_AUTO_TEST_CASE(faded_empty_and_future_records_of_peers_do_no_harm)
 {
     suspects::suspect_table table;
