Wait for an answer of the store as long as it keeps coming

Cause: a call had 900 ms, with the wait for changes 1,200 ms, for its whole answer. A state of 1.4 MB takes longer on such a link. The call was made again for an answer that only grew, so that it could never succeed.

Change: http1::answer_pace gives an answer up after 900 ms without a byte, or below 64 KiB a second on average. Small answers keep one limit for the whole. A deadline that passes over unread bytes while the process stood still is checked again. The time in which an answer came doesn't count towards an outage, after which removed replicas would be kept for a while.

--- a/libs/gateway/src/store_reader.cpp
+++ b/libs/gateway/src/store_reader.cpp
@@ -15,9 +15,11 @@
 constexpr std::chrono::milliseconds longPollTime{300};
 /// The same for a request that only finds out whether the store answers.
 constexpr std::chrono::milliseconds shortestWait{1};
-/// Time-out of a response, on top of the time that the store may hold it. The store usually takes a few milliseconds to
-/// respond, at times some hundreds.
+/// Time without a byte of a response, on top of the time that the store may hold it. The store usually takes a few
+/// milliseconds to respond, at times some hundreds.
 constexpr std::chrono::milliseconds responseTimeout{900};
+/// A response with a large state takes seconds on a slow link that it shares with the traffic of callers.
+constexpr std::uint32_t minResponseBytesPerSecond = 65'536;
 /// Delay after a failed call.
 constexpr std::chrono::milliseconds retryDelay{300};
 /// Time without a successful call that counts as an outage: entries in the store expire after some seconds.
@@ -26,6 +28,11 @@
 /// An outage also exceeds the poll interval by at least this, so that a long interval does not count as one.
 constexpr std::chrono::milliseconds outageMargin{400};
 
+http1::answer_limits responseLimits(std::chrono::milliseconds wait)
+{
+    return {wait + responseTimeout, responseTimeout, minResponseBytesPerSecond};
+}
+
 } // namespace
 
 class store_reader::impl : public std::enable_shared_from_this<impl>
@@ -48,7 +55,7 @@
     {
         lastCallAt = clock.now();
         const bool isFirstPage = pageToken.empty();
-        client.call("GET", format.pageTarget(pageToken), "", responseTimeout,
+        client.call("GET", format.pageTarget(pageToken), "", responseLimits(std::chrono::milliseconds(0)),
                     [this, isFirstPage](const std::optional<http1::call_answer> &response, core::reason why) {
                         handlePage(isFirstPage, response, std::move(why));
                     });
@@ -86,7 +93,7 @@
                 listedReplicas.push_back(record->id);
             }
         }
-        onSuccess();
+        onSuccess(*response);
         store_update update{parsed->changes, std::nullopt, revision, recoveringFromOutage || eraChanged};
         if (parsed->nextPage) {
             pageToken = *parsed->nextPage;
@@ -107,7 +114,7 @@
     {
         lastCallAt = clock.now();
         const std::chrono::milliseconds wait = std::exchange(waitWasCut, false) ? shortestWait : longPollTime;
-        client.call("GET", format.changesTarget(revision, wait), "", wait + responseTimeout,
+        client.call("GET", format.changesTarget(revision, wait), "", responseLimits(wait),
                     [this](const std::optional<http1::call_answer> &response, const core::reason &why) {
                         handleChanges(response, why);
                     });
@@ -146,7 +153,7 @@
             onFailure(why);
             return;
         }
-        onSuccess();
+        onSuccess(*response);
         revision = std::max(revision, parsed->revision);
         onUpdate({parsed->changes, std::nullopt, revision, std::exchange(recoveringFromOutage, false)});
         schedule(interval);
@@ -196,10 +203,12 @@
         return (format.*parse)(response->body, why);
     }
 
-    void onSuccess()
+    void onSuccess(const http1::call_answer &response)
     {
         const core::monotonic_time now = clock.now();
-        if (now - lastSuccessAt >= std::max(outageThreshold, interval + outageMargin)) {
+        // The store was there while its response was on the way.
+        const auto silence = now - response.transferTime - lastSuccessAt;
+        if (silence >= std::max(outageThreshold, interval + outageMargin)) {
             recoveringFromOutage = true;
         }
         if (reachable != true) {
--- a/libs/http1/include/medlarrack/http1/call_client.hpp
+++ b/libs/http1/include/medlarrack/http1/call_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <medlarrack/core/reason.hpp>
+#include <medlarrack/http1/answer_pace.hpp>
 #include <medlarrack/http1/message_head.hpp>
 
 #include <asio/io_context.hpp>
@@ -24,6 +25,8 @@
     int status = 0;
     std::vector<header> headers;
     std::string body;
+    /// Time from the first byte of the body to the last one.
+    std::chrono::nanoseconds transferTime{0};
 
     /// Value of the first header of a name, compared without case; nothing without one.
     [[nodiscard]] std::optional<std::string_view> headerValue(std::string_view name) const;
@@ -63,6 +66,9 @@
     /// The same of all answers.
     [[nodiscard]] std::uint64_t totalReceivedBytes() const;
     /// Starts a call; must not be busy. No handler is called after destruction.
+    void call(std::string_view method, std::string_view target, std::string_view body, const answer_limits &limits,
+              done_handler done);
+    /// The same with one limit for the whole answer.
     void call(std::string_view method, std::string_view target, std::string_view body,
               std::chrono::milliseconds timeout, done_handler done);
 
--- a/libs/http1/src/call_client.cpp
+++ b/libs/http1/src/call_client.cpp
@@ -40,6 +40,9 @@
 
 namespace {
 
+/// Time after which a call whose deadline passed over unread bytes is checked again.
+constexpr std::chrono::milliseconds unreadBytesDelay{10};
+
 /// Ids of calls, which no other process uses.
 class call_id_source
 {
@@ -71,11 +74,12 @@
     {
     }
 
-    void call(std::string_view method, std::string_view target, std::string_view body,
-              std::chrono::milliseconds timeout, done_handler handler)
+    void call(std::string_view method, std::string_view target, std::string_view body, const answer_limits &limits,
+              done_handler handler)
     {
         done = std::move(handler);
         answer = {};
+        pace = answer_pace(limits, std::chrono::steady_clock::now());
         receivedBytes = 0;
         std::string request;
         request += method;
@@ -93,18 +97,42 @@
         request += body;
         if (connection == nullptr || !connection->isReusable() || connection->hasUnreadBytes()) {
             connection = std::make_shared<client_connection>(context);
-            connection->connect(server, timeout);
+            connection->connect(server, limits.firstByte);
             answerNamed = true;
         }
-        timer.expires_after(timeout);
+        awaitDeadline(pace.deadline());
+        connection->send(request, *this);
+    }
+
+    void awaitDeadline(std::chrono::steady_clock::time_point until)
+    {
+        timer.expires_at(until);
         timer.async_wait([weak = weak_from_this()](const std::error_code &error) {
             const auto self = weak.lock();
             if (!error && self != nullptr && self->done) {
-                self->drop();
-                self->finish(std::nullopt, {"timeout", "no whole answer in time"});
+                self->checkDeadline();
             }
         });
-        connection->send(request, *this);
+    }
+
+    void checkDeadline()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now < pace.deadline()) {
+            awaitDeadline(pace.deadline());
+            return;
+        }
+        // The process stood still: what came meanwhile is read first.
+        if (connection != nullptr && connection->hasUnreadBytes()) {
+            awaitDeadline(now + unreadBytesDelay);
+            return;
+        }
+        drop();
+        finish(std::nullopt,
+               {"timeout",
+                "no whole answer in time: " + std::to_string(receivedBytes) + " bytes in "
+                    + std::to_string(std::chrono::round<std::chrono::milliseconds>(now - pace.requestedAt()).count())
+                    + " ms"});
     }
 
     head_verdict onHead(const message_head &head) override
@@ -130,6 +158,7 @@
 
     void onBody(std::string &body) override
     {
+        pace.onBytes(body.size(), std::chrono::steady_clock::now());
         receivedBytes += body.size();
         totalReceivedBytes += body.size();
         if (answer.body.size() + body.size() > maxBodyBytes) {
@@ -143,6 +172,7 @@
 
     void onComplete() override
     {
+        answer.transferTime = pace.transferTime();
         finish(std::move(answer), {});
     }
 
@@ -181,6 +211,7 @@
     std::shared_ptr<client_connection> connection;
     done_handler done;
     call_answer answer;
+    answer_pace pace{{}, {}};
     std::size_t receivedBytes = 0;
     std::uint64_t totalReceivedBytes = 0;
 };
@@ -223,10 +254,16 @@
     return m_impl->totalReceivedBytes;
 }
 
+void call_client::call(std::string_view method, std::string_view target, std::string_view body,
+                       const answer_limits &limits, done_handler done)
+{
+    m_impl->call(method, target, body, limits, std::move(done));
+}
+
 void call_client::call(std::string_view method, std::string_view target, std::string_view body,
                        std::chrono::milliseconds timeout, done_handler done)
 {
-    m_impl->call(method, target, body, timeout, std::move(done));
+    m_impl->call(method, target, body, answer_limits::wholeWithin(timeout), std::move(done));
 }
 
 } // namespace medlarrack::http1
