Let answers of the configuration service take as long as they keep coming

Change: client_request has a least rate, which libcurl keeps: below 64 KiB a second for the wait and 3 s the call is given up; the whole may take 16 s more, in which the longest answer comes at that rate.

Result: an_answer_that_keeps_coming_is_taken_however_long_it_takes fails before (one failed call, timeout) and passes now; an_answer_below_its_least_rate_is_given_up_before_the_timeout covers the rate.

--- a/libs/config_sync/include/medlarrack/config_sync/reader_settings.hpp
+++ b/libs/config_sync/include/medlarrack/config_sync/reader_settings.hpp
@@ -18,7 +18,8 @@
     /// This process; id, kind and data centre must be set.
     instances::instance self;
     planner_settings planner;
-    /// Timeout of a call to the service, in addition to the wait time of a watch.
+    /// Time without an answer of the service, in addition to the wait time of a watch. One that keeps coming may take
+    /// longer.
     std::chrono::milliseconds callTimeout{3'000};
     /// Peers to query while the instance list can't be read; may be empty.
     std::vector<peer_ref> seeds;
--- a/libs/config_sync/src/reader_session.cpp
+++ b/libs/config_sync/src/reader_session.cpp
@@ -15,6 +15,10 @@
 constexpr int statusOk = 200;
 constexpr int statusTooMany = 429;
 constexpr std::chrono::milliseconds minTimerDelay{1};
+/// A long answer takes a while on a slow link that it shares with the traffic of callers.
+constexpr std::uint32_t minBytesPerSecond = 65'536;
+/// Time in which the longest answer, a megabyte, comes at that rate.
+constexpr std::chrono::seconds longestTransfer{16};
 
 std::uint64_t seedFor(const instances::instance &self, const core::clock &clock)
 {
@@ -169,7 +173,7 @@
     });
     const auto path =
         "/v1/changes?after=" + std::to_string(call.after) + "&wait_ms=" + std::to_string(call.wait.count());
-    get(path, call.wait + m_settings.callTimeout,
+    get(path, call.wait,
         [weak = weak_from_this(), after = call.after](const http::client_result &result, const std::string &body) {
             if (const auto self = weak.lock()) {
                 self->onStrand([after, result, body](reader_session &session) {
@@ -184,7 +188,7 @@
     updateStatus([](reader_status &status) {
         ++status.instancesCalls;
     });
-    get("/v1/instances", m_settings.callTimeout,
+    get("/v1/instances", std::chrono::milliseconds(0),
         [weak = weak_from_this()](const http::client_result &result, const std::string &body) {
             if (const auto self = weak.lock()) {
                 self->onStrand([result, body](reader_session &session) {
@@ -209,11 +213,13 @@
                           });
 }
 
-void reader_session::get(const std::string &path, std::chrono::milliseconds timeout, body_handler handler)
+void reader_session::get(const std::string &path, std::chrono::milliseconds wait, body_handler handler)
 {
     http::client_request request;
     request.url = m_settings.platformUrl + path;
-    request.timeout = timeout;
+    request.minBytesPerSecond = minBytesPerSecond;
+    request.stallTime = wait + m_settings.callTimeout;
+    request.timeout = request.stallTime + longestTransfer;
     http::fetch(m_client, std::move(request),
                 [handler = std::move(handler)](const http::client_result &result, const std::string &body) {
                     handler(result, body);
--- a/libs/config_sync/src/reader_session.hpp
+++ b/libs/config_sync/src/reader_session.hpp
@@ -47,7 +47,7 @@
     void run(const read_changes &call);
     void run(const read_instances &call);
     void run(const query_peer &query);
-    void get(const std::string &path, std::chrono::milliseconds timeout, body_handler handler);
+    void get(const std::string &path, std::chrono::milliseconds wait, body_handler handler);
     void onChangesResponse(std::uint64_t after, const http::client_result &result, const std::string &body);
     void onInstancesResponse(const http::client_result &result, const std::string &body);
     void onPeerReply(const query_peer &query, const std::optional<peer::tickets_reply> &reply);
--- a/libs/config_sync/tests/test_platform_reader.cpp
+++ b/libs/config_sync/tests/test_platform_reader.cpp
@@ -32,7 +32,7 @@
 public:
     explicit loopback_platform(asio::io_context &context)
         : m_server(context, {}, [this](const http::request &request, const auto &responder) {
-            handle(request, *responder);
+            handle(request, responder);
         })
     {
         core::reason why;
@@ -52,19 +52,41 @@
     }
 
     std::atomic<int> calls{0};
+    /// The next answer with changes comes in pieces, with blanks before it, over twice this time.
+    std::atomic<std::chrono::milliseconds> slowAnswer{0ms};
 
 private:
-    void handle(const http::request &request, http::responder &responder)
+    void handle(const http::request &request, const std::shared_ptr<http::responder> &responder)
     {
         ++calls;
+        const std::string answer = answerTo(request);
+        if (const auto time = slowAnswer.load(); time > 0ms && request.path() == "/v1/changes") {
+            slowAnswer = 0ms;
+            m_slowWriter = std::jthread([responder, answer, time] {
+                constexpr int pieces = 20;
+                responder->begin(200, {{"Content-Type", "application/json"}});
+                for (int piece = 0; piece < pieces; ++piece) {
+                    responder->write(std::string(20'000, ' '));
+                    std::this_thread::sleep_for(2 * time / pieces);
+                }
+                responder->write(answer);
+                responder->end();
+            });
+            return;
+        }
+        responder->respond(200, {{"Content-Type", "application/json"}}, answer);
+    }
+
+    std::string answerTo(const http::request &request)
+    {
         const std::lock_guard lock(m_mutex);
-        responder.respond(200, {{"Content-Type", "application/json"}},
-                          request.path() == "/v1/changes" ? m_changes : m_instances);
+        return request.path() == "/v1/changes" ? m_changes : m_instances;
     }
 
     std::mutex m_mutex;
     std::string m_changes = "{}";
     std::string m_instances = "{}";
+    std::jthread m_slowWriter;
     http::server m_server;
 };
 
@@ -126,7 +148,8 @@
 /// The ticket state, instance view and platform_reader of one process.
 struct process
 {
-    process(workers &pool, const std::string &url, const std::string &id, bool peersEnabled)
+    process(workers &pool, const std::string &url, const std::string &id, bool peersEnabled,
+            std::chrono::milliseconds callTimeout = 3s)
         : client(pool.context)
         , peers(pool.context, {}, [id] {
             return peer::hello{{id, 1}, "osijek", 1, 1, 0};
@@ -137,6 +160,7 @@
         settings.self.id = id;
         settings.self.dataCentre = "osijek";
         settings.self.kind = instances::instance_kind::entry;
+        settings.callTimeout = callTimeout;
         settings.planner.listInterval = 50ms;
         settings.planner.pollInterval = 50ms;
         settings.planner.minSpacing = 20ms;
@@ -203,6 +227,25 @@
     pool.stop();
 }
 
+// Guards against a state that is never taken, as its answer takes longer than the time for a whole answer; see
+// review/9.
+BOOST_AUTO_TEST_CASE(an_answer_that_keeps_coming_is_taken_however_long_it_takes)
+{
+    workers pool;
+    loopback_platform platform(pool.context);
+    platform.set(twoTickets, listWith(7));
+    constexpr auto callTimeout = 1s;
+    platform.slowAnswer = callTimeout;
+    {
+        process single(pool, platform.url(), "entry-1", false, callTimeout);
+        BOOST_TEST(single.events.until([&] {
+            return single.state.contiguous() == 3;
+        }));
+        BOOST_TEST(single.reader->status().serviceFailures == 0U, single.reader->status().lastError);
+    }
+    pool.stop();
+}
+
 BOOST_AUTO_TEST_CASE(a_stale_or_broken_answer_changes_nothing)
 {
     workers pool;
--- a/libs/http/include/medlarrack/http/client.hpp
+++ b/libs/http/include/medlarrack/http/client.hpp
@@ -25,6 +25,11 @@
     /// Time for the whole exchange.
     std::chrono::milliseconds timeout{30'000};
     std::chrono::milliseconds connectTimeout{1'000};
+    /// An exchange that brings fewer bytes a second for as long as `stallTime` is given up before its timeout, so that
+    /// a long answer can have a long one. 0: only the timeout counts.
+    std::uint32_t minBytesPerSecond = 0;
+    /// In whole seconds, rounded up.
+    std::chrono::milliseconds stallTime{1'000};
     /// Opens a connection for this exchange in place of using a kept one. A kept connection may be closed by the server
     /// at the moment of sending, and then it isn't known whether the request arrived.
     bool freshConnection = false;
--- a/libs/http/src/exchange.cpp
+++ b/libs/http/src/exchange.cpp
@@ -114,6 +114,11 @@
     curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, static_cast<long>(m_request.timeout.count()));
     curl_easy_setopt(m_handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(m_request.connectTimeout.count()));
+    if (m_request.minBytesPerSecond > 0) {
+        curl_easy_setopt(m_handle, CURLOPT_LOW_SPEED_LIMIT, static_cast<long>(m_request.minBytesPerSecond));
+        curl_easy_setopt(m_handle, CURLOPT_LOW_SPEED_TIME,
+                         static_cast<long>(std::chrono::ceil<std::chrono::seconds>(m_request.stallTime).count()));
+    }
     curl_easy_setopt(m_handle, CURLOPT_MAXAGE_CONN, maxIdleConnectionSeconds);
     curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, m_request.freshConnection ? 1L : 0L);
     curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &exchange::onHeaderLine);
--- a/libs/http/tests/test_client.cpp
+++ b/libs/http/tests/test_client.cpp
@@ -209,6 +209,24 @@
     BOOST_TEST(record.result->errorCode == "timeout");
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_below_its_least_rate_is_given_up_before_the_timeout)
+{
+    const auto server = serve([&](const request &, const std::shared_ptr<responder> &answer) {
+        answer->begin(200, {});
+        answer->write("x");
+        answer->onClosed([answer] {});
+    });
+    client_request request{"GET", urlOf(server->port(), "/")};
+    request.timeout = 1min;
+    request.minBytesPerSecond = 1'000;
+    request.stallTime = 1s;
+    const auto start = std::chrono::steady_clock::now();
+    const auto record = run(request);
+    BOOST_TEST((record.result->progress == client_progress::sent));
+    BOOST_TEST(record.result->errorCode == "timeout");
+    BOOST_TEST((std::chrono::steady_clock::now() - start < 30s));
+}
+
 BOOST_AUTO_TEST_CASE(cancel_ends_the_exchange_and_closes_the_connection)
 {
     bool arrived = false;
