Keep the limits of a slow request's test apart by the server's own checks

Cause: a_request_that_is_not_complete_in_time_is_refused had a limit of 100 ms for the request, 150 ms for silence, and a check each 50 ms.

Change: the request's limit is a sixth of the limit of silence. The server checks three times in that limit, and starts it anew after a pause of more than two checks, so that one check falls between the two however late it is. What the test demands is unchanged.

--- a/libs/peer/tests/test_hostile_input.cpp
+++ b/libs/peer/tests/test_hostile_input.cpp
@@ -116,8 +116,10 @@
 {
     worker_pool pool;
     server_limits limits;
-    limits.lossTimeout = std::chrono::milliseconds(150);
-    limits.requestTimeout = std::chrono::milliseconds(100);
+    // The server checks its limits three times in a loss time, and takes a longer pause between two checks for its own:
+    // however late the checks are, one comes after the request's limit and before the connection counts as silent.
+    limits.requestTimeout = std::chrono::milliseconds(50);
+    limits.lossTimeout = 6 * limits.requestTimeout;
     limits.idleTimeout = std::chrono::milliseconds(300);
     test_server server(pool, echo, limits);
     raw_peer slow(server.at());
